--- /dev/null
+++ b/connection/include/lagoonquay/connection/credit_account.hpp
@@ -0,0 +1,39 @@
+//! An entry's credits on one link. Pure.
+#pragma once
+
+#include <cstdint>
+
+namespace lagoonquay
+{
+
+//! Credits of one link as its entry counts them. Totals count from the
+//! opening of the link, so that a lost or repeated message does no harm.
+//! Not thread-safe.
+class credit_account
+{
+public:
+    //! Takes over the agent's totals.
+    void update(std::uint64_t granted_total,
+                std::uint64_t recalled_total) noexcept;
+
+    //! Uses one credit. @return false if there is none.
+    bool take() noexcept;
+
+    //! Undoes one take().
+    void untake() noexcept;
+
+    //! Gives back idle credits that were recalled.
+    //! @return whether anything was given back.
+    bool give_back() noexcept;
+
+    std::uint32_t available() const noexcept;
+    std::uint64_t returned_total() const noexcept;
+
+private:
+    std::uint64_t granted_ = 0;
+    std::uint64_t recalled_ = 0;
+    std::uint64_t used_ = 0;
+    std::uint64_t returned_ = 0;
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/connection/include/lagoonquay/connection/http_server.hpp
@@ -0,0 +1,70 @@
+//! HTTP listener with limits on all input, and WebSocket links on one path.
+#pragma once
+
+#include "lagoonquay/connection/endpoint.hpp"
+#include "lagoonquay/connection/http_message.hpp"
+#include "lagoonquay/request/time.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace lagoonquay
+{
+
+class message_link;
+
+struct http_server_options
+{
+    endpoint listen;
+    std::size_t body_bytes = 32UL * 1024 * 1024;
+    std::uint32_t header_bytes = 8192;
+    std::size_t connections = 1024;
+    duration idle_timeout = std::chrono::seconds(60);
+    duration read_timeout = std::chrono::seconds(10); //!< for one request
+    std::string bearer;    //!< required token; empty admits everyone
+    std::string link_path; //!< path of WebSocket upgrades; empty for none
+};
+
+//! Takes over a link that a peer opened. Called from any I/O thread.
+using link_handler = std::function<void(std::shared_ptr<message_link>)>;
+
+//! Accepts connections until it is closed. Thread-safe.
+class http_server
+{
+public:
+    //! Starts to listen.
+    //! @return the server, or bad_address / unreachable.
+    static connection_result<http_server> listen(boost::asio::io_context& io,
+                                                 http_server_options options,
+                                                 http_handler handler,
+                                                 link_handler on_link = {});
+
+    http_server(http_server&&) noexcept;
+    http_server& operator=(http_server&&) noexcept;
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    ~http_server();
+
+    //! @return the port in use, also where the options asked for port 0.
+    std::uint16_t port() const noexcept;
+
+    //! Accepts no more; requests in progress are answered.
+    void stop_accepting();
+
+    //! @return open connections, links included.
+    std::size_t open_connections() const noexcept;
+
+private:
+    struct state;
+    explicit http_server(std::shared_ptr<state> shared) noexcept;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/connection/include/lagoonquay/connection/message_link.hpp
@@ -0,0 +1,72 @@
+//! Two-way stream of typed messages over one WebSocket.
+#pragma once
+
+#include "lagoonquay/connection/endpoint.hpp"
+#include "lagoonquay/request/dispatch.hpp"
+#include "lagoonquay/request/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace lagoonquay
+{
+
+struct message_link_options
+{
+    std::size_t frame_bytes = 32UL * 1024 * 1024;
+    //! A link without any message or pong for this long is closed.
+    duration silence = std::chrono::seconds(2);
+};
+
+//! Hooks of a link. Each is called from one I/O thread at a time.
+struct link_hooks
+{
+    std::function<void(const std::vector<link_message>&)> on_messages;
+    std::function<void()> on_close; //!< last call of the link
+};
+
+//! Counts of a link since it opened.
+struct link_counts
+{
+    std::uint64_t frames_sent = 0;
+    std::uint64_t messages_sent = 0;
+    std::uint64_t messages_received = 0;
+
+    friend bool operator==(const link_counts&, const link_counts&) = default;
+};
+
+//! One open link. Thread-safe.
+class message_link
+{
+public:
+    virtual ~message_link() = default;
+
+    //! Begins to read; messages before this wait in the socket.
+    virtual void start(link_hooks hooks) = 0;
+
+    //! Queues a message; all that is queued goes out as one frame.
+    virtual void send(link_message message) = 0;
+
+    //! Closes the link; on_close follows.
+    virtual void close() = 0;
+
+    virtual link_counts counts() const noexcept = 0;
+};
+
+//! Called once with an open link, or with the error.
+using link_callback =
+    std::function<void(connection_result<std::shared_ptr<message_link>>)>;
+
+//! Opens a link to the listener's `path`. May be called from any thread.
+void open_link(boost::asio::io_context& io, const endpoint& target,
+               const std::string& path, message_link_options options,
+               link_callback done);
+
+} // namespace lagoonquay
--- /dev/null
+++ b/connection/include/lagoonquay/connection/slot_grants.hpp
@@ -0,0 +1,83 @@
+//! An agent's slots, divided among the links of entries. Pure.
+#pragma once
+
+#include "lagoonquay/request/ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace lagoonquay
+{
+
+//! One link of this process incarnation.
+using link_number = number_id<struct link_tag>;
+
+//! Totals that one link's entry has to hear.
+struct link_grant
+{
+    link_number link;
+    std::uint64_t credits_total = 0;
+    std::uint64_t recalled_total = 0;
+
+    friend auto operator<=>(const link_grant&, const link_grant&) = default;
+};
+
+//! Grants credits so that tasks and unused credits never exceed the slots.
+//! Not thread-safe.
+class slot_grants
+{
+public:
+    //! @param slots  most tasks at once.
+    explicit slot_grants(std::uint32_t slots) noexcept;
+
+    //! Changes the number of slots; credits already granted stay valid.
+    void resize(std::uint32_t slots) noexcept;
+
+    void open(link_number link);
+    //! Forgets the link; its unused credits are free again.
+    void close(link_number link);
+    void demand(link_number link, std::uint32_t wanted,
+                std::uint64_t returned_total);
+
+    //! Turns a credit of the link into a running task.
+    //! @return false if the link has no credit.
+    bool start(link_number link);
+
+    //! Frees the slot of a running task.
+    void finish() noexcept;
+
+    //! Divides the free slots and recalls idle credits where others wait.
+    //! @return the links whose totals changed.
+    std::vector<link_grant> rebalance();
+
+    //! @return the totals of one link.
+    link_grant totals(link_number link) const;
+
+    std::uint32_t running() const noexcept;
+    std::uint32_t slots() const noexcept;
+
+private:
+    struct account
+    {
+        std::uint64_t granted = 0;
+        std::uint64_t used = 0;
+        std::uint64_t returned = 0;
+        std::uint64_t recalled = 0;
+        std::uint32_t wanted = 0;
+        bool changed = false;
+    };
+
+    static std::uint64_t outstanding(const account& it) noexcept;
+    std::uint64_t free_slots() const noexcept;
+    account* most_starved() noexcept;
+    account* fewest_credits() noexcept;
+    void grant_free();
+    void recall_idle();
+
+    std::uint32_t slots_;
+    std::uint32_t running_ = 0;
+    std::map<link_number, account> accounts_;
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/connection/include/lagoonquay/connection/upstream.hpp
@@ -0,0 +1,62 @@
+//! What passes between an agent and its upstream.
+#pragma once
+
+#include "lagoonquay/connection/endpoint.hpp"
+#include "lagoonquay/request/answer.hpp"
+#include "lagoonquay/request/dispatch.hpp"
+#include "lagoonquay/request/error.hpp"
+#include "lagoonquay/request/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace lagoonquay
+{
+
+//! How an upstream presents itself; it repeats this as its heartbeat.
+struct upstream_announcement
+{
+    endpoint address;        //!< where it takes tasks over HTTP
+    std::uint32_t slots = 0; //!< tasks at once
+    resources capacity;
+    bool leaving = false; //!< takes no new work
+
+    friend bool operator==(const upstream_announcement&,
+                           const upstream_announcement&) = default;
+};
+
+std::string encode_announcement(const upstream_announcement& it);
+//! @return the announcement, or malformed / out_of_range.
+request_result<upstream_announcement>
+decode_announcement(std::string_view text);
+
+//! One call of an upstream.
+struct upstream_call
+{
+    endpoint address;
+    submission_id submission;
+    task_index index;
+    attempt_number attempt;
+    std::string payload;
+    duration run_limit{};
+
+    friend bool operator==(const upstream_call&,
+                           const upstream_call&) = default;
+};
+
+//! Gets the task's result once, from any I/O thread.
+using upstream_callback = std::function<void(task_result)>;
+
+//! Calls an upstream. Thread-safe.
+using upstream_hook =
+    std::function<void(const upstream_call&, upstream_callback)>;
+
+class http_client;
+
+//! @return a hook that posts the payload to the upstream's /v1/tasks.
+//! The client must outlive the hook.
+upstream_hook call_over_http(http_client& client);
+
+} // namespace lagoonquay
--- /dev/null
+++ b/connection/src/http_message.cpp
@@ -0,0 +1,33 @@
+#include "lagoonquay/connection/http_message.hpp"
+
+#include <boost/json.hpp>
+
+namespace lagoonquay
+{
+
+std::string query_value(std::string_view query, std::string_view key)
+{
+    while (!query.empty())
+    {
+        const auto end = query.find('&');
+        const auto pair = query.substr(0, end);
+        query = end == std::string_view::npos ? std::string_view()
+                                              : query.substr(end + 1);
+        const auto equals = pair.find('=');
+        if (pair.substr(0, equals) != key)
+            continue;
+        if (equals == std::string_view::npos)
+            return {};
+        return std::string(pair.substr(equals + 1));
+    }
+    return {};
+}
+
+http_response error_response(http_status status, std::string_view code,
+                             std::string_view detail)
+{
+    const boost::json::object body{{"error", code}, {"detail", detail}};
+    return {.status = status, .body = boost::json::serialize(body)};
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/connection/src/slot_grants.cpp
@@ -0,0 +1,178 @@
+#include "lagoonquay/connection/slot_grants.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+slot_grants::slot_grants(std::uint32_t slots) noexcept : slots_(slots)
+{
+}
+
+void slot_grants::resize(std::uint32_t slots) noexcept
+{
+    slots_ = slots;
+}
+
+void slot_grants::open(link_number link)
+{
+    accounts_.emplace(link, account());
+}
+
+void slot_grants::close(link_number link)
+{
+    accounts_.erase(link);
+}
+
+void slot_grants::demand(link_number link, std::uint32_t wanted,
+                         std::uint64_t returned_total)
+{
+    const auto it = accounts_.find(link);
+    if (it == accounts_.end())
+        return;
+    auto& target = it->second;
+    const auto most = target.granted - target.used;
+    target.wanted = wanted;
+    target.returned = std::clamp(returned_total, target.returned,
+                                 std::max(target.returned, most));
+}
+
+bool slot_grants::start(link_number link)
+{
+    const auto it = accounts_.find(link);
+    if (it == accounts_.end() || outstanding(it->second) == 0)
+        return false;
+    auto& target = it->second;
+    ++target.used;
+    if (target.wanted > 0)
+        --target.wanted;
+    ++running_;
+    return true;
+}
+
+void slot_grants::finish() noexcept
+{
+    if (running_ > 0)
+        --running_;
+}
+
+std::vector<link_grant> slot_grants::rebalance()
+{
+    grant_free();
+    recall_idle();
+    std::vector<link_grant> changed;
+    for (auto& [link, it] : accounts_)
+    {
+        if (!it.changed)
+            continue;
+        it.changed = false;
+        changed.push_back({link, it.granted, it.recalled});
+    }
+    return changed;
+}
+
+link_grant slot_grants::totals(link_number link) const
+{
+    const auto it = accounts_.find(link);
+    if (it == accounts_.end())
+        return {link, 0, 0};
+    return {link, it->second.granted, it->second.recalled};
+}
+
+std::uint32_t slot_grants::running() const noexcept
+{
+    return running_;
+}
+
+std::uint32_t slot_grants::slots() const noexcept
+{
+    return slots_;
+}
+
+std::uint64_t slot_grants::outstanding(const account& it) noexcept
+{
+    return it.granted - it.used - it.returned;
+}
+
+std::uint64_t slot_grants::free_slots() const noexcept
+{
+    std::uint64_t taken = running_;
+    for (const auto& [link, it] : accounts_)
+        taken += outstanding(it);
+    return taken >= slots_ ? 0 : slots_ - taken;
+}
+
+slot_grants::account* slot_grants::most_starved() noexcept
+{
+    account* most = nullptr;
+    std::uint64_t most_missing = 0;
+    for (auto& [link, it] : accounts_)
+    {
+        const auto held = outstanding(it);
+        const auto missing = it.wanted > held ? it.wanted - held : 0;
+        if (missing <= most_missing)
+            continue;
+        most = &it;
+        most_missing = missing;
+    }
+    return most;
+}
+
+slot_grants::account* slot_grants::fewest_credits() noexcept
+{
+    account* fewest = nullptr;
+    for (auto& [link, it] : accounts_)
+    {
+        if (fewest != nullptr && outstanding(it) >= outstanding(*fewest))
+            continue;
+        fewest = &it;
+    }
+    return fewest;
+}
+
+// Waiting tasks come first. What is left is spread evenly ahead of demand, so
+// that a task that arrives later needs no round trip for its credit.
+void slot_grants::grant_free()
+{
+    if (accounts_.empty())
+        return;
+    for (auto n = free_slots(); n > 0; --n)
+    {
+        auto* target = most_starved();
+        if (target == nullptr)
+            target = fewest_credits();
+        ++target->granted;
+        target->changed = true;
+    }
+}
+
+// Recalls only credits that exceed the holder's own demand, and no more than
+// the others miss.
+void slot_grants::recall_idle()
+{
+    std::uint64_t missing = 0;
+    std::uint64_t recalling = 0;
+    for (const auto& [link, it] : accounts_)
+    {
+        const auto held = outstanding(it);
+        missing += it.wanted > held ? it.wanted - held : 0;
+        recalling += it.recalled > it.returned ? it.recalled - it.returned : 0;
+    }
+    for (auto& [link, it] : accounts_)
+    {
+        if (recalling >= missing)
+            return;
+        const auto held = outstanding(it);
+        const auto asked =
+            it.recalled > it.returned ? it.recalled - it.returned : 0;
+        const auto idle = held > it.wanted ? held - it.wanted : 0;
+        if (idle <= asked)
+            continue;
+        const auto amount = std::min(idle - asked, missing - recalling);
+        it.recalled = std::max(it.recalled, it.returned) + amount;
+        it.changed = true;
+        recalling += amount;
+    }
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/connection/src/websocket_link.hpp
@@ -0,0 +1,51 @@
+//! The WebSocket implementation of message_link.
+#pragma once
+
+#include "beast_common.hpp"
+#include "lagoonquay/connection/message_link.hpp"
+
+#include <atomic>
+#include <vector>
+
+namespace lagoonquay
+{
+
+//! A link over an accepted or connected WebSocket. Its stream's executor is
+//! a strand, and every member but the counts is used on that strand only.
+class websocket_link : public message_link,
+                       public std::enable_shared_from_this<websocket_link>
+{
+public:
+    using stream = websocket::stream<beast::tcp_stream>;
+
+    websocket_link(stream opened, message_link_options options);
+
+    //! Sets timeouts and limits; call before the handshake.
+    static void prepare(stream& raw, const message_link_options& options);
+
+    void start(link_hooks hooks) override;
+    void send(link_message message) override;
+    void close() override;
+    link_counts counts() const noexcept override;
+
+private:
+    void read();
+    void on_read(error_code ec);
+    void write();
+    void on_write(error_code ec);
+    void end();
+
+    stream stream_;
+    link_hooks hooks_;
+    beast::flat_buffer in_;
+    std::vector<link_message> pending_;
+    std::string out_;
+    bool writing_ = false;
+    bool ended_ = false;
+    bool started_ = false;
+    std::atomic<std::uint64_t> frames_sent_{0};
+    std::atomic<std::uint64_t> messages_sent_{0};
+    std::atomic<std::uint64_t> messages_received_{0};
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/include/lagoonquay/process/agent_service.hpp
@@ -0,0 +1,160 @@
+//! The agent beside one upstream: guards its starts and grants its slots.
+#pragma once
+
+#include "lagoonquay/connection/slot_grants.hpp"
+#include "lagoonquay/connection/upstream.hpp"
+#include "lagoonquay/process/sharded_map.hpp"
+#include "lagoonquay/request/start_guard.hpp"
+#include "lagoonquay/version/member.hpp"
+#include "lagoonquay/version/permit.hpp"
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonquay
+{
+
+class message_link;
+
+struct agent_options
+{
+    agent_id id;
+    incarnation run;
+    domain_id domain;
+    std::string address; //!< where entries open links
+    //! An upstream that is silent for longer is taken as gone.
+    duration upstream_silence = std::chrono::seconds(2);
+    duration record_retention = std::chrono::minutes(10);
+
+    friend bool operator==(const agent_options&,
+                           const agent_options&) = default;
+};
+
+//! What an agent needs from outside.
+struct agent_hooks
+{
+    clock_hook now;
+    upstream_hook call_upstream;
+};
+
+//! Counts since the agent started.
+struct agent_counts
+{
+    std::uint64_t started = 0;
+    std::uint64_t finished = 0;
+    std::uint64_t declined = 0;
+    std::uint64_t cancelled = 0;
+
+    friend bool operator==(const agent_counts&, const agent_counts&) = default;
+};
+
+//! Decides on every dispatch. Thread-safe; must outlive its links.
+class agent_service
+{
+public:
+    agent_service(agent_options options, agent_hooks hooks);
+    ~agent_service();
+    agent_service(const agent_service&) = delete;
+    agent_service& operator=(const agent_service&) = delete;
+
+    //! Takes over a link that an entry opened.
+    void on_link(const std::shared_ptr<message_link>& link);
+
+    //! Takes the upstream's announcement.
+    void announce(const upstream_announcement& it);
+
+    //! Replaces the permit.
+    void hold(const permit& granted);
+
+    //! Sends the grants and drops what is too old. Call a few times a second.
+    void tick();
+
+    //! Takes no more work. Running tasks end by themselves.
+    void drain();
+
+    //! @return tasks that run now.
+    std::uint32_t running() const;
+
+    //! @return this agent as control and entries see it.
+    member self() const;
+
+    //! @return the newest view that came with a permit.
+    fleet_view view() const;
+
+    agent_counts counts() const noexcept;
+
+    //! @return the whole state as JSON.
+    std::string dump() const;
+
+private:
+    struct open_link
+    {
+        std::shared_ptr<message_link> link;
+    };
+    struct guard_shard
+    {
+        explicit guard_shard(start_guard_options options) : guard(options)
+        {
+        }
+
+        std::mutex mutex;
+        start_guard guard;
+    };
+    //! State of the whole process, under its own lock.
+    struct standing
+    {
+        std::optional<permit> held;
+        std::optional<upstream_announcement> upstream;
+        instant upstream_heard{};
+        bool draining = false;
+    };
+
+    void on_messages(link_number link,
+                     const std::vector<link_message>& messages);
+    void on_close(link_number link);
+    void on_dispatch(link_number link, const dispatch_message& it);
+    void on_cancel(link_number link, const cancel_message& it);
+    void run(link_number link, const dispatch_message& it,
+             const endpoint& upstream);
+    void on_result(link_number link, const dispatch_message& it,
+                   const task_result& result);
+    void decline(link_number link, const dispatch_message& it,
+                 failure_reason reason, const std::string& detail);
+    void reply(link_number link, const dispatch_message& it,
+               const task_result& result);
+    void send(link_number link, link_message message);
+    void send_changed_grants();
+    void send_all_grants();
+    grant_message grant_for(const link_grant& totals) const;
+    std::optional<endpoint> permitted_upstream() const;
+    bool accepting(const standing& it) const;
+    guard_shard& shard_of(const submission_id& submission);
+
+    const agent_options options_;
+    const agent_hooks hooks_;
+
+    mutable std::mutex standing_mutex_;
+    standing standing_;
+
+    mutable std::mutex grants_mutex_;
+    slot_grants grants_;
+
+    mutable std::mutex links_mutex_;
+    std::map<link_number, open_link> links_;
+    std::uint64_t next_link_ = 1;
+
+    std::array<std::unique_ptr<guard_shard>, shard_count> guards_;
+
+    std::atomic<std::uint64_t> started_{0};
+    std::atomic<std::uint64_t> finished_{0};
+    std::atomic<std::uint64_t> declined_{0};
+    std::atomic<std::uint64_t> cancelled_{0};
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/include/lagoonquay/process/claim.hpp
@@ -0,0 +1,71 @@
+//! A claim over a quorum of ledger replicas.
+#pragma once
+
+#include "lagoonquay/process/ledger_shard.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonquay
+{
+
+enum class claim_status
+{
+    held,          //!< by this entry, until valid_until
+    held_by_other, //!< see holder_address
+    mismatch,      //!< the submission has other content
+    fenced,        //!< older than the quorum's memory
+    unavailable,   //!< no quorum answered
+};
+
+struct claim_outcome_options
+{
+    claim_status status = claim_status::unavailable;
+    instant valid_until{};
+    std::string holder_address;
+    claim_round round;
+    duration first_claim_age{}; //!< more than zero for an adoption
+    std::vector<agent_run_id> reach;
+
+    friend bool operator==(const claim_outcome_options&,
+                           const claim_outcome_options&) = default;
+};
+
+//! What a quorum said about a claim.
+using claim_outcome = immutable<claim_outcome_options>;
+
+//! Gets the outcome once, from any thread.
+using claim_callback = std::function<void(claim_outcome)>;
+
+//! Claims a submission. Thread-safe.
+using claim_hook = std::function<void(const claim_request&, claim_callback)>;
+
+//! Counts votes until a quorum decides. Not thread-safe.
+class claim_tally
+{
+public:
+    //! @param replicas  of the shard, answering or not.
+    //! @param sent      when the first request was sent.
+    claim_tally(std::size_t replicas, duration lease, instant sent) noexcept;
+
+    //! Adds a vote; nothing stands for a replica that did not answer.
+    //! @return the outcome with the vote that decides it, once.
+    std::optional<claim_outcome> add(const std::optional<claim_vote>& vote);
+
+private:
+    std::optional<claim_outcome> decide();
+    claim_outcome granted() const;
+    claim_outcome refused() const;
+
+    std::size_t replicas_;
+    duration lease_;
+    instant sent_;
+    std::size_t answered_ = 0;
+    std::vector<claim_vote> votes_;
+    bool decided_ = false;
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/include/lagoonquay/process/control_http.hpp
@@ -0,0 +1,17 @@
+//! HTTP routes of a control replica: members and operators.
+#pragma once
+
+#include "lagoonquay/connection/http_message.hpp"
+
+namespace lagoonquay
+{
+
+class control_service;
+
+//! @return the routes for members. The service must outlive the handler.
+http_handler member_routes(control_service& service);
+
+//! @return the routes for operators. The service must outlive the handler.
+http_handler control_operator_routes(control_service& service);
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/include/lagoonquay/process/entry_http.hpp
@@ -0,0 +1,27 @@
+//! HTTP routes of an entry: callers, other entries and operators.
+#pragma once
+
+#include "lagoonquay/connection/http_message.hpp"
+#include "lagoonquay/process/entry_service.hpp"
+#include "lagoonquay/request/job_codec.hpp"
+
+namespace lagoonquay
+{
+
+class http_client;
+class ledger_replica;
+
+//! @return the routes for callers. The service must outlive the handler.
+http_handler caller_routes(entry_service& service, const job_limits& limits);
+
+//! @return the routes for other entries. Both must outlive the handler.
+http_handler peer_routes(entry_service& service, ledger_replica& ledger,
+                         const job_limits& limits);
+
+//! @return the routes for operators. The service must outlive the handler.
+http_handler entry_operator_routes(entry_service& service);
+
+//! @return a hook that hands jobs to other entries over HTTP.
+forward_hook forward_over_http(http_client& client);
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/include/lagoonquay/process/io_threads.hpp
@@ -0,0 +1,49 @@
+//! The threads that run a process's input, output and timers.
+#pragma once
+
+#include "lagoonquay/request/time.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace lagoonquay
+{
+
+//! A pool of threads over one I/O context. Thread-safe.
+class io_threads
+{
+public:
+    explicit io_threads(std::size_t threads);
+    ~io_threads();
+    io_threads(const io_threads&) = delete;
+    io_threads& operator=(const io_threads&) = delete;
+
+    boost::asio::io_context& context() noexcept;
+
+    //! Runs `work` once after `delay` on some thread.
+    void after(duration delay, std::function<void()> work);
+
+    //! Runs `work` each `period` until stop(); calls never overlap.
+    void every(duration period, std::function<void()> work);
+
+    //! Runs `work` once on some thread.
+    void post(std::function<void()> work);
+
+    //! Blocks until SIGTERM or SIGINT.
+    void wait_for_stop_signal();
+
+    //! Ends the threads; pending work is dropped.
+    void stop();
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/include/lagoonquay/process/ledger_codec.hpp
@@ -0,0 +1,21 @@
+//! JSON encoding of claims and votes.
+#pragma once
+
+#include "lagoonquay/process/ledger_shard.hpp"
+#include "lagoonquay/request/error.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace lagoonquay
+{
+
+std::string encode_claim_request(const claim_request& asked);
+//! @return the request, or malformed / out_of_range.
+request_result<claim_request> decode_claim_request(std::string_view text);
+
+std::string encode_claim_vote(const claim_vote& vote);
+//! @return the vote, or malformed / out_of_range.
+request_result<claim_vote> decode_claim_vote(std::string_view text);
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/include/lagoonquay/process/ledger_replica.hpp
@@ -0,0 +1,40 @@
+//! A ledger replica: shards of claims, each under its own lock.
+#pragma once
+
+#include "lagoonquay/process/ledger_shard.hpp"
+#include "lagoonquay/process/sharded_map.hpp"
+
+#include <array>
+#include <memory>
+#include <mutex>
+
+namespace lagoonquay
+{
+
+//! Serves claims from memory. Thread-safe.
+class ledger_replica
+{
+public:
+    ledger_replica(ledger_options options, clock_hook now);
+
+    claim_vote claim(const claim_request& asked);
+    void expire();
+    std::size_t size();
+
+private:
+    struct guarded_shard
+    {
+        explicit guarded_shard(const ledger_options& options) noexcept
+            : shard(options)
+        {
+        }
+
+        std::mutex mutex;
+        ledger_shard shard;
+    };
+
+    clock_hook now_;
+    std::array<std::unique_ptr<guarded_shard>, shard_count> shards_;
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/include/lagoonquay/process/ledger_shard.hpp
@@ -0,0 +1,119 @@
+//! Claims of submissions at one ledger replica. Pure.
+#pragma once
+
+#include "lagoonquay/request/ids.hpp"
+#include "lagoonquay/request/immutable.hpp"
+#include "lagoonquay/request/time.hpp"
+
+#include <compare>
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoonquay
+{
+
+//! One incarnation of an agent.
+struct agent_run_id
+{
+    agent_id agent;
+    incarnation run;
+
+    friend auto operator<=>(const agent_run_id&, const agent_run_id&) = default;
+};
+
+//! Counts the claims of a submission; a later holder has a larger one.
+using claim_round = number_id<struct claim_round_tag>;
+
+struct claim_request_options
+{
+    submission_id submission;
+    content_digest digest;
+    wall_time created{};
+    entry_id holder;
+    incarnation holder_run;
+    std::string holder_address; //!< where others forward resubmissions
+    claim_round round;          //!< of the claim being renewed, or zero
+    duration lease{};
+    std::vector<agent_run_id> reach; //!< agents that the job may use
+
+    friend bool operator==(const claim_request_options&,
+                           const claim_request_options&) = default;
+};
+
+//! Asks for a claim, or renews it.
+using claim_request = immutable<claim_request_options>;
+
+enum class claim_verdict
+{
+    granted,  //!< the sender holds the claim for the lease
+    held,     //!< another entry holds it
+    mismatch, //!< the submission has other content
+    fenced,   //!< created before this replica's memory begins
+};
+
+struct claim_vote_options
+{
+    claim_verdict verdict = claim_verdict::fenced;
+    std::string holder_address; //!< when held
+    claim_round round;
+    duration first_claim_age{};      //!< zero for the first claim
+    std::vector<agent_run_id> reach; //!< of every claim so far
+
+    friend bool operator==(const claim_vote_options&,
+                           const claim_vote_options&) = default;
+};
+
+//! One replica's word on a claim.
+using claim_vote = immutable<claim_vote_options>;
+
+struct ledger_options
+{
+    wall_time memory_since{}; //!< start of this process
+    duration clock_skew = std::chrono::milliseconds(500);
+    duration retention = std::chrono::minutes(10);
+
+    friend bool operator==(const ledger_options&,
+                           const ledger_options&) = default;
+};
+
+//! The records of one shard. Not thread-safe; the shard's lock guards it.
+class ledger_shard
+{
+public:
+    explicit ledger_shard(ledger_options options) noexcept;
+
+    //! Decides on a claim and records it.
+    claim_vote claim(const claim_request& asked, instant now);
+
+    //! Drops records past the retention.
+    void expire(instant now);
+
+    std::size_t size() const noexcept;
+
+private:
+    struct record
+    {
+        content_digest digest;
+        entry_id holder;
+        incarnation holder_run;
+        std::string holder_address;
+        claim_round round;
+        instant first_claim{};
+        instant lease_end{};
+        std::vector<agent_run_id> reach;
+    };
+
+    bool remembers(wall_time created) const noexcept;
+    claim_vote add(const claim_request& asked, instant now);
+    static claim_vote renew(record& held, const claim_request& asked,
+                            instant now);
+    static claim_vote adopt(record& held, const claim_request& asked,
+                            instant now);
+
+    ledger_options options_;
+    std::unordered_map<submission_id, record> records_;
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/include/lagoonquay/process/stand_in_upstream.hpp
@@ -0,0 +1,45 @@
+//! Stand-in upstream for tests and the quickstart: runs tasks to order.
+#pragma once
+
+#include "lagoonquay/connection/http_message.hpp"
+#include "lagoonquay/request/time.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lagoonquay
+{
+
+//! Runs work once after a delay. Thread-safe.
+using delay_hook = std::function<void(duration, std::function<void()>)>;
+
+//! Writes one line about a start. Thread-safe.
+using start_record_hook = std::function<void(const std::string& line)>;
+
+//! Serves POST /v1/tasks/N. The payload is JSON: {"run_ms": 50,
+//! "fail": false, "hang": false}; every member may be left out, and any other
+//! payload runs for 50 ms. Thread-safe.
+class stand_in_upstream
+{
+public:
+    stand_in_upstream(delay_hook delay, start_record_hook record);
+
+    //! @return the routes; this object must outlive the handler.
+    http_handler routes();
+
+    std::uint64_t started() const noexcept;
+    std::uint64_t running() const noexcept;
+
+private:
+    void run(const http_request& request, const http_responder& respond);
+
+    delay_hook delay_;
+    start_record_hook record_;
+    std::atomic<std::uint64_t> started_{0};
+    std::atomic<std::uint64_t> running_{0};
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/programs/entry_main.cpp
@@ -0,0 +1,161 @@
+//! lagoonquay-entry: takes jobs from callers and answers them.
+#include "lagoonquay/connection/http_client.hpp"
+#include "lagoonquay/connection/http_server.hpp"
+#include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/process/entry_http.hpp"
+#include "lagoonquay/process/entry_service.hpp"
+#include "lagoonquay/process/io_threads.hpp"
+#include "lagoonquay/process/ledger_client.hpp"
+#include "lagoonquay/process/ledger_replica.hpp"
+#include "lagoonquay/process/permit_client.hpp"
+#include "lagoonquay/process/process_settings.hpp"
+#include "lagoonquay/process/program.hpp"
+
+#include <thread>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "main";
+constexpr duration heartbeat_period = std::chrono::milliseconds(500);
+constexpr duration link_period = std::chrono::milliseconds(100);
+constexpr duration tick_period = std::chrono::milliseconds(50);
+
+member describe(const entry_settings& settings, incarnation run)
+{
+    member_options it;
+    it.role = member_role::entry;
+    it.id = settings.process.id;
+    it.run = run;
+    it.domain = settings.process.domain;
+    it.address = to_text(settings.peers);
+    it.serving = true;
+    return member(std::move(it));
+}
+
+void link_agent(entry_service& service, io_threads& io, const member& agent)
+{
+    const agent_id id(agent->id);
+    const auto target = parse_endpoint(agent->address);
+    if (!target)
+        return;
+    service.agents().begin_link(id);
+    open_link(
+        io.context(), target.value(), "/v1/link", {},
+        [&service, id](connection_result<std::shared_ptr<message_link>> opened)
+        {
+            if (!opened)
+                return service.agents().close(id);
+            service.on_link(id, std::move(opened).value());
+        });
+}
+
+void link_agents(entry_service& service, io_threads& io)
+{
+    for (const auto& it : service.agents().unlinked())
+        link_agent(service, io, it);
+}
+
+entry_options to_options(const entry_settings& settings, incarnation run)
+{
+    entry_options options;
+    options.id = entry_id(settings.process.id);
+    options.run = run;
+    options.domain = settings.process.domain;
+    options.address = to_text(settings.peers);
+    return options;
+}
+
+permit_client_hooks permit_hooks(entry_service& service,
+                                 const entry_settings& settings,
+                                 incarnation run)
+{
+    return {.now = steady_now,
+            .self = [it = describe(settings, run)] { return it; },
+            .known = [&service] { return service.view(); },
+            .hold = [&service](const permit& it) { service.hold(it); },
+            .learn =
+                [&service](const std::vector<member>& it)
+            {
+                service.agents().learn(it);
+            }};
+}
+
+//! Stops the entry once every accepted job is answered.
+void drain(entry_service& service)
+{
+    write_log(log_level::info, part, "Stopping: no new jobs.");
+    service.drain();
+    wait_until([&] { return service.unanswered() == 0; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    write_log(log_level::info, part, "Stopped.");
+}
+
+process_result<void> run(const entry_settings& settings)
+{
+    const auto run = draw_incarnation();
+    io_threads io(settings.process.threads);
+    http_client client(io.context(), {});
+    ledger_replica ledger({.memory_since = wall_now()}, steady_now);
+    entry_service service(
+        to_options(settings, run),
+        {.now = steady_now,
+         .wall = wall_now,
+         .claim = claim_over_http(client, ledger,
+                                  {.peers = settings.ledger_peers}, steady_now),
+         .forward = forward_over_http(client),
+         .route = route_least_outstanding()});
+    permit_client permits(client, {.replicas = settings.process.control},
+                          permit_hooks(service, settings, run));
+
+    const job_limits limits;
+    auto callers =
+        http_server::listen(io.context(), {.listen = settings.callers},
+                            caller_routes(service, limits));
+    auto peers = http_server::listen(io.context(), {.listen = settings.peers},
+                                     peer_routes(service, ledger, limits));
+    auto operators =
+        http_server::listen(io.context(),
+                            {.listen = settings.process.operators,
+                             .bearer = settings.process.operator_token},
+                            entry_operator_routes(service));
+    for (const auto* it : {&callers, &peers, &operators})
+    {
+        if (!*it)
+            return fail(process_errc::bad_listen, it->error().detail);
+    }
+    permits.tick();
+    io.every(heartbeat_period, [&] { permits.tick(); });
+    io.every(link_period, [&] { link_agents(service, io); });
+    io.every(tick_period, [&] { service.tick(); });
+    io.every(std::chrono::seconds(1), [&] { ledger.expire(); });
+    write_log(log_level::info, part, "Entry started.");
+    io.wait_for_stop_signal();
+    drain(service);
+    io.stop();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+} // namespace
+
+} // namespace lagoonquay
+
+int main(int argc, char** argv)
+{
+    using namespace lagoonquay;
+    const auto parsed = parse_arguments(argc, argv, "lagoonquay-entry",
+                                        "Takes jobs and answers them.");
+    if (!parsed.arguments)
+        return static_cast<int>(parsed.code);
+    const auto settings = load_entry_settings(parsed.arguments->config);
+    if (!settings)
+        return static_cast<int>(report(settings.error()));
+    if (parsed.arguments->check_only)
+        return 0;
+    open_log(settings.value().process.log);
+    const auto ended = run(settings.value());
+    return ended ? 0 : static_cast<int>(report(ended.error()));
+}
--- /dev/null
+++ b/process/src/io_threads.cpp
@@ -0,0 +1,115 @@
+#include "lagoonquay/process/io_threads.hpp"
+
+#include <boost/asio.hpp>
+#include <csignal>
+#include <future>
+#include <thread>
+#include <vector>
+
+namespace net = boost::asio;
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+//! Repeats work; keeps itself alive through its pending wait.
+class repeating_timer : public std::enable_shared_from_this<repeating_timer>
+{
+public:
+    repeating_timer(net::io_context& io, duration period,
+                    std::function<void()> work)
+        : timer_(io), period_(period), work_(std::move(work))
+    {
+    }
+
+    void wait()
+    {
+        timer_.expires_after(period_);
+        timer_.async_wait(
+            [self = shared_from_this()](boost::system::error_code ec)
+            {
+                if (ec)
+                    return;
+                self->work_();
+                self->wait();
+            });
+    }
+
+private:
+    net::steady_timer timer_;
+    duration period_;
+    std::function<void()> work_;
+};
+
+} // namespace
+
+struct io_threads::state
+{
+    net::io_context context;
+    net::executor_work_guard<net::io_context::executor_type> guard{
+        context.get_executor()};
+    std::vector<std::thread> threads;
+};
+
+io_threads::io_threads(std::size_t threads) : state_(std::make_unique<state>())
+{
+    for (std::size_t n = 0; n < threads; ++n)
+        state_->threads.emplace_back([this] { state_->context.run(); });
+}
+
+io_threads::~io_threads()
+{
+    stop();
+}
+
+net::io_context& io_threads::context() noexcept
+{
+    return state_->context;
+}
+
+void io_threads::after(duration delay, std::function<void()> work)
+{
+    const auto timer = std::make_shared<net::steady_timer>(state_->context);
+    timer->expires_after(delay);
+    timer->async_wait(
+        [timer, it = std::move(work)](boost::system::error_code ec)
+        {
+            if (!ec)
+                it();
+        });
+}
+
+void io_threads::every(duration period, std::function<void()> work)
+{
+    const auto timer = std::make_shared<repeating_timer>(
+        state_->context, period, std::move(work));
+    timer->wait();
+}
+
+void io_threads::post(std::function<void()> work)
+{
+    net::post(state_->context, std::move(work));
+}
+
+void io_threads::wait_for_stop_signal()
+{
+    std::promise<void> received;
+    net::signal_set signals(state_->context, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code, int)
+                       { received.set_value(); });
+    received.get_future().wait();
+}
+
+void io_threads::stop()
+{
+    state_->context.stop();
+    for (auto& it : state_->threads)
+    {
+        if (it.joinable())
+            it.join();
+    }
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/src/ledger_codec.cpp
@@ -0,0 +1,126 @@
+#include "lagoonquay/process/ledger_codec.hpp"
+
+#include "lagoonquay/request/json_fields.hpp"
+
+#include <array>
+#include <boost/json.hpp>
+
+namespace json = boost::json;
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::size_t id_bytes = 128;
+constexpr std::array<std::string_view, 4> verdict_names{"granted", "held",
+                                                        "mismatch", "fenced"};
+
+json::array reach_to_json(const std::vector<agent_run_id>& reach)
+{
+    json::array array;
+    for (const auto& it : reach)
+        array.push_back(json::object{{"agent", it.agent.text()},
+                                     {"run", std::to_string(it.run.number())}});
+    return array;
+}
+
+std::vector<agent_run_id> reach_from_json(json_fields& fields)
+{
+    std::vector<agent_run_id> reach;
+    const auto* source = fields.array("reach");
+    if (source == nullptr)
+        return reach;
+    for (const auto& it : *source)
+    {
+        json_fields agent(it, "reach");
+        reach.push_back({agent_id(agent.text("agent", id_bytes)),
+                         incarnation(agent.wide_number("run"))});
+        fields.absorb(agent);
+    }
+    return reach;
+}
+
+duration get_duration(json_fields& fields, std::string_view key)
+{
+    return duration(fields.number(key, 0, json_exact_limit));
+}
+
+claim_verdict get_verdict(json_fields& fields)
+{
+    const auto name = fields.text("verdict", id_bytes);
+    for (std::size_t n = 0; n < verdict_names.size(); ++n)
+    {
+        if (verdict_names[n] == name)
+            return static_cast<claim_verdict>(n);
+    }
+    fields.reject(request_errc::malformed, "unknown verdict '" + name + "'");
+    return claim_verdict::fenced;
+}
+
+} // namespace
+
+std::string encode_claim_request(const claim_request& asked)
+{
+    const json::object object{
+        {"submission", asked->submission.text()},
+        {"digest", std::to_string(asked->digest.number())},
+        {"created_ms", asked->created.time_since_epoch().count()},
+        {"holder", asked->holder.text()},
+        {"holder_run", std::to_string(asked->holder_run.number())},
+        {"holder_address", asked->holder_address},
+        {"round", asked->round.number()},
+        {"lease_us", asked->lease.count()},
+        {"reach", reach_to_json(asked->reach)}};
+    return json::serialize(object);
+}
+
+request_result<claim_request> decode_claim_request(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse_json(text));
+    json_fields fields(document, "");
+    claim_request_options options;
+    options.submission = submission_id(fields.text("submission", id_bytes));
+    options.digest = content_digest(fields.wide_number("digest"));
+    options.created = wall_time(std::chrono::milliseconds(
+        fields.number("created_ms", 0, json_exact_limit)));
+    options.holder = entry_id(fields.text("holder", id_bytes));
+    options.holder_run = incarnation(fields.wide_number("holder_run"));
+    options.holder_address = fields.text("holder_address", id_bytes);
+    options.round = claim_round(fields.number("round", 0, json_exact_limit));
+    options.lease = get_duration(fields, "lease_us");
+    options.reach = reach_from_json(fields);
+    if (fields.failed())
+        return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
+    return claim_request(std::move(options));
+}
+
+std::string encode_claim_vote(const claim_vote& vote)
+{
+    const auto verdict = static_cast<std::size_t>(vote->verdict);
+    const json::object object{
+        {"verdict", verdict_names.at(verdict)},
+        {"holder_address", vote->holder_address},
+        {"round", vote->round.number()},
+        {"first_claim_age_us", vote->first_claim_age.count()},
+        {"reach", reach_to_json(vote->reach)}};
+    return json::serialize(object);
+}
+
+request_result<claim_vote> decode_claim_vote(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse_json(text));
+    json_fields fields(document, "");
+    claim_vote_options options;
+    options.verdict = get_verdict(fields);
+    options.holder_address = fields.text("holder_address", id_bytes);
+    options.round = claim_round(fields.number("round", 0, json_exact_limit));
+    options.first_claim_age = get_duration(fields, "first_claim_age_us");
+    options.reach = reach_from_json(fields);
+    if (fields.failed())
+        return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
+    return claim_vote(std::move(options));
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/src/stand_in_upstream.cpp
@@ -0,0 +1,91 @@
+#include "lagoonquay/process/stand_in_upstream.hpp"
+
+#include "lagoonquay/request/json_fields.hpp"
+
+#include <boost/json.hpp>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::uint64_t default_run_ms = 50;
+constexpr std::uint64_t longest_run_ms = 3600000;
+constexpr std::string_view tasks_path = "/v1/tasks/";
+
+//! What the payload asks of the stand-in.
+struct ordered_run
+{
+    duration length = std::chrono::milliseconds(default_run_ms);
+    bool fail = false;
+    bool hang = false;
+};
+
+ordered_run read_order(const std::string& payload)
+{
+    ordered_run order;
+    const auto document = parse_json(payload);
+    if (!document)
+        return order;
+    json_fields fields(document.value(), "payload");
+    order.length = std::chrono::milliseconds(
+        fields.number_or("run_ms", default_run_ms, 0, longest_run_ms));
+    order.fail = fields.flag_or("fail", false);
+    order.hang = fields.flag_or("hang", false);
+    return order;
+}
+
+} // namespace
+
+stand_in_upstream::stand_in_upstream(delay_hook delay, start_record_hook record)
+    : delay_(std::move(delay)), record_(std::move(record))
+{
+}
+
+http_handler stand_in_upstream::routes()
+{
+    return [this](const http_request& request, const http_responder& respond)
+    {
+        if (!request.path.starts_with(tasks_path))
+            return respond(error_response(http_status::not_found, "not_found",
+                                          "no such path"));
+        run(request, respond);
+    };
+}
+
+std::uint64_t stand_in_upstream::started() const noexcept
+{
+    return started_;
+}
+
+std::uint64_t stand_in_upstream::running() const noexcept
+{
+    return running_;
+}
+
+void stand_in_upstream::run(const http_request& request,
+                            const http_responder& respond)
+{
+    const auto submission = query_value(request.query, "submission");
+    const auto index = request.path.substr(tasks_path.size());
+    const auto attempt = query_value(request.query, "attempt");
+    record_(submission + " " + index + " " + attempt);
+    ++started_;
+    const auto order = read_order(request.body);
+    if (order.hang)
+        return;
+    ++running_;
+    delay_(order.length,
+           [this, respond, submission, index, order]
+           {
+               --running_;
+               if (order.fail)
+                   return respond(error_response(http_status::internal_error,
+                                                 "failed", "failed to order"));
+               respond({.body = submission + "/" + index + " done",
+                        .content_type = "text/plain"});
+           });
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/tests/ledger_test.cpp
@@ -0,0 +1,88 @@
+#include "lagoonquay/process/claim.hpp"
+#include "lagoonquay/process/ledger_shard.hpp"
+
+#include <gtest/gtest.h>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+const wall_time began(std::chrono::seconds(1000));
+const instant now(std::chrono::seconds(50));
+const duration lease = std::chrono::seconds(5);
+
+claim_request asked_by(const std::string& holder)
+{
+    return claim_request({.submission = submission_id("s"),
+                          .digest = content_digest(1),
+                          .created = began + std::chrono::seconds(10),
+                          .holder = entry_id(holder),
+                          .holder_run = incarnation(1),
+                          .holder_address = holder,
+                          .lease = lease});
+}
+
+TEST(ledger_shard, grants_a_claim_to_one_entry_at_a_time)
+{
+    ledger_shard shard({.memory_since = began});
+    EXPECT_EQ(shard.claim(asked_by("a"), now)->verdict, claim_verdict::granted);
+    const auto refused = shard.claim(asked_by("b"), now);
+    EXPECT_EQ(refused->verdict, claim_verdict::held);
+    EXPECT_EQ(refused->holder_address, "a");
+}
+
+TEST(ledger_shard, lets_another_entry_adopt_after_the_lease)
+{
+    ledger_shard shard({.memory_since = began});
+    shard.claim(asked_by("a"), now);
+    const auto adopted = shard.claim(asked_by("b"), now + lease);
+    EXPECT_EQ(adopted->verdict, claim_verdict::granted);
+    EXPECT_EQ(adopted->round, claim_round(2));
+    EXPECT_EQ(adopted->first_claim_age, lease);
+}
+
+TEST(ledger_shard, refuses_what_it_may_have_forgotten)
+{
+    ledger_shard shard({.memory_since = began});
+    const auto old = asked_by("a").with(
+        [](claim_request_options& it)
+        { it.created = began + std::chrono::milliseconds(1000); });
+    EXPECT_EQ(shard.claim(old, now)->verdict, claim_verdict::fenced);
+}
+
+TEST(ledger_shard, refuses_other_content)
+{
+    ledger_shard shard({.memory_since = began});
+    shard.claim(asked_by("a"), now);
+    const auto other = asked_by("a").with([](claim_request_options& it)
+                                          { it.digest = content_digest(2); });
+    EXPECT_EQ(shard.claim(other, now)->verdict, claim_verdict::mismatch);
+}
+
+TEST(claim_tally, holds_with_a_quorum_counted_from_the_request)
+{
+    claim_tally tally(3, lease, now);
+    const claim_vote yes({.verdict = claim_verdict::granted});
+    EXPECT_FALSE(tally.add(yes));
+    EXPECT_FALSE(tally.add(std::nullopt));
+    const auto outcome = tally.add(yes);
+    ASSERT_TRUE(outcome.has_value());
+    EXPECT_EQ((*outcome)->status, claim_status::held);
+    EXPECT_EQ((*outcome)->valid_until, now + lease);
+}
+
+TEST(claim_tally, is_unavailable_without_a_quorum)
+{
+    claim_tally tally(3, lease, now);
+    tally.add(claim_vote({.verdict = claim_verdict::granted}));
+    tally.add(std::nullopt);
+    const auto outcome = tally.add(std::nullopt);
+    ASSERT_TRUE(outcome.has_value());
+    EXPECT_EQ((*outcome)->status, claim_status::unavailable);
+}
+
+} // namespace
+
+} // namespace lagoonquay
--- /dev/null
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -0,0 +1,91 @@
+//! Messages between an entry and an agent about single tasks.
+#pragma once
+
+#include "lagoonquay/request/answer.hpp"
+#include "lagoonquay/request/job.hpp"
+#include "lagoonquay/request/job_run.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lagoonquay
+{
+
+//! First message on a link, from the entry.
+struct hello_message
+{
+    entry_id entry;
+    incarnation entry_run;
+
+    friend bool operator==(const hello_message&,
+                           const hello_message&) = default;
+};
+
+//! The agent's state as one entry needs it, and credits for its slots.
+struct grant_message
+{
+    agent_id agent;
+    incarnation agent_run;
+    instant agent_time{};             //!< the agent's monotonic clock
+    std::uint64_t credits_total = 0;  //!< credits granted since the link opened
+    std::uint64_t recalled_total = 0; //!< credits asked back since then
+    std::uint32_t slots = 0;          //!< slots of the worker
+    resources capacity;
+    bool accepting = false; //!< false without permit or upstream
+
+    friend bool operator==(const grant_message&,
+                           const grant_message&) = default;
+};
+
+//! The entry's demand for slots.
+struct demand_message
+{
+    std::uint32_t wanted = 0;         //!< tasks that wait for a credit
+    std::uint64_t returned_total = 0; //!< unused credits given back so far
+
+    friend bool operator==(const demand_message&,
+                           const demand_message&) = default;
+};
+
+//! One task on its way to an agent; uses one credit.
+struct dispatch_message
+{
+    submission_id submission;
+    attempt_key key;
+    instant start_before{};  //!< on the agent's clock: the claim's end
+    duration run_limit{};    //!< the longest run that the deadline allows
+    bool repeatable = false; //!< a later attempt may start it again
+    task work;
+
+    friend bool operator==(const dispatch_message&,
+                           const dispatch_message&) = default;
+};
+
+//! Final word of an agent on one dispatch.
+struct result_message
+{
+    submission_id submission;
+    attempt_key key;
+    task_result result;
+
+    friend bool operator==(const result_message&,
+                           const result_message&) = default;
+};
+
+//! Asks the agent never to start the task, and to stop it if it runs.
+struct cancel_message
+{
+    submission_id submission;
+    attempt_key key;
+
+    friend bool operator==(const cancel_message&,
+                           const cancel_message&) = default;
+};
+
+using link_message =
+    std::variant<hello_message, grant_message, demand_message, dispatch_message,
+                 result_message, cancel_message>;
+
+} // namespace lagoonquay
--- /dev/null
+++ b/request/include/lagoonquay/request/job.hpp
@@ -0,0 +1,46 @@
+//! A job as a caller submits it. Lives for one request.
+#pragma once
+
+#include "lagoonquay/request/ids.hpp"
+#include "lagoonquay/request/immutable.hpp"
+#include "lagoonquay/request/need.hpp"
+#include "lagoonquay/request/time.hpp"
+
+#include <string>
+#include <vector>
+
+namespace lagoonquay
+{
+
+struct task_options
+{
+    std::string kind;        //!< names the run-time statistics to use
+    std::string payload;     //!< handed to the upstream unchanged
+    resources need;          //!< as declared; may be wrong
+    duration declared_run{}; //!< as declared; zero means unknown
+
+    friend bool operator==(const task_options&, const task_options&) = default;
+};
+
+//! One task of a job.
+using task = immutable<task_options>;
+
+struct job_options
+{
+    submission_id submission;
+    customer_id customer;
+    wall_time created{};     //!< repeated unchanged by a resubmission
+    duration time_limit{};   //!< from acceptance to the deadline
+    bool idempotent = false; //!< whether a task may run more than once
+    std::vector<task> tasks;
+
+    friend bool operator==(const job_options&, const job_options&) = default;
+};
+
+//! A job: the unit that is answered whole or fails.
+using job = immutable<job_options>;
+
+//! @return a digest of everything but the submission id; FNV-1a, 64 bits.
+content_digest digest_of(const job& submitted);
+
+} // namespace lagoonquay
--- /dev/null
+++ b/request/include/lagoonquay/request/job_run.hpp
@@ -0,0 +1,95 @@
+//! Progress of one job from acceptance to its answer. Pure decisions.
+#pragma once
+
+#include "lagoonquay/request/answer.hpp"
+#include "lagoonquay/request/job.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace lagoonquay
+{
+
+//! Where a task stands at the entry.
+enum class task_phase
+{
+    waiting,    //!< not with any agent
+    dispatched, //!< with an agent, may have started
+    finished,   //!< has its final result
+};
+
+//! Identifies one dispatch; a result counts only if all parts match.
+struct attempt_key
+{
+    task_index index;
+    attempt_number attempt;
+    agent_id agent;
+    incarnation agent_run;
+
+    friend auto operator<=>(const attempt_key&, const attempt_key&) = default;
+};
+
+//! Gathers the results of one job. Not thread-safe; the job's shard locks it.
+class job_run
+{
+public:
+    //! @param base  attempts are numbered from the one after it.
+    explicit job_run(job submitted, attempt_number base = {});
+
+    const job& submitted() const noexcept;
+
+    //! Records that a waiting task goes to an agent.
+    //! @return the key that its result must carry.
+    attempt_key dispatch(task_index index, const agent_id& agent,
+                         incarnation agent_run);
+
+    //! Takes a result.
+    //! @return false if it is late, doubled or crossed, and was dropped.
+    bool record(const attempt_key& key, const task_result& result);
+
+    //! Returns a dispatched task to waiting on proof that it never starts.
+    //! @return false if the key is not the current attempt.
+    bool requeue(const attempt_key& key);
+
+    //! Finishes every unfinished task: waiting ones as not run, dispatched
+    //! ones as unknown.
+    void abandon(failure_reason reason, const std::string& detail);
+
+    //! Finishes one waiting task without a dispatch.
+    //! @return false if the task is not waiting.
+    bool finish_waiting(task_index index, failure_reason reason,
+                        const std::string& detail);
+
+    //! @return the attempts that are with an agent.
+    std::vector<attempt_key> dispatched() const;
+
+    //! @return the tasks that are with no agent.
+    std::vector<task_index> waiting() const;
+
+    //! @return whether the task exists and is with no agent.
+    bool is_waiting(task_index index) const noexcept;
+
+    std::size_t finished_count() const noexcept;
+    bool finished() const noexcept;
+
+    //! @return the whole answer once every task is finished.
+    std::optional<job_answer> answer() const;
+
+private:
+    struct slot
+    {
+        task_phase phase = task_phase::waiting;
+        attempt_key key;
+        task_result result;
+    };
+
+    const slot* find(const attempt_key& key) const noexcept;
+    void finish(slot& target, task_result result);
+
+    job job_;
+    std::vector<slot> slots_;
+    std::size_t finished_ = 0;
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/request/src/dispatch_codec.cpp
@@ -0,0 +1,232 @@
+#include "lagoonquay/request/dispatch_codec.hpp"
+
+#include "lagoonquay/request/json_fields.hpp"
+#include "task_json.hpp"
+
+#include <limits>
+
+namespace json = boost::json;
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::uint64_t count_limit = std::numeric_limits<std::uint32_t>::max();
+
+std::string wide(std::uint64_t number)
+{
+    return std::to_string(number);
+}
+
+void put_key(json::object& object, const submission_id& submission,
+             const attempt_key& key)
+{
+    object["submission"] = submission.text();
+    object["index"] = key.index.number();
+    object["attempt"] = key.attempt.number();
+    object["agent"] = key.agent.text();
+    object["agent_run"] = wide(key.agent_run.number());
+}
+
+submission_id get_submission(json_fields& fields, const job_limits& limits)
+{
+    return submission_id(fields.text("submission", limits.id_bytes));
+}
+
+attempt_key get_key(json_fields& fields, const job_limits& limits)
+{
+    attempt_key key;
+    key.index = task_index(fields.number("index", 0, count_limit));
+    key.attempt = attempt_number(fields.number("attempt", 1, count_limit));
+    key.agent = agent_id(fields.text("agent", limits.id_bytes));
+    key.agent_run = incarnation(fields.wide_number("agent_run"));
+    return key;
+}
+
+instant get_instant(json_fields& fields, std::string_view key)
+{
+    return instant(duration(fields.number(key, 0, json_exact_limit)));
+}
+
+json::object to_json(const hello_message& it)
+{
+    return {{"type", "hello"},
+            {"entry", it.entry.text()},
+            {"entry_run", wide(it.entry_run.number())}};
+}
+
+json::object to_json(const grant_message& it)
+{
+    return {{"type", "grant"},
+            {"agent", it.agent.text()},
+            {"agent_run", wide(it.agent_run.number())},
+            {"agent_time_us", it.agent_time.time_since_epoch().count()},
+            {"credits_total", it.credits_total},
+            {"recalled_total", it.recalled_total},
+            {"slots", it.slots},
+            {"capacity", resources_to_json(it.capacity)},
+            {"accepting", it.accepting}};
+}
+
+json::object to_json(const demand_message& it)
+{
+    return {{"type", "demand"},
+            {"wanted", it.wanted},
+            {"returned_total", it.returned_total}};
+}
+
+json::object to_json(const dispatch_message& it)
+{
+    json::object object{
+        {"type", "dispatch"},
+        {"start_before_us", it.start_before.time_since_epoch().count()},
+        {"run_limit_us", it.run_limit.count()},
+        {"repeatable", it.repeatable},
+        {"task", task_to_json(it.work)}};
+    put_key(object, it.submission, it.key);
+    return object;
+}
+
+json::object to_json(const result_message& it)
+{
+    json::object object{{"type", "result"},
+                        {"result", result_to_json(it.result)}};
+    put_key(object, it.submission, it.key);
+    return object;
+}
+
+json::object to_json(const cancel_message& it)
+{
+    json::object object{{"type", "cancel"}};
+    put_key(object, it.submission, it.key);
+    return object;
+}
+
+link_message read_hello(json_fields& fields, const job_limits& limits)
+{
+    return hello_message{entry_id(fields.text("entry", limits.id_bytes)),
+                         incarnation(fields.wide_number("entry_run"))};
+}
+
+link_message read_grant(json_fields& fields, const job_limits& limits)
+{
+    grant_message it;
+    it.agent = agent_id(fields.text("agent", limits.id_bytes));
+    it.agent_run = incarnation(fields.wide_number("agent_run"));
+    it.agent_time = get_instant(fields, "agent_time_us");
+    it.credits_total = fields.number("credits_total", 0, json_exact_limit);
+    it.recalled_total = fields.number("recalled_total", 0, json_exact_limit);
+    it.slots =
+        static_cast<std::uint32_t>(fields.number("slots", 0, count_limit));
+    it.capacity = resources_from_json(fields, "capacity");
+    it.accepting = fields.flag_or("accepting", false);
+    return it;
+}
+
+link_message read_demand(json_fields& fields)
+{
+    demand_message it;
+    it.wanted =
+        static_cast<std::uint32_t>(fields.number("wanted", 0, count_limit));
+    it.returned_total = fields.number("returned_total", 0, json_exact_limit);
+    return it;
+}
+
+link_message read_dispatch(json_fields& fields, const job_limits& limits)
+{
+    dispatch_message it;
+    it.submission = get_submission(fields, limits);
+    it.key = get_key(fields, limits);
+    it.start_before = get_instant(fields, "start_before_us");
+    it.run_limit = duration(fields.number("run_limit_us", 0, json_exact_limit));
+    it.repeatable = fields.flag_or("repeatable", false);
+    const auto* work = fields.member("task");
+    if (work == nullptr)
+    {
+        fields.reject(request_errc::malformed, "'task' is missing");
+        return it;
+    }
+    it.work = task_from_json(*work, "task", limits, fields);
+    return it;
+}
+
+link_message read_result(json_fields& fields, const job_limits& limits)
+{
+    result_message it;
+    it.submission = get_submission(fields, limits);
+    it.key = get_key(fields, limits);
+    const auto* result = fields.member("result");
+    if (result == nullptr)
+    {
+        fields.reject(request_errc::malformed, "'result' is missing");
+        return it;
+    }
+    it.result = result_from_json(*result, "result", fields);
+    return it;
+}
+
+link_message read_cancel(json_fields& fields, const job_limits& limits)
+{
+    const auto submission = get_submission(fields, limits);
+    return cancel_message{submission, get_key(fields, limits)};
+}
+
+request_result<link_message> read_message(const json::value& source)
+{
+    const job_limits limits;
+    json_fields fields(source, "message");
+    const auto type = fields.text("type", limits.id_bytes);
+    link_message message;
+    if (type == "hello")
+        message = read_hello(fields, limits);
+    else if (type == "grant")
+        message = read_grant(fields, limits);
+    else if (type == "demand")
+        message = read_demand(fields);
+    else if (type == "dispatch")
+        message = read_dispatch(fields, limits);
+    else if (type == "result")
+        message = read_result(fields, limits);
+    else if (type == "cancel")
+        message = read_cancel(fields, limits);
+    else
+        fields.reject(request_errc::unknown_message,
+                      "unknown type '" + type + "'");
+    if (fields.failed())
+        return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
+    return message;
+}
+
+} // namespace
+
+std::string encode_frame(const std::vector<link_message>& messages)
+{
+    json::array frame;
+    frame.reserve(messages.size());
+    for (const auto& it : messages)
+    {
+        frame.push_back(std::visit(
+            [](const auto& message) { return to_json(message); }, it));
+    }
+    return json::serialize(frame);
+}
+
+request_result<std::vector<link_message>> decode_frame(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse_json(text));
+    const auto* frame = document.if_array();
+    if (frame == nullptr)
+        return fail(request_errc::malformed, "a frame must be an array");
+    std::vector<link_message> messages;
+    messages.reserve(frame->size());
+    for (const auto& it : *frame)
+    {
+        BOOST_OUTCOME_TRY(auto message, read_message(it));
+        messages.push_back(std::move(message));
+    }
+    return messages;
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/request/src/job_run.cpp
@@ -0,0 +1,189 @@
+#include "lagoonquay/request/job_run.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+std::string describe(const task_result& result)
+{
+    return "task " + std::to_string(result->index.number()) + ": " +
+           std::string(to_text(result->reason)) + ": " + result->detail;
+}
+
+// Partial results of a failed job are never shown as its answer.
+job_answer failed_answer(const submission_id& submission,
+                         std::vector<task_result> failures, effect ran)
+{
+    const auto first = failures.front();
+    return job_answer({.submission = submission,
+                       .reason = first->reason,
+                       .ran = ran,
+                       .detail = describe(first),
+                       .results = {},
+                       .failures = std::move(failures)});
+}
+
+} // namespace
+
+job_run::job_run(job submitted, attempt_number base)
+    : job_(std::move(submitted)), slots_(job_->tasks.size())
+{
+    for (auto& it : slots_)
+        it.key.attempt = base;
+}
+
+const job& job_run::submitted() const noexcept
+{
+    return job_;
+}
+
+attempt_key job_run::dispatch(task_index index, const agent_id& agent,
+                              incarnation agent_run)
+{
+    auto& target = slots_.at(index.number());
+    target.phase = task_phase::dispatched;
+    target.key = {.index = index,
+                  .attempt = attempt_number(target.key.attempt.number() + 1),
+                  .agent = agent,
+                  .agent_run = agent_run};
+    return target.key;
+}
+
+bool job_run::record(const attempt_key& key, const task_result& result)
+{
+    if (find(key) == nullptr)
+        return false;
+    finish(slots_[key.index.number()], result);
+    return true;
+}
+
+bool job_run::requeue(const attempt_key& key)
+{
+    if (find(key) == nullptr)
+        return false;
+    slots_[key.index.number()].phase = task_phase::waiting;
+    return true;
+}
+
+void job_run::abandon(failure_reason reason, const std::string& detail)
+{
+    std::uint64_t n = 0;
+    for (auto& it : slots_)
+    {
+        const task_index index(n++);
+        if (it.phase == task_phase::finished)
+            continue;
+        const bool waiting = it.phase == task_phase::waiting;
+        finish(it,
+               task_result({.index = index,
+                            .reason = reason,
+                            .ran = waiting ? effect::not_run : effect::unknown,
+                            .body = {},
+                            .detail = detail}));
+    }
+}
+
+bool job_run::finish_waiting(task_index index, failure_reason reason,
+                             const std::string& detail)
+{
+    auto& target = slots_.at(index.number());
+    if (target.phase != task_phase::waiting)
+        return false;
+    finish(target, task_result({.index = index,
+                                .reason = reason,
+                                .ran = effect::not_run,
+                                .body = {},
+                                .detail = detail}));
+    return true;
+}
+
+std::vector<attempt_key> job_run::dispatched() const
+{
+    std::vector<attempt_key> keys;
+    for (const auto& it : slots_)
+    {
+        if (it.phase != task_phase::dispatched)
+            continue;
+        keys.push_back(it.key);
+    }
+    return keys;
+}
+
+std::vector<task_index> job_run::waiting() const
+{
+    std::vector<task_index> indexes;
+    std::uint64_t n = 0;
+    for (const auto& it : slots_)
+    {
+        const task_index index(n++);
+        if (it.phase != task_phase::waiting)
+            continue;
+        indexes.push_back(index);
+    }
+    return indexes;
+}
+
+bool job_run::is_waiting(task_index index) const noexcept
+{
+    return index.number() < slots_.size() &&
+           slots_[index.number()].phase == task_phase::waiting;
+}
+
+std::size_t job_run::finished_count() const noexcept
+{
+    return finished_;
+}
+
+bool job_run::finished() const noexcept
+{
+    return finished_ == slots_.size();
+}
+
+std::optional<job_answer> job_run::answer() const
+{
+    if (!finished())
+        return std::nullopt;
+    std::vector<task_result> results;
+    std::vector<task_result> failures;
+    effect ran = effect::not_run;
+    for (const auto& it : slots_)
+    {
+        ran = std::max(ran, it.result->ran);
+        results.push_back(it.result);
+        if (succeeded(it.result))
+            continue;
+        failures.push_back(it.result);
+    }
+    if (!failures.empty())
+        return failed_answer(job_->submission, std::move(failures), ran);
+    return job_answer({.submission = job_->submission,
+                       .reason = failure_reason::none,
+                       .ran = ran,
+                       .detail = {},
+                       .results = std::move(results),
+                       .failures = {}});
+}
+
+const job_run::slot* job_run::find(const attempt_key& key) const noexcept
+{
+    if (key.index.number() >= slots_.size())
+        return nullptr;
+    const auto& target = slots_[key.index.number()];
+    const bool current =
+        target.phase == task_phase::dispatched && target.key == key;
+    return current ? &target : nullptr;
+}
+
+void job_run::finish(slot& target, task_result result)
+{
+    target.phase = task_phase::finished;
+    target.result = std::move(result);
+    ++finished_;
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/request/src/start_guard.cpp
@@ -0,0 +1,95 @@
+#include "lagoonquay/request/start_guard.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+start_guard::start_guard(start_guard_options options) : options_(options)
+{
+}
+
+// The checks run from the cheapest to the one that writes, and the record is
+// written before the caller may call the upstream.
+start_verdict start_guard::try_start(const dispatch_message& dispatch,
+                                     instant now)
+{
+    if (dispatch.key.agent_run != options_.agent_run)
+        return start_verdict::wrong_agent_run;
+    if (now >= dispatch.start_before)
+        return start_verdict::claim_expired;
+    const task_key key{dispatch.submission, dispatch.key.index};
+    const auto it = records_.find(key);
+    if (it != records_.end())
+    {
+        if (const auto refused = refuse(it->second, dispatch))
+            return *refused;
+    }
+    record fresh;
+    fresh.started = true;
+    fresh.attempt = dispatch.key.attempt;
+    fresh.touched = now;
+    records_.insert_or_assign(key, fresh);
+    return start_verdict::start;
+}
+
+bool start_guard::forbid(const task_key& key, attempt_number last, instant now)
+{
+    auto& it = records_[key];
+    if (it.started)
+        return false;
+    it.attempt = std::max(it.attempt, last);
+    it.touched = now;
+    return true;
+}
+
+void start_guard::finish(const task_key& key, const task_result& result,
+                         instant now)
+{
+    const auto it = records_.find(key);
+    if (it == records_.end())
+        return;
+    it->second.result = result;
+    it->second.touched = now;
+}
+
+std::optional<task_result> start_guard::result_of(const task_key& key) const
+{
+    const auto it = records_.find(key);
+    if (it == records_.end())
+        return std::nullopt;
+    return it->second.result;
+}
+
+bool start_guard::started(const task_key& key) const noexcept
+{
+    const auto it = records_.find(key);
+    return it != records_.end() && it->second.started;
+}
+
+void start_guard::expire(instant now)
+{
+    std::erase_if(records_, [&](const auto& it)
+                  { return now - it.second.touched > options_.retention; });
+}
+
+// Attempt numbers of a later claim are larger than all of an earlier one, so
+// one number orders the attempts of every entry.
+std::optional<start_verdict>
+start_guard::refuse(const record& earlier,
+                    const dispatch_message& dispatch) noexcept
+{
+    const bool later = earlier.attempt < dispatch.key.attempt;
+    if (!earlier.started && !later)
+        return start_verdict::fenced;
+    if (earlier.started && !(later && dispatch.repeatable))
+        return start_verdict::duplicate;
+    return std::nullopt;
+}
+
+std::size_t start_guard::size() const noexcept
+{
+    return records_.size();
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/request/tests/job_run_test.cpp
@@ -0,0 +1,90 @@
+#include "lagoonquay/request/job_run.hpp"
+
+#include <gtest/gtest.h>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+job two_tasks()
+{
+    return job({.submission = submission_id("s"),
+                .customer = customer_id("c"),
+                .tasks = {task({.kind = "a"}), task({.kind = "b"})}});
+}
+
+task_result success(std::uint64_t index)
+{
+    return task_result({.index = task_index(index),
+                        .reason = failure_reason::none,
+                        .ran = effect::ran,
+                        .body = "done"});
+}
+
+const agent_id agent("agent");
+const incarnation agent_run(7);
+
+TEST(job_run, answers_only_when_every_task_is_finished)
+{
+    job_run run(two_tasks());
+    const auto first = run.dispatch(task_index(0), agent, agent_run);
+    const auto second = run.dispatch(task_index(1), agent, agent_run);
+    EXPECT_TRUE(run.record(first, success(0)));
+    EXPECT_FALSE(run.answer().has_value());
+    EXPECT_TRUE(run.record(second, success(1)));
+    ASSERT_TRUE(run.answer().has_value());
+    EXPECT_TRUE(succeeded(*run.answer()));
+    EXPECT_EQ((*run.answer())->results.size(), 2U);
+}
+
+TEST(job_run, drops_doubled_late_and_crossed_results)
+{
+    job_run run(two_tasks());
+    const auto key = run.dispatch(task_index(0), agent, agent_run);
+    auto crossed = key;
+    crossed.agent_run = incarnation(8);
+    EXPECT_FALSE(run.record(crossed, success(0)));
+    EXPECT_TRUE(run.record(key, success(0)));
+    EXPECT_FALSE(run.record(key, success(0)));
+    EXPECT_EQ(run.finished_count(), 1U);
+}
+
+TEST(job_run, a_result_of_an_earlier_attempt_does_not_count)
+{
+    job_run run(two_tasks());
+    const auto first = run.dispatch(task_index(0), agent, agent_run);
+    EXPECT_TRUE(run.requeue(first));
+    const auto second = run.dispatch(task_index(0), agent, agent_run);
+    EXPECT_FALSE(run.record(first, success(0)));
+    EXPECT_TRUE(run.record(second, success(0)));
+}
+
+TEST(job_run, a_failed_job_shows_no_results)
+{
+    job_run run(two_tasks());
+    const auto first = run.dispatch(task_index(0), agent, agent_run);
+    run.record(first, success(0));
+    run.abandon(failure_reason::deadline, "late");
+    const auto answer = run.answer();
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_FALSE(succeeded(*answer));
+    EXPECT_TRUE((*answer)->results.empty());
+    EXPECT_EQ((*answer)->ran, effect::ran);
+    EXPECT_EQ((*answer)->failures.size(), 1U);
+}
+
+TEST(job_run, abandon_says_unknown_only_of_dispatched_tasks)
+{
+    job_run run(two_tasks());
+    run.dispatch(task_index(0), agent, agent_run);
+    run.abandon(failure_reason::deadline, "late");
+    const auto failures = (*run.answer())->failures;
+    EXPECT_EQ(failures[0]->ran, effect::unknown);
+    EXPECT_EQ(failures[1]->ran, effect::not_run);
+}
+
+} // namespace
+
+} // namespace lagoonquay
--- /dev/null
+++ b/version/src/command.cpp
@@ -0,0 +1,89 @@
+#include "lagoonquay/version/command.hpp"
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+template <typename Id>
+void set_member(std::set<Id>& ids, const Id& id, bool present)
+{
+    if (present)
+        ids.insert(id);
+    else
+        ids.erase(id);
+}
+
+//! Writes one change into a view's options.
+struct change_writer
+{
+    fleet_view_options& target;
+
+    void operator()(const set_domain& it) const
+    {
+        set_member(target.out_domains, it.domain, !it.in_service);
+    }
+    void operator()(const set_agent_drain& it) const
+    {
+        set_member(target.drained_agents, it.agent, it.drained);
+    }
+    void operator()(const set_entry_drain& it) const
+    {
+        set_member(target.drained_entries, it.entry, it.drained);
+    }
+    void operator()(const set_settings& it) const
+    {
+        target.settings = it.settings;
+    }
+};
+
+} // namespace
+
+command_outcome fleet_state::apply(const command& asked)
+{
+    if (const auto first = outcome_of(asked->id))
+        return *first;
+    const auto current = view_->version;
+    command_outcome outcome{false, current, author_};
+    if (!asked->expected || *asked->expected == current)
+    {
+        const version_number next(current.number() + 1);
+        view_ = view_.with(
+            [&](fleet_view_options& it)
+            {
+                std::visit(change_writer{it}, asked->what);
+                it.version = next;
+            });
+        author_ = asked->author;
+        outcome = {true, next, author_};
+    }
+    remember(asked->id, outcome);
+    return outcome;
+}
+
+const fleet_view& fleet_state::view() const noexcept
+{
+    return view_;
+}
+
+std::optional<command_outcome>
+fleet_state::outcome_of(const command_id& id) const
+{
+    const auto it = outcomes_.find(id);
+    if (it == outcomes_.end())
+        return std::nullopt;
+    return it->second;
+}
+
+void fleet_state::remember(const command_id& id, const command_outcome& outcome)
+{
+    outcomes_.emplace(id, outcome);
+    order_.emplace(applied_++, id);
+    if (order_.size() <= remembered_outcomes)
+        return;
+    outcomes_.erase(order_.begin()->second);
+    order_.erase(order_.begin());
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/version/src/version_codec.cpp
@@ -0,0 +1,298 @@
+#include "lagoonquay/version/version_codec.hpp"
+
+#include "lagoonquay/request/json_fields.hpp"
+
+#include <boost/json.hpp>
+#include <limits>
+
+namespace json = boost::json;
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::size_t id_bytes = 128;
+constexpr std::size_t settings_bytes = 4UL * 1024 * 1024;
+
+version_result<json::value> parse(std::string_view text)
+{
+    auto parsed = parse_json(text);
+    if (!parsed)
+        return fail(version_errc::malformed, parsed.error().detail);
+    return std::move(parsed).value();
+}
+
+auto malformed(const json_fields& fields)
+{
+    return fail(version_errc::malformed, fields.error().detail);
+}
+
+template <typename Id>
+json::array ids_to_json(const std::set<Id>& ids)
+{
+    json::array array;
+    for (const auto& it : ids)
+        array.push_back(json::value(it.text()));
+    return array;
+}
+
+template <typename Id>
+std::set<Id> ids_from_json(json_fields& fields, std::string_view key)
+{
+    std::set<Id> ids;
+    const auto* source = fields.array(key);
+    if (source == nullptr)
+        return ids;
+    for (const auto& it : *source)
+    {
+        const auto* text = it.if_string();
+        if (text == nullptr || text->size() > id_bytes)
+        {
+            fields.reject(request_errc::malformed,
+                          "'" + std::string(key) + "' must hold ids");
+            return ids;
+        }
+        ids.insert(Id(std::string(text->data(), text->size())));
+    }
+    return ids;
+}
+
+version_number get_version(json_fields& fields, std::string_view key)
+{
+    return version_number(fields.number(key, 0, json_exact_limit));
+}
+
+struct change_to_json
+{
+    json::object operator()(const set_domain& it) const
+    {
+        return {{"change", "set_domain"},
+                {"domain", it.domain.text()},
+                {"in_service", it.in_service}};
+    }
+    json::object operator()(const set_agent_drain& it) const
+    {
+        return {{"change", "set_agent_drain"},
+                {"agent", it.agent.text()},
+                {"drained", it.drained}};
+    }
+    json::object operator()(const set_entry_drain& it) const
+    {
+        return {{"change", "set_entry_drain"},
+                {"entry", it.entry.text()},
+                {"drained", it.drained}};
+    }
+    json::object operator()(const set_settings& it) const
+    {
+        return {{"change", "set_settings"}, {"settings", it.settings}};
+    }
+};
+
+std::string required_id(json_fields& fields, std::string_view key)
+{
+    auto id = fields.text(key, id_bytes);
+    if (id.empty())
+        fields.reject(request_errc::out_of_range,
+                      "'" + std::string(key) + "' must not be empty");
+    return id;
+}
+
+change change_from_json(json_fields& fields)
+{
+    const auto kind = fields.text("change", id_bytes);
+    if (kind == "set_domain")
+        return set_domain{domain_id(required_id(fields, "domain")),
+                          fields.flag_or("in_service", true)};
+    if (kind == "set_agent_drain")
+        return set_agent_drain{agent_id(required_id(fields, "agent")),
+                               fields.flag_or("drained", true)};
+    if (kind == "set_entry_drain")
+        return set_entry_drain{entry_id(required_id(fields, "entry")),
+                               fields.flag_or("drained", true)};
+    if (kind == "set_settings")
+        return set_settings{fields.text("settings", settings_bytes)};
+    fields.reject(request_errc::malformed, "unknown change '" + kind + "'");
+    return set_domain{};
+}
+
+json::object view_to_json(const fleet_view& view)
+{
+    return {{"version", view->version.number()},
+            {"out_domains", ids_to_json(view->out_domains)},
+            {"drained_agents", ids_to_json(view->drained_agents)},
+            {"drained_entries", ids_to_json(view->drained_entries)},
+            {"settings", view->settings}};
+}
+
+fleet_view view_from_json(const json::value& source, json_fields& parent)
+{
+    json_fields fields(source, "view");
+    fleet_view_options options;
+    options.version = get_version(fields, "version");
+    options.out_domains = ids_from_json<domain_id>(fields, "out_domains");
+    options.drained_agents = ids_from_json<agent_id>(fields, "drained_agents");
+    options.drained_entries =
+        ids_from_json<entry_id>(fields, "drained_entries");
+    options.settings = fields.text("settings", settings_bytes);
+    parent.absorb(fields);
+    return fleet_view(std::move(options));
+}
+
+json::object member_to_json(const member& it)
+{
+    return {{"role", it->role == member_role::agent ? "agent" : "entry"},
+            {"id", it->id},
+            {"run", std::to_string(it->run.number())},
+            {"domain", it->domain.text()},
+            {"address", it->address},
+            {"slots", it->slots},
+            {"processors_milli", it->capacity.processors_milli},
+            {"memory_mb", it->capacity.memory_mb},
+            {"accelerators", it->capacity.accelerators},
+            {"serving", it->serving}};
+}
+
+std::uint32_t small_number(json_fields& fields, std::string_view key)
+{
+    return static_cast<std::uint32_t>(
+        fields.number(key, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+member member_from_json(const json::value& source, json_fields& parent)
+{
+    json_fields fields(source, "member");
+    member_options options;
+    const auto role = fields.text("role", id_bytes);
+    if (role != "agent" && role != "entry")
+        fields.reject(request_errc::malformed, "unknown role '" + role + "'");
+    options.role = role == "entry" ? member_role::entry : member_role::agent;
+    options.id = required_id(fields, "id");
+    options.run = incarnation(fields.wide_number("run"));
+    options.domain = domain_id(required_id(fields, "domain"));
+    options.address = fields.text("address", id_bytes);
+    options.slots = small_number(fields, "slots");
+    options.capacity = {small_number(fields, "processors_milli"),
+                        small_number(fields, "memory_mb"),
+                        small_number(fields, "accelerators")};
+    options.serving = fields.flag_or("serving", false);
+    parent.absorb(fields);
+    return member(std::move(options));
+}
+
+permit_vote vote_from_json(json_fields& fields)
+{
+    permit_vote vote;
+    vote.replica = replica_id(required_id(fields, "replica"));
+    vote.version = get_version(fields, "version");
+    if (const auto* view = fields.member("view"))
+        vote.view = view_from_json(*view, fields);
+    vote.pending_out = ids_from_json<domain_id>(fields, "pending_out");
+    vote.pending_drains = ids_from_json<agent_id>(fields, "pending_drains");
+    return vote;
+}
+
+} // namespace
+
+std::string encode_command(const command& asked)
+{
+    auto object = std::visit(change_to_json{}, asked->what);
+    object["id"] = asked->id.text();
+    object["author"] = asked->author;
+    if (asked->expected)
+        object["expected"] = asked->expected->number();
+    return json::serialize(object);
+}
+
+version_result<command> decode_command(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    json_fields fields(document, "");
+    command_options options;
+    options.id = command_id(required_id(fields, "id"));
+    options.author = fields.text_or("author", "", id_bytes);
+    if (fields.member("expected") != nullptr)
+        options.expected = get_version(fields, "expected");
+    options.what = change_from_json(fields);
+    if (fields.failed())
+        return malformed(fields);
+    return command(std::move(options));
+}
+
+std::string encode_outcome(const command_outcome& outcome)
+{
+    const json::object object{{"accepted", outcome.accepted},
+                              {"version", outcome.version.number()},
+                              {"author", outcome.author}};
+    return json::serialize(object);
+}
+
+version_result<command_outcome> decode_outcome(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    json_fields fields(document, "");
+    const command_outcome outcome{fields.flag_or("accepted", false),
+                                  get_version(fields, "version"),
+                                  fields.text_or("author", "", id_bytes)};
+    if (fields.failed())
+        return malformed(fields);
+    return outcome;
+}
+
+std::string encode_permit_request(const permit_request& request)
+{
+    const json::object object{{"sender", member_to_json(request.sender)},
+                              {"known", request.known.number()}};
+    return json::serialize(object);
+}
+
+version_result<permit_request> decode_permit_request(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    json_fields fields(document, "");
+    permit_request request;
+    request.known = get_version(fields, "known");
+    if (const auto* sender = fields.member("sender"))
+        request.sender = member_from_json(*sender, fields);
+    else
+        fields.reject(request_errc::malformed, "'sender' is missing");
+    if (fields.failed())
+        return malformed(fields);
+    return request;
+}
+
+std::string encode_permit_reply(const permit_reply& reply)
+{
+    json::array agents;
+    for (const auto& it : reply.agents)
+        agents.push_back(member_to_json(it));
+    json::object object{
+        {"replica", reply.vote.replica.text()},
+        {"version", reply.vote.version.number()},
+        {"pending_out", ids_to_json(reply.vote.pending_out)},
+        {"pending_drains", ids_to_json(reply.vote.pending_drains)},
+        {"agents", std::move(agents)}};
+    if (reply.vote.view)
+        object["view"] = view_to_json(*reply.vote.view);
+    return json::serialize(object);
+}
+
+version_result<permit_reply> decode_permit_reply(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    json_fields fields(document, "");
+    permit_reply reply;
+    reply.vote = vote_from_json(fields);
+    const auto* agents = fields.array("agents");
+    if (agents != nullptr)
+    {
+        for (const auto& it : *agents)
+            reply.agents.push_back(member_from_json(it, fields));
+    }
+    if (fields.failed())
+        return malformed(fields);
+    return reply;
+}
+
+} // namespace lagoonquay
