--- a/connection/include/lagoonquay/connection/http_server.hpp
+++ b/connection/include/lagoonquay/connection/http_server.hpp
@@ -33,7 +33,7 @@
 };
 
 //! Takes over a link that a peer opened. Called from any I/O thread.
-using link_handler = std::function<void(std::shared_ptr<message_link>)>;
+using link_handler = std::function<void(const std::shared_ptr<message_link>&)>;
 
 //! Accepts connections until it is closed. Thread-safe.
 class http_server
--- a/process/programs/agent_main.cpp
+++ b/process/programs/agent_main.cpp
@@ -63,8 +63,7 @@
     auto entries = http_server::listen(
         io.context(), {.listen = settings.entries, .link_path = "/v1/link"},
         agent_operator_routes(service),
-        [&](std::shared_ptr<message_link> it)
-        { service.on_link(std::move(it)); });
+        [&](const std::shared_ptr<message_link>& it) { service.on_link(it); });
     auto upstream = http_server::listen(
         io.context(), {.listen = settings.upstream}, upstream_routes(service));
     auto operators =
