Dispatch no task after its job's deadline

Cause: a slot that came free between a job's deadline and the entry's next tick let a dispatch go out with a negative run limit. The agent's decoder refused the frame, and the real link would have been closed, with every task on it.

Ruled out: clamping the limit to zero, which would start a task that nobody waits for.

Change: the dispatch is not begun once the deadline has passed; the next tick finishes the task as not run.

Seen first: the schedules aborted with "'run_limit_us' must be a whole number"; the new scenario deadline_before_dispatch did the same. Now it passes.

--- a/process/src/entry_service.cpp
+++ b/process/src/entry_service.cpp
@@ -402,6 +402,8 @@
             if (it == nullptr || !(*it)->run.is_waiting(key.index))
                 return std::nullopt;
             auto& found = **it;
+            if (now >= found.deadline)
+                return std::nullopt;
             const auto& submitted = found.run.submitted();
             dispatch_message message;
             message.submission = key.submission;
