Keep an upstream's slots when its agent restarts

Cause: a new run of an agent knows nothing of the tasks that its upstream still runs for the earlier run, and grants every slot again.

Ruled out: waiting out the longest run time after a restart (it is not known), and counting all running tasks of each announcement (the agent's own tasks in flight would be counted twice or missed).

Change: a call names the agent's run; the upstream announces how many tasks run, which run called last and how many of them are its own. The agent takes the others off its slots, and divides again at each announcement.

An upstream that does not announce these counts is treated as running nothing for others.

--- a/connection/include/lagoonquay/connection/upstream.hpp
+++ b/connection/include/lagoonquay/connection/upstream.hpp
@@ -21,7 +21,10 @@
     endpoint address;        //!< where it takes tasks over HTTP
     std::uint32_t slots = 0; //!< tasks at once
     resources capacity;
-    bool leaving = false; //!< takes no new work
+    bool leaving = false;      //!< takes no new work
+    std::uint32_t running = 0; //!< tasks that run now
+    incarnation agent_run;     //!< the agent's run that called last, or zero
+    std::uint32_t running_of_run = 0; //!< of `running`, those it called
 
     friend bool operator==(const upstream_announcement&,
                            const upstream_announcement&) = default;
@@ -39,6 +42,7 @@
     submission_id submission;
     task_index index;
     attempt_number attempt;
+    incarnation agent_run; //!< of the caller
     std::string payload;
     duration run_limit{};
 
@@ -46,6 +50,10 @@
                            const upstream_call&) = default;
 };
 
+//! @return how many running tasks an agent's run did not call itself.
+std::uint32_t running_of_others(const upstream_announcement& it,
+                                incarnation agent_run) noexcept;
+
 //! Gets the task's result once, from any I/O thread.
 using upstream_callback = std::function<void(task_result)>;
 
--- a/connection/src/upstream.cpp
+++ b/connection/src/upstream.cpp
@@ -3,6 +3,7 @@
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/request/json_fields.hpp"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace json = boost::json;
@@ -72,7 +73,8 @@
 std::string call_query(const upstream_call& call)
 {
     return "submission=" + call.submission.text() +
-           "&attempt=" + std::to_string(call.attempt.number());
+           "&attempt=" + std::to_string(call.attempt.number()) +
+           "&run=" + std::to_string(call.agent_run.number());
 }
 
 } // namespace
@@ -85,7 +87,10 @@
         {"processors_milli", it.capacity.processors_milli},
         {"memory_mb", it.capacity.memory_mb},
         {"accelerators", it.capacity.accelerators},
-        {"leaving", it.leaving}};
+        {"leaving", it.leaving},
+        {"running", it.running},
+        {"agent_run", std::to_string(it.agent_run.number())},
+        {"running_of_run", it.running_of_run}};
     return json::serialize(object);
 }
 
@@ -94,7 +99,8 @@
     BOOST_OUTCOME_TRY(const auto document, parse_json(text));
     json_fields fields(document, "");
     fields.only({"address", "slots", "processors_milli", "memory_mb",
-                 "accelerators", "leaving"});
+                 "accelerators", "leaving", "running", "agent_run",
+                 "running_of_run"});
     const auto address = parse_endpoint(fields.text("address", address_bytes));
     if (!address)
         fields.reject(request_errc::malformed, address.error().detail);
@@ -104,12 +110,25 @@
     it.capacity = {amount(fields, "processors_milli"),
                    amount(fields, "memory_mb"), amount(fields, "accelerators")};
     it.leaving = fields.flag_or("leaving", false);
+    it.running = amount(fields, "running");
+    it.running_of_run = amount(fields, "running_of_run");
+    if (fields.member("agent_run") != nullptr)
+        it.agent_run = incarnation(fields.wide_number("agent_run"));
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
     it.address = address.value();
     return it;
 }
 
+// Before the first call of a run, all that runs belongs to earlier runs.
+std::uint32_t running_of_others(const upstream_announcement& it,
+                                incarnation agent_run) noexcept
+{
+    if (it.agent_run != agent_run)
+        return it.running;
+    return it.running - std::min(it.running, it.running_of_run);
+}
+
 upstream_hook call_over_http(http_client& client)
 {
     return [&client](const upstream_call& call, upstream_callback done)
--- a/process/include/lagoonquay/process/stand_in_upstream.hpp
+++ b/process/include/lagoonquay/process/stand_in_upstream.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "lagoonquay/connection/http_message.hpp"
+#include "lagoonquay/connection/upstream_load.hpp"
 #include "lagoonquay/request/time.hpp"
 
 #include <atomic>
@@ -31,7 +32,7 @@
     http_handler routes();
 
     std::uint64_t started() const noexcept;
-    std::uint64_t running() const noexcept;
+    const upstream_load& load() const noexcept;
 
 private:
     void run(const http_request& request, const http_responder& respond);
@@ -39,7 +40,7 @@
     delay_hook delay_;
     start_record_hook record_;
     std::atomic<std::uint64_t> started_{0};
-    std::atomic<std::uint64_t> running_{0};
+    upstream_load load_;
 };
 
 } // namespace lagoonquay
--- a/process/programs/upstream_main.cpp
+++ b/process/programs/upstream_main.cpp
@@ -115,13 +115,17 @@
     }
     const auto about = to_announcement(parsed, listen.value());
     announce(client, agent.value(), about);
-    io.every(announce_period, [&] { announce(client, agent.value(), about); });
+    const auto announce_load = [&](bool leaving)
+    {
+        auto now = about;
+        now.leaving = leaving;
+        upstream.load().describe(now);
+        announce(client, agent.value(), now);
+    };
+    io.every(announce_period, [&] { announce_load(false); });
     io.wait_for_stop_signal();
-    const auto leaving = about;
-    auto last = leaving;
-    last.leaving = true;
-    announce(client, agent.value(), last);
-    wait_until([&] { return upstream.running() == 0; });
+    announce_load(true);
+    wait_until([&] { return upstream.load().running() == 0; });
     io.stop();
     return exit_code::ok;
 }
--- a/process/src/agent_service.cpp
+++ b/process/src/agent_service.cpp
@@ -76,8 +76,10 @@
     }
     {
         const std::lock_guard lock(grants_mutex_);
-        grants_.resize(it.slots);
+        const auto others = running_of_others(it, options_.run);
+        grants_.resize(it.slots - std::min(it.slots, others));
     }
+    send_changed_grants();
 }
 
 void agent_service::hold(const permit& granted)
@@ -263,8 +265,9 @@
                         const endpoint& upstream)
 {
     ++started_;
-    const upstream_call call{upstream,       it.submission,    it.key.index,
-                             it.key.attempt, it.work->payload, it.run_limit};
+    const upstream_call call{upstream,       it.submission, it.key.index,
+                             it.key.attempt, options_.run,  it.work->payload,
+                             it.run_limit};
     hooks_.call_upstream(call, [this, link, it](const task_result& result)
                          { on_result(link, it, result); });
 }
--- a/process/src/stand_in_upstream.cpp
+++ b/process/src/stand_in_upstream.cpp
@@ -3,6 +3,7 @@
 #include "lagoonquay/request/json_fields.hpp"
 
 #include <boost/json.hpp>
+#include <charconv>
 
 namespace lagoonquay
 {
@@ -36,6 +37,15 @@
     return order;
 }
 
+// A caller that names no run counts as run zero.
+incarnation run_of(const http_request& request)
+{
+    const auto text = query_value(request.query, "run");
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return incarnation(number);
+}
+
 } // namespace
 
 stand_in_upstream::stand_in_upstream(delay_hook delay, start_record_hook record)
@@ -59,9 +69,9 @@
     return started_;
 }
 
-std::uint64_t stand_in_upstream::running() const noexcept
+const upstream_load& stand_in_upstream::load() const noexcept
 {
-    return running_;
+    return load_;
 }
 
 void stand_in_upstream::run(const http_request& request,
@@ -75,11 +85,12 @@
     const auto order = read_order(request.body);
     if (order.hang)
         return;
-    ++running_;
+    const auto agent_run = run_of(request);
+    load_.begin(agent_run);
     delay_(order.length,
-           [this, respond, submission, index, order]
+           [this, respond, submission, index, order, agent_run]
            {
-               --running_;
+               load_.end(agent_run);
                if (order.fail)
                    return respond(error_response(http_status::internal_error,
                                                  "failed", "failed to order"));
--- a/tests/scenarios/runner/fake_fleet.cpp
+++ b/tests/scenarios/runner/fake_fleet.cpp
@@ -17,7 +17,6 @@
 constexpr duration link_period = std::chrono::milliseconds(100);
 constexpr duration link_silence = std::chrono::seconds(2);
 constexpr duration claim_timeout = std::chrono::milliseconds(500);
-constexpr resources worker_capacity{32000, 65536, 0};
 
 std::string numbered(const std::string& name, std::size_t n)
 {
@@ -270,11 +269,10 @@
 void fake_fleet::start_agent_ticks(agent_node& it)
 {
     auto* service = it.service.get();
-    const auto beat = [this, service, name = it.name]
+    auto* upstream = it.upstream.get();
+    const auto beat = [this, service, upstream, name = it.name]
     {
-        service->announce({.address = {name, 1},
-                           .slots = options_.slots,
-                           .capacity = worker_capacity});
+        service->announce(upstream->announcement(options_.slots));
         ask_permit(
             name, [service] { return service->view(); },
             [service](const permit& granted) { service->hold(granted); });
--- a/tests/scenarios/runner/fake_upstream.cpp
+++ b/tests/scenarios/runner/fake_upstream.cpp
@@ -33,8 +33,8 @@
                          const upstream_callback& done)
 {
     const task_key key{asked.submission, asked.index};
-    ++running_;
-    most_running_ = std::max(most_running_, running_);
+    load_.begin(asked.agent_run);
+    most_running_ = std::max(most_running_, load_.running());
     on_start_({key, agent_, domain_, time_.now()});
     const bool fails = asked.payload == "fail";
     const task_result result(
@@ -46,12 +46,18 @@
          .detail = fails ? "failed to order" : ""});
     network_.at_node(agent_, run_length(asked.payload),
                      [result, done] { done(result); });
-    time_.after(run_length(asked.payload), [this] { --running_; });
+    time_.after(run_length(asked.payload),
+                [this, agent_run = asked.agent_run] { load_.end(agent_run); });
 }
 
-std::uint32_t fake_upstream::running() const noexcept
+upstream_announcement fake_upstream::announcement(std::uint32_t slots) const
 {
-    return running_;
+    upstream_announcement it;
+    it.address = {agent_, 1};
+    it.slots = slots;
+    it.capacity = {32000, 65536, 0};
+    load_.describe(it);
+    return it;
 }
 
 std::uint32_t fake_upstream::most_running() const noexcept
--- a/tests/scenarios/runner/fake_upstream.hpp
+++ b/tests/scenarios/runner/fake_upstream.hpp
@@ -3,6 +3,7 @@
 
 #include "fake_network.hpp"
 #include "lagoonquay/connection/upstream.hpp"
+#include "lagoonquay/connection/upstream_load.hpp"
 #include "lagoonquay/request/start_guard.hpp"
 
 #include <cstdint>
@@ -36,7 +37,8 @@
     //! payload "fail" fails at once.
     void call(const upstream_call& asked, const upstream_callback& done);
 
-    std::uint32_t running() const noexcept;
+    //! @return the announcement of now.
+    upstream_announcement announcement(std::uint32_t slots) const;
     std::uint32_t most_running() const noexcept;
 
 private:
@@ -45,7 +47,7 @@
     std::string agent_;
     std::string domain_;
     start_hook on_start_;
-    std::uint32_t running_ = 0;
+    upstream_load load_;
     std::uint32_t most_running_ = 0;
 };
 
