Move the INI reader down to the version layer

Cause: the fleet's settings are checked in version/, which may not include process/, and the reader stood in process/.

Ruled out: a second reader in version/ (the same logic twice), and a reader in request/, which has no settings.

Change: ini_file moves to version/ with that layer's error; process_settings turns it into process_errc::bad_settings in one place each for opening and finishing a file.

Conclusion: one reader serves both kinds of settings.

--- a/process/include/lagoonquay/process/process_settings.hpp
+++ b/process/include/lagoonquay/process/process_settings.hpp
@@ -2,9 +2,10 @@
 #pragma once
 
 #include "lagoonquay/connection/endpoint.hpp"
-#include "lagoonquay/process/ini_file.hpp"
+#include "lagoonquay/process/error.hpp"
 #include "lagoonquay/process/log.hpp"
 #include "lagoonquay/request/ids.hpp"
+#include "lagoonquay/version/ini_file.hpp"
 
 #include <cstddef>
 #include <string>
--- a/process/src/process_settings.cpp
+++ b/process/src/process_settings.cpp
@@ -103,39 +103,55 @@
     return common;
 }
 
+// Turns an error of the version layer into this layer's.
+process_result<void> checked(const version_result<void>& read)
+{
+    if (!read)
+        return fail(process_errc::bad_settings, read.error().detail);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+process_result<ini_file> open_settings(const std::string& path)
+{
+    auto file = ini_file::load(path);
+    if (!file)
+        return fail(process_errc::bad_settings, file.error().detail);
+    return std::move(file).value();
+}
+
 } // namespace
 
 process_result<entry_settings> load_entry_settings(const std::string& path)
 {
-    BOOST_OUTCOME_TRY(auto file, ini_file::load(path));
+    BOOST_OUTCOME_TRY(auto file, open_settings(path));
     entry_settings settings;
     settings.process = read_common(file);
     settings.callers = read_endpoint(file, "callers", "listen");
     settings.peers = read_endpoint(file, "peers", "listen");
     settings.ledger_peers = read_endpoints(file, "ledger", "peers");
-    BOOST_OUTCOME_TRY(file.finish());
+    BOOST_OUTCOME_TRY(checked(file.finish()));
     return settings;
 }
 
 process_result<agent_settings> load_agent_settings(const std::string& path)
 {
-    BOOST_OUTCOME_TRY(auto file, ini_file::load(path));
+    BOOST_OUTCOME_TRY(auto file, open_settings(path));
     agent_settings settings;
     settings.process = read_common(file);
     settings.entries = read_endpoint(file, "entries", "listen");
     settings.upstream = read_endpoint(file, "upstream", "listen");
-    BOOST_OUTCOME_TRY(file.finish());
+    BOOST_OUTCOME_TRY(checked(file.finish()));
     return settings;
 }
 
 process_result<control_settings> load_control_settings(const std::string& path)
 {
-    BOOST_OUTCOME_TRY(auto file, ini_file::load(path));
+    BOOST_OUTCOME_TRY(auto file, open_settings(path));
     control_settings settings;
     settings.process = read_common(file);
     settings.members = read_endpoint(file, "members", "listen");
     settings.data_folder = file.text("storage", "folder");
-    BOOST_OUTCOME_TRY(file.finish());
+    BOOST_OUTCOME_TRY(checked(file.finish()));
     return settings;
 }
 
--- a/process/include/lagoonquay/process/ini_file.hpp
+++ b/version/include/lagoonquay/version/ini_file.hpp
@@ -1,8 +1,8 @@
 //! Checked reading of INI settings.
 #pragma once
 
-#include "lagoonquay/process/error.hpp"
 #include "lagoonquay/request/time.hpp"
+#include "lagoonquay/version/error.hpp"
 
 #include <cstdint>
 #include <map>
@@ -30,10 +30,10 @@
 {
 public:
     //! @param name  names the document in errors.
-    static process_result<ini_file> parse(std::string_view text,
+    static version_result<ini_file> parse(std::string_view text,
                                           std::string name);
-    //! Reads a file. @return the document, or bad_settings.
-    static process_result<ini_file> load(const std::string& path);
+    //! Reads a file. @return the document, or bad_setting.
+    static version_result<ini_file> load(const std::string& path);
 
     bool has(std::string_view section, std::string_view key) const;
     std::string text(std::string_view section, std::string_view key);
@@ -57,7 +57,7 @@
                 const std::string& detail);
 
     //! @return the first error, unknown sections and keys included.
-    process_result<void> finish() const;
+    version_result<void> finish() const;
 
 private:
     using section_map = std::map<std::string, std::string, std::less<>>;
--- a/process/src/ini_file.cpp
+++ b/version/src/ini_file.cpp
@@ -1,4 +1,4 @@
-#include "lagoonquay/process/ini_file.hpp"
+#include "lagoonquay/version/ini_file.hpp"
 
 #include <array>
 #include <boost/property_tree/ini_parser.hpp>
@@ -56,7 +56,7 @@
 
 } // namespace
 
-process_result<ini_file> ini_file::parse(std::string_view text,
+version_result<ini_file> ini_file::parse(std::string_view text,
                                          std::string name)
 {
     boost::property_tree::ptree tree;
@@ -67,7 +67,7 @@
     }
     catch (const boost::property_tree::ini_parser_error& e)
     {
-        return fail(process_errc::bad_settings,
+        return fail(version_errc::bad_setting,
                     name + ":" + std::to_string(e.line()) + ": " + e.message());
     }
     ini_file file;
@@ -75,20 +75,20 @@
     for (const auto& [section, values] : tree)
     {
         if (values.empty() && !values.data().empty())
-            return fail(process_errc::bad_settings, file.name_ + ": key '" +
-                                                        section +
-                                                        "' is in no section");
+            return fail(version_errc::bad_setting, file.name_ + ": key '" +
+                                                       section +
+                                                       "' is in no section");
         for (const auto& [key, value] : values)
             file.sections_[section][key] = value.data();
     }
     return file;
 }
 
-process_result<ini_file> ini_file::load(const std::string& path)
+version_result<ini_file> ini_file::load(const std::string& path)
 {
     std::ifstream in(path);
     if (!in)
-        return fail(process_errc::bad_settings, path + ": cannot be read");
+        return fail(version_errc::bad_setting, path + ": cannot be read");
     std::ostringstream text;
     text << in.rdbuf();
     return parse(text.str(), std::string(path));
@@ -207,10 +207,10 @@
              ": " + detail;
 }
 
-process_result<void> ini_file::finish() const
+version_result<void> ini_file::finish() const
 {
     if (!error_.empty())
-        return fail(process_errc::bad_settings, error_);
+        return fail(version_errc::bad_setting, error_);
     for (const auto& [section, values] : sections_)
     {
         for (const auto& [key, value] : values)
@@ -220,7 +220,7 @@
             std::string detail = name_;
             detail.append(": [").append(section).append("] ").append(key);
             detail.append(": unknown section or key");
-            return fail(process_errc::bad_settings, std::move(detail));
+            return fail(version_errc::bad_setting, std::move(detail));
         }
     }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
