Let a late recall lapse and let credits return with results

Cause: an entry that had used a recalled credit gave back the next one that it was granted, so that credits went to and fro; and each finished task cost a grant of its own.

Ruled out: a number in each recall that the entry repeats (one more message even when nothing is idle). An entry meets a recall at once from what is idle; the agent sees that nothing more comes once all credits granted before the recall are used or given back.

--- a/connection/include/lagoonquay/connection/credit_account.hpp
+++ b/connection/include/lagoonquay/connection/credit_account.hpp
@@ -12,7 +12,8 @@
 class credit_account
 {
 public:
-    //! Takes over the agent's totals.
+    //! Takes over the agent's totals. A new recall is met at once from what is
+    //! idle; the rest of it is void.
     void update(std::uint64_t granted_total,
                 std::uint64_t recalled_total) noexcept;
 
@@ -22,10 +23,12 @@
     //! Undoes one take().
     void untake() noexcept;
 
-    //! Gives back idle credits that were recalled.
-    //! @return whether anything was given back.
+    //! @return whether credits were given back since the last call.
     bool give_back() noexcept;
 
+    //! @return all credits granted so far.
+    std::uint64_t granted_total() const noexcept;
+
     std::uint32_t available() const noexcept;
     std::uint64_t returned_total() const noexcept;
 
@@ -34,6 +37,7 @@
     std::uint64_t recalled_ = 0;
     std::uint64_t used_ = 0;
     std::uint64_t returned_ = 0;
+    std::uint64_t returned_told_ = 0;
 };
 
 } // namespace lagoonquay
--- a/connection/include/lagoonquay/connection/slot_grants.hpp
+++ b/connection/include/lagoonquay/connection/slot_grants.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace lagoonquay
@@ -41,12 +42,18 @@
                 std::uint64_t returned_total);
 
     //! Turns a credit of the link into a running task.
+    //! @param wanted  credits that the link's entry misses from now on.
     //! @return false if the link has no credit.
-    bool start(link_number link);
+    bool start(link_number link, std::uint32_t wanted = 0);
 
     //! Frees the slot of a running task.
     void finish() noexcept;
 
+    //! Frees the slot and grants it to the link again, unless other links need
+    //! it more.
+    //! @return the link's total if the credit came back to it.
+    std::optional<std::uint64_t> finish_for(link_number link);
+
     //! Divides the free slots and recalls idle credits where others wait.
     //! @return the links whose totals changed.
     std::vector<link_grant> rebalance();
@@ -64,11 +71,15 @@
         std::uint64_t used = 0;
         std::uint64_t returned = 0;
         std::uint64_t recalled = 0;
+        std::uint64_t recall_due = 0;  //!< returned once the recall is met
+        std::uint64_t recall_mark = 0; //!< granted when it was last recalled
         std::uint32_t wanted = 0;
         bool changed = false;
     };
 
     static std::uint64_t outstanding(const account& it) noexcept;
+    static std::uint64_t asked_back(const account& it) noexcept;
+    static std::uint64_t missing(const account& it) noexcept;
     std::uint64_t free_slots() const noexcept;
     account* most_starved() noexcept;
     account* fewest_credits() noexcept;
--- a/connection/src/credit_account.cpp
+++ b/connection/src/credit_account.cpp
@@ -9,7 +9,11 @@
                             std::uint64_t recalled_total) noexcept
 {
     granted_ = std::max(granted_, granted_total);
-    recalled_ = std::max(recalled_, recalled_total);
+    if (recalled_total <= recalled_)
+        return;
+    const auto due = recalled_total - recalled_;
+    recalled_ = recalled_total;
+    returned_ += std::min<std::uint64_t>(due, available());
 }
 
 bool credit_account::take() noexcept
@@ -28,12 +32,14 @@
 
 bool credit_account::give_back() noexcept
 {
-    if (recalled_ <= returned_)
-        return false;
-    const auto due = recalled_ - returned_;
-    const auto amount = std::min<std::uint64_t>(due, available());
-    returned_ += amount;
-    return amount > 0;
+    const bool fresh = returned_ > returned_told_;
+    returned_told_ = returned_;
+    return fresh;
+}
+
+std::uint64_t credit_account::granted_total() const noexcept
+{
+    return granted_;
 }
 
 std::uint32_t credit_account::available() const noexcept
--- /dev/null
+++ b/connection/src/grant_pacing.cpp
@@ -0,0 +1,30 @@
+#include "lagoonquay/connection/grant_pacing.hpp"
+
+namespace lagoonquay
+{
+
+grant_pacing::grant_pacing(grant_pacing_options options) noexcept
+    : options_(options)
+{
+}
+
+// Totals of credits are left out: they travel with results and with the grants
+// that change them.
+bool grant_pacing::due(const grant_message& grant) const noexcept
+{
+    if (!last_)
+        return true;
+    const bool changed = grant.accepting != last_->accepting ||
+                         grant.slots != last_->slots ||
+                         grant.capacity != last_->capacity ||
+                         grant.recalled_total != last_->recalled_total;
+    return changed ||
+           grant.agent_time - last_->agent_time >= options_.stamp_age;
+}
+
+void grant_pacing::sent(const grant_message& grant)
+{
+    last_ = grant;
+}
+
+} // namespace lagoonquay
--- a/connection/src/slot_grants.cpp
+++ b/connection/src/slot_grants.cpp
@@ -37,15 +37,14 @@
                                  std::max(target.returned, most));
 }
 
-bool slot_grants::start(link_number link)
+bool slot_grants::start(link_number link, std::uint32_t wanted)
 {
     const auto it = accounts_.find(link);
     if (it == accounts_.end() || outstanding(it->second) == 0)
         return false;
     auto& target = it->second;
     ++target.used;
-    if (target.wanted > 0)
-        --target.wanted;
+    target.wanted = wanted;
     ++running_;
     return true;
 }
@@ -56,6 +55,26 @@
         --running_;
 }
 
+// The credit travels in the result that frees it, so that a busy link needs no
+// grant of its own. It goes elsewhere only if another link misses more.
+std::optional<std::uint64_t> slot_grants::finish_for(link_number link)
+{
+    finish();
+    const auto it = accounts_.find(link);
+    if (it == accounts_.end() || free_slots() == 0)
+        return std::nullopt;
+    auto& target = it->second;
+    const auto* starved = most_starved();
+    if (starved != nullptr && starved != &target)
+    {
+        const bool holds_less = outstanding(*starved) < outstanding(target);
+        if (holds_less || missing(*starved) > missing(target))
+            return std::nullopt;
+    }
+    ++target.granted;
+    return target.granted;
+}
+
 std::vector<link_grant> slot_grants::rebalance()
 {
     grant_free();
@@ -94,6 +113,23 @@
     return it.granted - it.used - it.returned;
 }
 
+// An entry meets a recall at once from what is idle, and never later. Once all
+// credits granted before the recall are used or given back, nothing more comes.
+std::uint64_t slot_grants::asked_back(const account& it) noexcept
+{
+    const auto asked =
+        it.recall_due > it.returned ? it.recall_due - it.returned : 0;
+    const auto spent = it.used + it.returned;
+    const auto open = it.recall_mark > spent ? it.recall_mark - spent : 0;
+    return std::min(asked, open);
+}
+
+std::uint64_t slot_grants::missing(const account& it) noexcept
+{
+    const auto held = outstanding(it);
+    return it.wanted > held ? it.wanted - held : 0;
+}
+
 std::uint64_t slot_grants::free_slots() const noexcept
 {
     std::uint64_t taken = running_;
@@ -108,12 +144,11 @@
     std::uint64_t most_missing = 0;
     for (auto& [link, it] : accounts_)
     {
-        const auto held = outstanding(it);
-        const auto missing = it.wanted > held ? it.wanted - held : 0;
-        if (missing <= most_missing)
+        const auto lacks = missing(it);
+        if (lacks <= most_missing)
             continue;
         most = &it;
-        most_missing = missing;
+        most_missing = lacks;
     }
     return most;
 }
@@ -147,29 +182,27 @@
 }
 
 // Recalls only credits that exceed the holder's own demand, and no more than
-// the others miss.
+// the others miss. A link with an open recall is not asked again.
 void slot_grants::recall_idle()
 {
-    std::uint64_t missing = 0;
+    std::uint64_t lacking = 0;
     std::uint64_t recalling = 0;
     for (const auto& [link, it] : accounts_)
     {
-        const auto held = outstanding(it);
-        missing += it.wanted > held ? it.wanted - held : 0;
-        recalling += it.recalled > it.returned ? it.recalled - it.returned : 0;
+        lacking += missing(it);
+        recalling += asked_back(it);
     }
     for (auto& [link, it] : accounts_)
     {
-        if (recalling >= missing)
+        if (recalling >= lacking)
             return;
         const auto held = outstanding(it);
-        const auto asked =
-            it.recalled > it.returned ? it.recalled - it.returned : 0;
-        const auto idle = held > it.wanted ? held - it.wanted : 0;
-        if (idle <= asked)
+        if (held <= it.wanted || asked_back(it) > 0)
             continue;
-        const auto amount = std::min(idle - asked, missing - recalling);
-        it.recalled = std::max(it.recalled, it.returned) + amount;
+        const auto amount = std::min(held - it.wanted, lacking - recalling);
+        it.recalled += amount;
+        it.recall_due = it.returned + amount;
+        it.recall_mark = it.granted;
         it.changed = true;
         recalling += amount;
     }
--- /dev/null
+++ b/process/include/lagoonquay/process/run_times.hpp
@@ -0,0 +1,61 @@
+//! Run times learned for each kind of task.
+#pragma once
+
+#include "lagoonquay/process/sharded_map.hpp"
+#include "lagoonquay/request/time.hpp"
+
+#include <atomic>
+#include <string>
+
+namespace lagoonquay
+{
+
+struct run_times_options
+{
+    std::size_t most_kinds = 4096;
+    //! Runs after which the learned time has replaced the declared one.
+    std::uint32_t trusted_after = 8;
+    //! Assumed for a kind that is neither learned nor declared.
+    duration unknown_run = std::chrono::milliseconds(300);
+
+    friend bool operator==(const run_times_options&,
+                           const run_times_options&) = default;
+};
+
+//! Exponentially weighted mean of the run times per kind. Thread-safe.
+class run_times
+{
+public:
+    explicit run_times(run_times_options options = {});
+
+    //! Takes over the time that one task ran.
+    void observe(const std::string& kind, duration ran_for);
+
+    //! Takes over that a task failed at its worker.
+    void observe_failure(const std::string& kind);
+
+    //! @return whether most tasks of the kind have failed of late.
+    bool mostly_fails(const std::string& kind);
+
+    //! @return the expected run time of a task of that kind.
+    duration expect(const std::string& kind, duration declared);
+
+    std::size_t kinds() const noexcept;
+
+private:
+    struct learned
+    {
+        double mean_us = 0;
+        double failing = 0; //!< share of the last runs that failed
+        std::uint32_t runs = 0;
+    };
+
+    template <typename Change>
+    void change(const std::string& kind, Change apply);
+
+    run_times_options options_;
+    sharded_map<std::string, learned> kinds_;
+    std::atomic<std::size_t> size_{0};
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/src/run_times.cpp
@@ -0,0 +1,92 @@
+#include "lagoonquay/process/run_times.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+//! Weight of the newest run; the mean follows about the last ten.
+constexpr double newest_weight = 0.1;
+
+} // namespace
+
+run_times::run_times(run_times_options options) : options_(options)
+{
+}
+
+void run_times::observe(const std::string& kind, duration ran_for)
+{
+    change(kind,
+           [&](learned& it)
+           {
+               ++it.runs;
+               const auto ran = static_cast<double>(ran_for.count());
+               const auto weight =
+                   std::max(newest_weight, 1.0 / static_cast<double>(it.runs));
+               it.mean_us += weight * (ran - it.mean_us);
+               it.failing -= newest_weight * it.failing;
+           });
+}
+
+void run_times::observe_failure(const std::string& kind)
+{
+    change(kind, [](learned& it)
+           { it.failing += newest_weight * (1.0 - it.failing); });
+}
+
+bool run_times::mostly_fails(const std::string& kind)
+{
+    return kinds_.with(kind, [](const learned* it)
+                       { return it != nullptr && it->failing > 0.5; });
+}
+
+// A caller that invents kinds fills the table once; kinds beyond the bound
+// keep their declared times, and known ones go on learning.
+template <typename Change>
+void run_times::change(const std::string& kind, Change apply)
+{
+    kinds_.with_shard(kind,
+                      [&](auto& values)
+                      {
+                          auto it = values.find(kind);
+                          if (it == values.end())
+                          {
+                              if (size_ >= options_.most_kinds)
+                                  return;
+                              it = values.emplace(kind, learned()).first;
+                              ++size_;
+                          }
+                          apply(it->second);
+                      });
+}
+
+// Blends from the declared time to the learned one over the first runs.
+duration run_times::expect(const std::string& kind, duration declared)
+{
+    const auto assumed =
+        declared > duration::zero() ? declared : options_.unknown_run;
+    return kinds_.with(
+        kind,
+        [&](const learned* it)
+        {
+            if (it == nullptr)
+                return assumed;
+            const auto trust =
+                std::min(1.0, static_cast<double>(it->runs) /
+                                  static_cast<double>(options_.trusted_after));
+            const auto blended =
+                trust * it->mean_us +
+                (1.0 - trust) * static_cast<double>(assumed.count());
+            return duration(static_cast<duration::rep>(blended));
+        });
+}
+
+std::size_t run_times::kinds() const noexcept
+{
+    return size_;
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/tests/worker_limits_test.cpp
@@ -0,0 +1,172 @@
+#include "lagoonquay/process/agent_health.hpp"
+#include "lagoonquay/process/agent_subset.hpp"
+#include "lagoonquay/process/retry_budget.hpp"
+#include "lagoonquay/process/run_times.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+#include <string>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+const instant start(std::chrono::seconds(100));
+constexpr duration second = std::chrono::seconds(1);
+constexpr std::uint32_t slots = 8;
+
+agent_health ready_worker()
+{
+    agent_health health;
+    health.set_accepting(true, start - 10 * second);
+    return health;
+}
+
+TEST(agent_health, sets_aside_after_few_failures_and_tries_one_task_later)
+{
+    const agent_health_options options;
+    auto health = ready_worker();
+    EXPECT_EQ(health.allowed(options, slots, start), slots);
+    health.failed(options, start);
+    EXPECT_EQ(health.allowed(options, slots, start), 4U);
+    health.failed(options, start);
+    health.failed(options, start);
+    EXPECT_EQ(health.allowed(options, slots, start), 0U);
+    EXPECT_EQ(health.allowed(options, slots, start + second), 1U);
+    health.failed(options, start + second);
+    EXPECT_EQ(health.allowed(options, slots, start + 2 * second), 0U);
+    EXPECT_EQ(health.allowed(options, slots, start + 3 * second), 1U);
+    health.succeeded();
+    EXPECT_EQ(health.allowed(options, slots, start + 3 * second), slots);
+}
+
+TEST(agent_health, failures_between_successes_set_nothing_aside)
+{
+    const agent_health_options options;
+    auto health = ready_worker();
+    for (int n = 0; n < 20; ++n)
+    {
+        health.failed(options, start);
+        health.failed(options, start);
+        health.succeeded();
+    }
+    EXPECT_EQ(health.allowed(options, slots, start), slots);
+}
+
+TEST(agent_health, a_returning_worker_starts_slowly)
+{
+    const agent_health_options options{.ramp = second};
+    agent_health health;
+    EXPECT_EQ(health.allowed(options, slots, start), 0U);
+    health.set_accepting(true, start);
+    EXPECT_EQ(health.allowed(options, slots, start), 1U);
+    EXPECT_EQ(health.allowed(options, slots, start + second / 2), 5U);
+    EXPECT_EQ(health.allowed(options, slots, start + second), slots);
+}
+
+TEST(retry_budget, delays_grow_and_the_budget_ends)
+{
+    retry_budget budget({.burst = 4},
+                        [](std::uint64_t) -> std::uint64_t { return 0; });
+    const customer_id customer("a");
+    EXPECT_EQ(budget.spend(customer, 1), duration::zero());
+    EXPECT_EQ(budget.spend(customer, 2), std::chrono::milliseconds(10));
+    EXPECT_EQ(budget.spend(customer, 4), std::chrono::milliseconds(40));
+    EXPECT_EQ(budget.spend(customer, 60), second);
+    EXPECT_EQ(budget.spend(customer, 1), second);
+    for (int n = 0; n < 5; ++n)
+        budget.earn(customer);
+    EXPECT_EQ(budget.spend(customer, 1), duration::zero());
+    EXPECT_EQ(budget.spend(customer_id("b"), 1), duration::zero());
+}
+
+TEST(run_times, learns_away_from_a_wrong_declaration)
+{
+    run_times times;
+    EXPECT_EQ(times.expect("k", 5 * second), 5 * second);
+    for (int n = 0; n < 20; ++n)
+        times.observe("k", second / 10);
+    EXPECT_EQ(times.expect("k", 5 * second), second / 10);
+}
+
+TEST(run_times, keeps_a_bounded_number_of_kinds)
+{
+    run_times times({.most_kinds = 3});
+    for (int n = 0; n < 10; ++n)
+        times.observe(std::to_string(n), second);
+    EXPECT_EQ(times.kinds(), 3U);
+}
+
+TEST(run_times, tells_a_kind_that_fails_everywhere)
+{
+    run_times times;
+    for (int n = 0; n < 5; ++n)
+        times.observe_failure("bad");
+    EXPECT_FALSE(times.mostly_fails("bad"));
+    for (int n = 0; n < 5; ++n)
+        times.observe_failure("bad");
+    EXPECT_TRUE(times.mostly_fails("bad"));
+}
+
+std::vector<member> fleet_of(int n)
+{
+    std::vector<member> agents;
+    for (; n > 0; --n)
+        agents.push_back(
+            member({.id = "agent" + std::to_string(n),
+                    .domain = domain_id("d" + std::to_string(n % 9))}));
+    return agents;
+}
+
+std::set<std::string> ids_of(const std::vector<member>& agents)
+{
+    std::set<std::string> ids;
+    for (const auto& it : agents)
+        ids.insert(it->id);
+    return ids;
+}
+
+TEST(agent_subset, takes_a_small_fleet_whole)
+{
+    EXPECT_EQ(agent_subset(entry_id("e"), fleet_of(11), 128), fleet_of(11));
+}
+
+TEST(agent_subset, spreads_over_domains_and_covers_every_agent)
+{
+    const auto fleet = fleet_of(900);
+    std::map<std::string, int> covered;
+    for (int n = 0; n < 64; ++n)
+    {
+        std::map<domain_id, int> per_domain;
+        for (const auto& it :
+             agent_subset(entry_id("e" + std::to_string(n)), fleet, 126))
+        {
+            ++covered[it->id];
+            ++per_domain[it->domain];
+        }
+        for (const auto& [domain, agents] : per_domain)
+            EXPECT_EQ(agents, 14);
+    }
+    EXPECT_EQ(covered.size(), fleet.size());
+}
+
+TEST(agent_subset, moves_few_links_when_an_agent_leaves)
+{
+    auto fleet = fleet_of(900);
+    const auto before = ids_of(agent_subset(entry_id("e"), fleet, 126));
+    std::erase_if(fleet,
+                  [&](const auto& it) { return it->id == *before.begin(); });
+    const auto after = ids_of(agent_subset(entry_id("e"), fleet, 126));
+    std::vector<std::string> fresh;
+    std::set_difference(after.begin(), after.end(), before.begin(),
+                        before.end(), std::back_inserter(fresh));
+    EXPECT_EQ(fresh.size(), 1U);
+}
+
+} // namespace
+
+} // namespace lagoonquay
--- /dev/null
+++ b/request/include/lagoonquay/request/admission.hpp
@@ -0,0 +1,50 @@
+//! Whether a new job can be answered in time. Pure.
+#pragma once
+
+#include "lagoonquay/request/answer.hpp"
+#include "lagoonquay/request/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace lagoonquay
+{
+
+//! What waits already, and what serves it.
+struct admission_load
+{
+    std::size_t customer_tasks = 0;
+    duration customer_work{}; //!< sum of expected run times
+    std::size_t all_tasks = 0;
+    duration all_work{};
+    double customer_share = 1; //!< guaranteed part of the slots, 0 to 1
+    std::uint32_t slots = 0;   //!< usable by this entry; zero if not known
+    std::uint32_t most_customer_tasks = 0;
+    std::uint32_t most_tasks = 0;
+
+    friend bool operator==(const admission_load&,
+                           const admission_load&) = default;
+};
+
+//! The new job.
+struct admission_request
+{
+    std::size_t tasks = 0;
+    duration work{};       //!< sum of expected run times
+    duration longest{};    //!< expected run time of the longest task
+    duration time_limit{}; //!< from now to the deadline
+
+    friend bool operator==(const admission_request&,
+                           const admission_request&) = default;
+};
+
+//! @return the time after which the job is likely to be whole.
+duration expected_response(const admission_request& asked,
+                           const admission_load& load) noexcept;
+
+//! @return overloaded or quota if the job must be refused now.
+std::optional<failure_reason> refuse(const admission_request& asked,
+                                     const admission_load& load) noexcept;
+
+} // namespace lagoonquay
