--- a/process/include/lagoonquay/process/agent_service.hpp
+++ b/process/include/lagoonquay/process/agent_service.hpp
@@ -1,6 +1,8 @@
 //! The agent beside one upstream: guards its starts and grants its slots.
 #pragma once
 
+#include "lagoonquay/connection/capacity_account.hpp"
+#include "lagoonquay/connection/grant_pacing.hpp"
 #include "lagoonquay/connection/slot_grants.hpp"
 #include "lagoonquay/connection/upstream.hpp"
 #include "lagoonquay/process/sharded_map.hpp"
@@ -72,7 +74,8 @@
     //! Replaces the permit.
     void hold(const permit& granted);
 
-    //! Sends the grants and drops what is too old. Call a few times a second.
+    //! Sends the grants that are due and drops what is too old. Call a few
+    //! times a second.
     void tick();
 
     //! Takes no more work. Running tasks end by themselves.
@@ -96,6 +99,7 @@
     struct open_link
     {
         std::shared_ptr<message_link> link;
+        grant_pacing pacing;
     };
     struct guard_shard
     {
@@ -123,11 +127,16 @@
     void run(link_number link, const dispatch_message& it,
              const endpoint& upstream);
     void on_result(link_number link, const dispatch_message& it,
-                   const task_result& result);
+                   const task_result& result, instant started);
     void decline(link_number link, const dispatch_message& it,
-                 failure_reason reason, const std::string& detail);
+                 failure_reason reason, const std::string& detail,
+                 std::uint64_t credits_total = 0);
     void reply(link_number link, const dispatch_message& it,
-               const task_result& result);
+               const task_result& result, std::uint64_t credits_total,
+               duration ran_for = {});
+    //! @return the link's total if its credit came back, or zero.
+    std::uint64_t free_slot(link_number link, const resources& need);
+    void send_grant(const link_grant& totals, bool only_if_due);
     void send(link_number link, link_message message);
     void send_changed_grants();
     void send_all_grants();
@@ -144,6 +153,7 @@
 
     mutable std::mutex grants_mutex_;
     slot_grants grants_;
+    capacity_account capacity_;
 
     mutable std::mutex links_mutex_;
     std::map<link_number, open_link> links_;
--- a/process/include/lagoonquay/process/agent_table.hpp
+++ b/process/include/lagoonquay/process/agent_table.hpp
@@ -2,12 +2,18 @@
 #pragma once
 
 #include "lagoonquay/connection/credit_account.hpp"
+#include "lagoonquay/process/agent_health.hpp"
 #include "lagoonquay/process/sharded_map.hpp"
 #include "lagoonquay/request/dispatch.hpp"
 #include "lagoonquay/request/routing.hpp"
+#include "lagoonquay/request/start_guard.hpp"
 #include "lagoonquay/version/member.hpp"
 
+#include <atomic>
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <vector>
 
@@ -25,12 +31,24 @@
     instant heard{};      //!< when that was, on this process's clock
 };
 
-//! Links and credits per agent. Thread-safe.
+//! A dispatch that has no result yet.
+struct open_dispatch
+{
+    customer_id customer;
+    std::string kind;
+    resources need;
+
+    friend bool operator==(const open_dispatch&,
+                           const open_dispatch&) = default;
+};
+
+//! Links, credits and health per agent. Thread-safe.
 class agent_table
 {
 public:
-    //! Learns the agents of the fleet from control.
-    void learn(const std::vector<member>& agents);
+    //! Learns the agents that this entry may use. One that is no longer named
+    //! for a while is forgotten once nothing of this entry runs there.
+    void learn(const std::vector<member>& agents, instant now);
 
     //! @return the agents that are known but not linked.
     std::vector<member> unlinked();
@@ -43,41 +61,90 @@
     //! Takes over what an agent says of itself.
     void update(const agent_id& agent, const grant_message& grant, instant now);
 
-    //! @return every accepting agent.
-    std::vector<route_candidate> candidates();
+    //! @return every agent that has a credit and may get a task now.
+    std::vector<route_candidate> candidates(instant now);
 
-    //! @return whether some known agent is large enough for the need.
-    bool can_fit(const resources& need);
+    //! @return the agent whose worker holds the need and has most room left.
+    std::optional<agent_id> best_fit(const resources& need, instant now);
 
-    //! Takes one credit.
-    std::optional<taken_credit> take(const agent_id& agent);
+    //! @return slots that this entry uses or could use at once.
+    std::uint32_t usable_slots();
+
+    //! @return a resource of which no known worker has enough, if the need
+    //! fits none of them; nothing when no worker is known.
+    std::optional<std::string> misfit(const resources& need);
+
+    //! Takes one credit, unless the agent may get no task now.
+    std::optional<taken_credit> take(const agent_id& agent, instant now);
     //! Gives back a credit that was taken and not used.
     void untake(const agent_id& agent);
-    //! Ends one dispatch.
-    void release(const agent_id& agent);
+    //! Records the dispatch that used a credit.
+    void begin(const taken_credit& credit, const dispatch_message& message,
+               open_dispatch about);
+    //! Ends one dispatch and takes over the credit that came back with it.
+    //! @return the dispatch, unless it has ended before.
+    std::optional<open_dispatch> release(const agent_id& agent,
+                                         const result_message& result);
+
+    //! Notes how a started task of the agent ended.
+    void observe(const agent_id& agent, bool success, instant now);
+
+    //! Replaces the limits of quarantine and slow start.
+    void set_health_options(const agent_health_options& options);
 
     //! Sends a message to a linked agent; drops it otherwise.
     void send(const agent_id& agent, link_message message);
 
-    //! Tells every agent how many tasks wait, where that changed.
+    //! Tells agents how many tasks wait: first those with most slots
+    //! elsewhere, and only where they don't know it yet.
     void demand(std::uint32_t wanted);
 
+    //! Tells agents that nothing waits any more.
+    void end_demand();
+
+    //! @return whether some agent has a credit.
+    bool any_credit() const noexcept;
+
+    //! @return agents that are set aside or on probation.
+    std::size_t suspects();
+
     std::size_t size();
 
 private:
+    struct open_key
+    {
+        task_key task;
+        attempt_number attempt;
+
+        friend auto operator<=>(const open_key&, const open_key&) = default;
+    };
     struct entry
     {
         member about;
         std::shared_ptr<message_link> link;
         bool linking = false;
+        instant named{}; //!< when it was last learned
         credit_account credits;
         std::optional<grant_message> last;
         instant heard{};
-        std::uint32_t outstanding = 0;
+        agent_health health;
+        resources reserved;
+        std::map<open_key, open_dispatch> open;
+        std::uint32_t outstanding = 0; //!< includes credits just taken
         std::uint32_t told = 0;
     };
 
+    static std::uint32_t elsewhere(const entry& it) noexcept;
+    void clear(entry& it);
+    void forget_unnamed(instant now);
+    template <typename Change>
+    auto change_credits(entry& it, Change change);
+    agent_health_options health_options() const;
+
     sharded_map<agent_id, entry> agents_;
+    std::atomic<std::int64_t> credits_{0}; //!< sum of the free credits
+    mutable std::mutex health_mutex_;
+    agent_health_options health_options_;
 };
 
 } // namespace lagoonquay
--- a/process/include/lagoonquay/process/dispatcher.hpp
+++ b/process/include/lagoonquay/process/dispatcher.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "lagoonquay/process/agent_table.hpp"
+#include "lagoonquay/process/retry_budget.hpp"
+#include "lagoonquay/process/run_times.hpp"
 #include "lagoonquay/process/task_queue.hpp"
 #include "lagoonquay/request/dispatch.hpp"
 #include "lagoonquay/request/routing.hpp"
@@ -9,43 +11,90 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <mutex>
 #include <optional>
+#include <vector>
 
 namespace lagoonquay
 {
 
-//! What a dispatcher needs from the entry's jobs. Each may be called from any
-//! thread, and none is called under a lock.
+//! What a dispatcher needs from the entry. Each may be called from any thread;
+//! only `weight` is called under a lock.
 struct dispatcher_hooks
 {
+    clock_hook now;
     route_hook route;
-    //! @return the task if it still waits.
-    std::function<std::optional<task>(const task_key&)> waiting;
+    weight_hook weight;
+    random_hook draw;
+    //! @return whether the task still waits.
+    std::function<bool(const task_key&)> waiting;
     //! Records the dispatch. @return its message if the task still waits.
     std::function<std::optional<dispatch_message>(
         const task_key&, const agent_id&, const taken_credit&)>
         begin;
 };
 
+struct dispatcher_options
+{
+    //! Tasks that may be passed over because they fit nowhere at present.
+    std::size_t lookahead = 64;
+    //! A task that was passed over for this long gets an agent kept free.
+    duration hold_after = std::chrono::milliseconds(250);
+    retry_options retries;
+    run_times_options runs;
+
+    friend bool operator==(const dispatcher_options&,
+                           const dispatcher_options&) = default;
+};
+
+//! A task as the entry hands it over.
+struct task_to_queue
+{
+    customer_id customer;
+    task_key key;
+    std::string kind;
+    resources need;
+    duration declared_run{};
+    instant deadline{};
+
+    friend bool operator==(const task_to_queue&,
+                           const task_to_queue&) = default;
+};
+
 //! Queue, agents and credits of an entry. Thread-safe.
 class dispatcher
 {
 public:
-    explicit dispatcher(dispatcher_hooks hooks);
+    explicit dispatcher(dispatcher_hooks hooks,
+                        dispatcher_options options = {});
 
     //! Adds a task; call pump() after the last one.
-    void enqueue(const queued_task& it);
+    void enqueue(const task_to_queue& it);
+
+    //! Adds a task that `declined` proved not to have started, once its retry
+    //! is due.
+    //! @param moves  how often it was declined, this time included.
+    void enqueue_again(const task_to_queue& it, const agent_id& declined,
+                       std::uint32_t moves);
 
     //! Dispatches until the queue is empty or no agent has room.
     void pump();
 
+    //! Takes up retries that are due, and settles the demand.
+    void tick();
+
     //! Takes over what an agent says of itself.
     void update(const agent_id& agent, const grant_message& grant, instant now);
 
-    //! Ends one dispatch.
-    void release(const agent_id& agent);
+    //! Ends one dispatch, and learns from its result.
+    void finish(const agent_id& agent, const result_message& result);
+
+    //! @return the load that a new job of the customer would meet.
+    queue_load load_of(const customer_id& customer);
 
     agent_table& agents() noexcept;
+    run_times& runs() noexcept;
     std::size_t queued() const noexcept;
     std::uint64_t dispatched() const noexcept;
 
@@ -55,15 +104,51 @@
         sent,
         no_room,
         gone,
+        stale, //!< the candidates are out of date
+    };
+    //! An agent kept free for a task that fits nowhere at present.
+    struct hold
+    {
+        task_key key;
+        agent_id agent;
+        instant until{};
+    };
+    //! One pass over the queue.
+    struct pass
+    {
+        instant now{};
+        std::vector<route_candidate> candidates;
+        std::vector<queued_task> passed_over;
+        bool refreshed = false;
     };
 
-    step dispatch_one(const queued_task& next);
+    queued_task to_queued(const task_to_queue& it);
+    bool run_pass();
+    step dispatch_one(const queued_task& next, pass& state);
+    std::optional<std::size_t> choose(const queued_task& next,
+                                      const pass& state);
+    void send(const queued_task& next, route_candidate& chosen,
+              const taken_credit& credit, dispatch_message message);
+    void keep_free_for(const queued_task& next, instant now);
+    std::optional<hold> held(instant now);
+    void drop_hold(const task_key& key);
+    void learn(const agent_id& agent, const open_dispatch& ended,
+               const result_message& result);
+    void tell_demand();
 
     const dispatcher_hooks hooks_;
+    const dispatcher_options options_;
     agent_table agents_;
     task_queue queue_;
+    retry_budget retries_;
+    run_times runs_;
+    std::mutex delayed_mutex_;
+    std::multimap<instant, queued_task> delayed_;
+    std::mutex hold_mutex_;
+    std::optional<hold> hold_;
     std::atomic<std::uint64_t> credit_epoch_{0};
     std::atomic<std::uint64_t> dispatched_{0};
+    std::atomic<std::size_t> demanded_{0};
 };
 
 } // namespace lagoonquay
--- a/process/include/lagoonquay/process/entry_service.hpp
+++ b/process/include/lagoonquay/process/entry_service.hpp
@@ -3,6 +3,8 @@
 
 #include "lagoonquay/process/claim.hpp"
 #include "lagoonquay/process/dispatcher.hpp"
+#include "lagoonquay/process/job_admission.hpp"
+#include "lagoonquay/process/live_settings.hpp"
 #include "lagoonquay/process/sharded_map.hpp"
 #include "lagoonquay/request/answer.hpp"
 #include "lagoonquay/request/job_run.hpp"
@@ -38,7 +40,6 @@
     duration answer_retention = std::chrono::minutes(1);
     duration oldest_submission = std::chrono::minutes(5);
     duration clock_skew = std::chrono::milliseconds(500);
-    std::size_t queued_tasks = 100000; //!< most that wait for a slot
 
     friend bool operator==(const entry_options&,
                            const entry_options&) = default;
@@ -51,7 +52,7 @@
     wall_clock_hook wall;
     claim_hook claim;
     forward_hook forward;
-    route_hook route;
+    random_hook draw;
 };
 
 //! Counts since the entry started.
@@ -104,6 +105,9 @@
     //! Replaces the permit.
     void hold(const permit& granted);
 
+    //! Takes over the agents of the fleet and links to a subset of them.
+    void learn(const std::vector<member>& agents);
+
     //! Handles deadlines, renewals and retention. Call a few times a second.
     void tick();
 
@@ -127,6 +131,9 @@
     struct job_state;
 
     std::optional<job_answer> refuse_early(const job& submitted) const;
+    std::optional<job_answer> refuse_claimed(const submission_id& submission,
+                                             const claim_outcome& outcome);
+    bool is_waiting(const task_key& key);
     bool join_or_add(const job& submitted, content_digest digest,
                      answer_hook& done);
     void start_claim(const job& submitted, content_digest digest);
@@ -134,7 +141,6 @@
                   const claim_outcome& outcome);
     void enqueue_waiting(const submission_id& submission);
     void fail_job(const submission_id& submission, const job_answer& answer);
-    std::optional<task> waiting_task(const task_key& key);
     std::optional<dispatch_message> begin_dispatch(const task_key& key,
                                                    const agent_id& agent,
                                                    const taken_credit& credit);
@@ -152,7 +158,9 @@
     mutable std::mutex permit_mutex_;
     std::optional<permit> permit_;
 
+    live_settings settings_;
     dispatcher dispatcher_;
+    job_admission admission_;
     sharded_map<submission_id, std::shared_ptr<job_state>> jobs_;
 
     std::atomic<bool> draining_{false};
--- a/process/programs/entry_main.cpp
+++ b/process/programs/entry_main.cpp
@@ -11,6 +11,9 @@
 #include "lagoonquay/process/process_settings.hpp"
 #include "lagoonquay/process/program.hpp"
 
+#include <memory>
+#include <mutex>
+#include <random>
 #include <thread>
 
 namespace lagoonquay
@@ -80,10 +83,27 @@
             .learn =
                 [&service](const std::vector<member>& it)
             {
-                service.agents().learn(it);
+                service.learn(it);
             }};
 }
 
+//! @return a source of numbers that several threads may use.
+random_hook seeded_draw(std::uint64_t seed)
+{
+    struct source
+    {
+        std::mutex mutex;
+        std::mt19937_64 engine;
+    };
+    const auto shared = std::make_shared<source>();
+    shared->engine.seed(seed);
+    return [shared](std::uint64_t bound)
+    {
+        const std::lock_guard lock(shared->mutex);
+        return bound == 0 ? 0 : shared->engine() % bound;
+    };
+}
+
 //! Stops the entry once every accepted job is answered.
 void drain(entry_service& service)
 {
@@ -107,7 +127,7 @@
          .claim = claim_over_http(client, ledger,
                                   {.peers = settings.ledger_peers}, steady_now),
          .forward = forward_over_http(client),
-         .route = route_least_outstanding()});
+         .draw = seeded_draw(run.number())});
     permit_client permits(client, {.replicas = settings.process.control},
                           permit_hooks(service, settings, run));
 
--- a/process/src/agent_service.cpp
+++ b/process/src/agent_service.cpp
@@ -63,7 +63,7 @@
                  {
                      on_close(number);
                  }});
-    send(number, grant_for({number, 0, 0}));
+    send_grant({number, 0, 0}, false);
     send_changed_grants();
 }
 
@@ -78,6 +78,7 @@
         const std::lock_guard lock(grants_mutex_);
         const auto others = running_of_others(it, options_.run);
         grants_.resize(it.slots - std::min(it.slots, others));
+        capacity_.resize(it.capacity);
     }
     send_changed_grants();
 }
@@ -214,13 +215,21 @@
 void agent_service::on_dispatch(link_number link, const dispatch_message& it)
 {
     bool has_slot = false;
+    bool has_room = false;
+    std::uint64_t credits = 0;
     {
         const std::lock_guard lock(grants_mutex_);
-        has_slot = grants_.start(link);
+        has_slot = grants_.start(link, it.wanted);
+        has_room = has_slot && capacity_.reserve(it.work->need);
+        if (has_slot && !has_room)
+            credits = grants_.finish_for(link).value_or(0);
     }
     if (!has_slot)
         return decline(link, it, failure_reason::not_startable,
                        "no credit for a slot");
+    if (!has_room)
+        return decline(link, it, failure_reason::not_startable,
+                       "the worker has no room for the need", credits);
     const auto upstream = permitted_upstream();
     auto verdict = start_verdict::fenced;
     if (upstream)
@@ -231,14 +240,11 @@
     }
     if (upstream && verdict == start_verdict::start)
         return run(link, it, *upstream);
-    {
-        const std::lock_guard lock(grants_mutex_);
-        grants_.finish();
-    }
+    credits = free_slot(link, it.work->need);
     if (!upstream)
         return decline(link, it, failure_reason::no_permit,
-                       "no permit to start");
-    decline(link, it, failure_reason::not_startable, explain(verdict));
+                       "no permit to start", credits);
+    decline(link, it, failure_reason::not_startable, explain(verdict), credits);
 }
 
 void agent_service::on_cancel(link_number link, const cancel_message& it)
@@ -258,7 +264,7 @@
                               .ran = effect::not_run,
                               .body = {},
                               .detail = "cancelled before its start"});
-    send(link, result_message{it.submission, it.key, result});
+    send(link, result_message{it.submission, it.key, result, 0, {}});
 }
 
 void agent_service::run(link_number link, const dispatch_message& it,
@@ -268,31 +274,30 @@
     const upstream_call call{upstream,       it.submission, it.key.index,
                              it.key.attempt, options_.run,  it.work->payload,
                              it.run_limit};
-    hooks_.call_upstream(call, [this, link, it](const task_result& result)
-                         { on_result(link, it, result); });
+    hooks_.call_upstream(call, [this, link, it, started = hooks_.now()](
+                                   const task_result& result)
+                         { on_result(link, it, result, started); });
 }
 
 void agent_service::on_result(link_number link, const dispatch_message& it,
-                              const task_result& result)
+                              const task_result& result, instant started)
 {
     {
         auto& shard = shard_of(it.submission);
         const std::lock_guard lock(shard.mutex);
         shard.guard.finish({it.submission, it.key.index}, result, hooks_.now());
     }
-    {
-        const std::lock_guard lock(grants_mutex_);
-        grants_.finish();
-    }
     ++finished_;
-    reply(link, it, result);
+    reply(link, it, result, free_slot(link, it.work->need),
+          hooks_.now() - started);
     send_changed_grants();
 }
 
 // The tombstone goes first: once the entry hears "not run", this attempt can
 // never start here.
 void agent_service::decline(link_number link, const dispatch_message& it,
-                            failure_reason reason, const std::string& detail)
+                            failure_reason reason, const std::string& detail,
+                            std::uint64_t credits_total)
 {
     ++declined_;
     bool forbidden = false;
@@ -309,13 +314,23 @@
                        .reason = reason,
                        .ran = forbidden ? effect::not_run : effect::unknown,
                        .body = {},
-                       .detail = detail}));
+                       .detail = detail}),
+          credits_total);
 }
 
 void agent_service::reply(link_number link, const dispatch_message& it,
-                          const task_result& result)
+                          const task_result& result,
+                          std::uint64_t credits_total, duration ran_for)
 {
-    send(link, result_message{it.submission, it.key, result});
+    send(link,
+         result_message{it.submission, it.key, result, credits_total, ran_for});
+}
+
+std::uint64_t agent_service::free_slot(link_number link, const resources& need)
+{
+    const std::lock_guard lock(grants_mutex_);
+    capacity_.release(need);
+    return grants_.finish_for(link).value_or(0);
 }
 
 void agent_service::send(link_number link, link_message message)
@@ -339,7 +354,7 @@
         changed = grants_.rebalance();
     }
     for (const auto& it : changed)
-        send(it.link, grant_for(it));
+        send_grant(it, false);
 }
 
 void agent_service::send_all_grants()
@@ -357,8 +372,25 @@
             const std::lock_guard lock(grants_mutex_);
             totals = grants_.totals(it);
         }
-        send(it, grant_for(totals));
+        send_grant(totals, true);
+    }
+}
+
+void agent_service::send_grant(const link_grant& totals, bool only_if_due)
+{
+    const auto grant = grant_for(totals);
+    std::shared_ptr<message_link> target;
+    {
+        const std::lock_guard lock(links_mutex_);
+        const auto it = links_.find(totals.link);
+        if (it == links_.end())
+            return;
+        if (only_if_due && !it->second.pacing.due(grant))
+            return;
+        it->second.pacing.sent(grant);
+        target = it->second.link;
     }
+    target->send(grant);
 }
 
 grant_message agent_service::grant_for(const link_grant& totals) const
--- a/process/src/agent_table.cpp
+++ b/process/src/agent_table.cpp
@@ -3,6 +3,7 @@
 #include "lagoonquay/connection/message_link.hpp"
 
 #include <algorithm>
+#include <type_traits>
 
 namespace lagoonquay
 {
@@ -23,15 +24,77 @@
         it.link->send(it.message);
 }
 
+//! Slots of one agent that this entry neither uses nor holds.
+struct other_slots
+{
+    agent_id agent;
+    std::uint32_t slots = 0;
+};
+
+// Twice what waits is asked for, since some of those asked have nothing idle.
+constexpr std::uint32_t asked_per_waiting = 2;
+
+//! An agent that control has not named for this long is forgotten.
+constexpr duration forget_after = std::chrono::seconds(30);
+
 } // namespace
 
-void agent_table::learn(const std::vector<member>& agents)
+// Keeps the sum of all free credits.
+template <typename Change>
+auto agent_table::change_credits(entry& it, Change change)
+{
+    const auto before = std::int64_t{it.credits.available()};
+    if constexpr (std::is_void_v<decltype(change())>)
+    {
+        change();
+        credits_ += std::int64_t{it.credits.available()} - before;
+    }
+    else
+    {
+        const auto result = change();
+        credits_ += std::int64_t{it.credits.available()} - before;
+        return result;
+    }
+}
+
+void agent_table::learn(const std::vector<member>& agents, instant now)
 {
     for (const auto& it : agents)
     {
         const agent_id id(it->id);
-        agents_.with_shard(id, [&](auto& values) { values[id].about = it; });
+        agents_.with_shard(id,
+                           [&](auto& values)
+                           {
+                               values[id].about = it;
+                               values[id].named = now;
+                           });
     }
+    if (!agents.empty())
+        forget_unnamed(now);
+}
+
+// A control replica that has just started knows few agents, so that a single
+// list without an agent means little. The close of a link is reported later.
+void agent_table::forget_unnamed(instant now)
+{
+    std::vector<std::shared_ptr<message_link>> closing;
+    agents_.for_each_shard(
+        [&](auto& values)
+        {
+            std::erase_if(values,
+                          [&](const auto& each)
+                          {
+                              const auto& it = each.second;
+                              if (now - it.named < forget_after ||
+                                  it.outstanding > 0)
+                                  return false;
+                              if (it.link)
+                                  closing.push_back(it.link);
+                              return !it.link && !it.linking;
+                          });
+        });
+    for (const auto& it : closing)
+        it->close();
 }
 
 std::vector<member> agent_table::unlinked()
@@ -63,11 +126,8 @@
                        [&](auto& values)
                        {
                            auto& it = values[agent];
+                           clear(it);
                            it.link = std::move(link);
-                           it.credits = credit_account();
-                           it.last.reset();
-                           it.outstanding = 0;
-                           it.told = 0;
                        });
 }
 
@@ -77,10 +137,8 @@
                        [&](auto& values)
                        {
                            auto& it = values[agent];
-                           it.link.reset();
+                           clear(it);
                            it.linking = false;
-                           it.last.reset();
-                           it.outstanding = 0;
                        });
 }
 
@@ -93,54 +151,124 @@
         [&](auto& values)
         {
             auto& it = values[agent];
-            it.credits.update(grant.credits_total, grant.recalled_total);
+            change_credits(it,
+                           [&] {
+                               it.credits.update(grant.credits_total,
+                                                 grant.recalled_total);
+                           });
             it.last = grant;
             it.heard = now;
+            it.health.set_accepting(grant.accepting, now);
             if (!it.link || !it.credits.give_back())
                 return;
-            replies.push_back(
-                {it.link, {it.told, it.credits.returned_total()}});
+            it.told = 0;
+            replies.push_back({it.link, {0, it.credits.returned_total()}});
         });
     send_all(replies);
 }
 
-std::vector<route_candidate> agent_table::candidates()
+std::vector<route_candidate> agent_table::candidates(instant now)
 {
+    const auto options = health_options();
     std::vector<route_candidate> found;
     agents_.for_each_shard(
         [&](auto& values)
         {
             for (const auto& [id, it] : values)
             {
-                if (!it.link || !it.last || !it.last->accepting)
+                const auto credits = it.credits.available();
+                if (!it.link || !it.last || credits == 0)
+                    continue;
+                const auto most =
+                    it.health.allowed(options, it.last->slots, now);
+                if (most <= it.outstanding)
                     continue;
-                found.push_back({id, it.about->domain, it.credits.available(),
+                found.push_back({id, it.about->domain,
+                                 std::min(credits, most - it.outstanding),
                                  it.outstanding, it.last->slots,
-                                 it.last->capacity});
+                                 it.last->capacity,
+                                 subtract(it.last->capacity, it.reserved)});
             }
         });
     return found;
 }
 
-bool agent_table::can_fit(const resources& need)
+std::optional<agent_id> agent_table::best_fit(const resources& need,
+                                              instant now)
+{
+    const auto options = health_options();
+    std::optional<agent_id> best;
+    resources most_free;
+    agents_.for_each_shard(
+        [&](auto& values)
+        {
+            for (const auto& [id, it] : values)
+            {
+                if (!it.last || !fits(need, it.last->capacity) ||
+                    it.health.allowed(options, it.last->slots, now) == 0)
+                    continue;
+                const auto free = subtract(it.last->capacity, it.reserved);
+                if (best && free <= most_free)
+                    continue;
+                best = id;
+                most_free = free;
+            }
+        });
+    return best;
+}
+
+std::uint32_t agent_table::usable_slots()
 {
+    std::uint32_t slots = 0;
+    agents_.for_each_shard(
+        [&](auto& values)
+        {
+            for (const auto& [id, it] : values)
+            {
+                if (!it.link || !it.last || !it.last->accepting)
+                    continue;
+                slots += it.outstanding + it.credits.available();
+            }
+        });
+    return slots;
+}
+
+// Names the resource that the closest worker lacks. Workers whose capacity is
+// not announced yet count as large enough.
+std::optional<std::string> agent_table::misfit(const resources& need)
+{
+    std::optional<std::string> lacking;
     bool found = false;
     agents_.for_each_shard(
         [&](auto& values)
         {
             for (const auto& [id, it] : values)
-                found = found || fits(need, it.about->capacity);
+            {
+                const auto& known =
+                    it.last ? it.last->capacity : it.about->capacity;
+                const auto lacks = first_misfit(need, known);
+                found = found || !lacks || known == resources();
+                if (lacks && (!lacking || *lacks > *lacking))
+                    lacking = lacks;
+            }
         });
-    return found;
+    return found ? std::nullopt : lacking;
 }
 
-std::optional<taken_credit> agent_table::take(const agent_id& agent)
+std::optional<taken_credit> agent_table::take(const agent_id& agent,
+                                              instant now)
 {
+    const auto options = health_options();
     return agents_.with(
         agent,
-        [](entry* it) -> std::optional<taken_credit>
+        [&](entry* it) -> std::optional<taken_credit>
         {
-            if (it == nullptr || !it->link || !it->last || !it->credits.take())
+            if (it == nullptr || !it->link || !it->last)
+                return std::nullopt;
+            const auto most = it->health.allowed(options, it->last->slots, now);
+            if (it->outstanding >= most)
+                return std::nullopt;
+            if (!change_credits(*it, [&] { return it->credits.take(); }))
                 return std::nullopt;
             ++it->outstanding;
             return taken_credit{it->link, it->last->agent_run,
@@ -151,25 +279,80 @@
 void agent_table::untake(const agent_id& agent)
 {
     agents_.with(agent,
-                 [](entry* it)
+                 [&](entry* it)
                  {
                      if (it == nullptr || it->outstanding == 0)
                          return;
                      --it->outstanding;
-                     it->credits.untake();
+                     change_credits(*it, [&] { it->credits.untake(); });
                  });
 }
 
-void agent_table::release(const agent_id& agent)
+// A link that closed in between took its dispatches with it.
+void agent_table::begin(const taken_credit& credit,
+                        const dispatch_message& message, open_dispatch about)
 {
+    agents_.with(message.key.agent,
+                 [&](entry* it)
+                 {
+                     if (it == nullptr || it->link != credit.link)
+                         return;
+                     it->told = message.wanted;
+                     it->reserved = add(it->reserved, about.need);
+                     it->open.emplace(
+                         open_key{{message.submission, message.key.index},
+                                  message.key.attempt},
+                         std::move(about));
+                 });
+}
+
+// A doubled result finds no open dispatch, so that nothing is freed twice.
+std::optional<open_dispatch> agent_table::release(const agent_id& agent,
+                                                  const result_message& result)
+{
+    const open_key key{{result.submission, result.key.index},
+                       result.key.attempt};
+    return agents_.with(
+        agent,
+        [&](entry* it) -> std::optional<open_dispatch>
+        {
+            if (it == nullptr)
+                return std::nullopt;
+            change_credits(*it, [&]
+                           { it->credits.update(result.credits_total, 0); });
+            const auto found = it->open.find(key);
+            if (found == it->open.end())
+                return std::nullopt;
+            auto ended = std::move(found->second);
+            it->open.erase(found);
+            it->reserved = subtract(it->reserved, ended.need);
+            if (it->outstanding > 0)
+                --it->outstanding;
+            return ended;
+        });
+}
+
+void agent_table::observe(const agent_id& agent, bool success, instant now)
+{
+    const auto options = health_options();
     agents_.with(agent,
-                 [](entry* it)
+                 [&](entry* it)
                  {
-                     if (it != nullptr && it->outstanding > 0)
-                         --it->outstanding;
+                     if (it == nullptr)
+                         return;
+                     if (success)
+                         it->health.succeeded();
+                     else
+                         it->health.failed(options, now);
                  });
 }
 
+void agent_table::set_health_options(const agent_health_options& options)
+{
+    const std::lock_guard lock(health_mutex_);
+    health_options_ = options;
+}
+
 void agent_table::send(const agent_id& agent, link_message message)
 {
     std::shared_ptr<message_link> link;
@@ -183,7 +366,47 @@
         link->send(std::move(message));
 }
 
+// An agent whose slots are all in use here, or held here, can give nothing.
 void agent_table::demand(std::uint32_t wanted)
+{
+    std::vector<other_slots> others;
+    agents_.for_each_shard(
+        [&](auto& values)
+        {
+            for (const auto& [id, it] : values)
+            {
+                const auto slots = elsewhere(it);
+                if (slots > 0)
+                    others.push_back({id, slots});
+            }
+        });
+    std::sort(others.begin(), others.end(),
+              [](const auto& left, const auto& right)
+              { return left.slots > right.slots; });
+    std::uint32_t asking = wanted * asked_per_waiting;
+    const auto share = others.empty() ? 0 : asking / others.size() + 1;
+    std::vector<outgoing> messages;
+    for (const auto& other : others)
+    {
+        if (asking == 0)
+            break;
+        const auto part =
+            std::min({static_cast<std::uint32_t>(share), other.slots, asking});
+        asking -= part;
+        agents_.with(other.agent,
+                     [&](entry* it)
+                     {
+                         if (it == nullptr || !it->link || it->told >= part)
+                             return;
+                         it->told = part;
+                         messages.push_back(
+                             {it->link, {part, it->credits.returned_total()}});
+                     });
+    }
+    send_all(messages);
+}
+
+void agent_table::end_demand()
 {
     std::vector<outgoing> messages;
     agents_.for_each_shard(
@@ -191,22 +414,62 @@
         {
             for (auto& [id, it] : values)
             {
-                if (!it.link || !it.last)
-                    continue;
-                const auto share = std::min(wanted, it.last->slots);
-                if (it.told == share)
+                if (!it.link || it.told == 0)
                     continue;
-                it.told = share;
-                messages.push_back(
-                    {it.link, {share, it.credits.returned_total()}});
+                it.told = 0;
+                messages.push_back({it.link, {0, it.credits.returned_total()}});
             }
         });
     send_all(messages);
 }
 
+bool agent_table::any_credit() const noexcept
+{
+    return credits_ > 0;
+}
+
+std::size_t agent_table::suspects()
+{
+    std::size_t n = 0;
+    agents_.for_each_shard(
+        [&](auto& values)
+        {
+            for (const auto& [id, it] : values)
+                n += it.health.suspect() ? 1 : 0;
+        });
+    return n;
+}
+
 std::size_t agent_table::size()
 {
     return agents_.size();
 }
 
+std::uint32_t agent_table::elsewhere(const entry& it) noexcept
+{
+    if (!it.link || !it.last || !it.last->accepting)
+        return 0;
+    const auto here = it.outstanding + it.credits.available();
+    return it.last->slots > here ? it.last->slots - here : 0;
+}
+
+// The health stays: a worker is not cured by a new link.
+void agent_table::clear(entry& it)
+{
+    change_credits(it, [&] { it.credits = credit_account(); });
+    it.link.reset();
+    it.last.reset();
+    it.health.set_accepting(false, {});
+    it.reserved = {};
+    it.open.clear();
+    it.outstanding = 0;
+    it.told = 0;
+}
+
+agent_health_options agent_table::health_options() const
+{
+    const std::lock_guard lock(health_mutex_);
+    return health_options_;
+}
+
 } // namespace lagoonquay
--- a/process/src/dispatcher.cpp
+++ b/process/src/dispatcher.cpp
@@ -2,36 +2,82 @@
 
 #include "lagoonquay/connection/message_link.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace lagoonquay
 {
 
-dispatcher::dispatcher(dispatcher_hooks hooks) : hooks_(std::move(hooks))
+namespace
+{
+
+//! How long an agent is kept free for one task before the hold is renewed.
+constexpr duration hold_period = std::chrono::seconds(5);
+
+// Only failures that a broken worker can cause count against it.
+bool blames_worker(const task_result& result) noexcept
+{
+    return result->reason == failure_reason::upstream_failed ||
+           result->reason == failure_reason::upstream_unreachable;
+}
+
+} // namespace
+
+dispatcher::dispatcher(dispatcher_hooks hooks, dispatcher_options options)
+    : hooks_(std::move(hooks)), options_(options), queue_(hooks_.weight),
+      retries_(options_.retries, hooks_.draw), runs_(options_.runs)
+{
+}
+
+void dispatcher::enqueue(const task_to_queue& it)
 {
+    queue_.push(to_queued(it));
 }
 
-void dispatcher::enqueue(const queued_task& it)
+void dispatcher::enqueue_again(const task_to_queue& it,
+                               const agent_id& declined, std::uint32_t moves)
 {
-    queue_.push(it);
+    const auto delay = retries_.spend(it.customer, moves);
+    auto queued = to_queued(it);
+    queued.asked.avoid = declined;
+    if (delay == duration::zero())
+        return queue_.push(std::move(queued));
+    const std::lock_guard lock(delayed_mutex_);
+    delayed_.emplace(hooks_.now() + delay, std::move(queued));
 }
 
-// Several threads may pump at once. A credit that arrives between the look at
-// the agents and the return of the task raises the epoch, so that the task is
-// looked at again and no credit is left idle.
+// Several threads may pump at once. A credit that arrives during a pass raises
+// the epoch, so that the queue is looked at again and no credit is left idle.
 void dispatcher::pump()
 {
     for (;;)
     {
         const auto epoch = credit_epoch_.load();
-        const auto next = queue_.pop();
-        if (!next)
-            break;
-        if (dispatch_one(*next) != step::no_room)
-            continue;
-        queue_.push_front(*next);
-        if (epoch == credit_epoch_.load())
+        if (queue_.size() == 0)
+            return;
+        const bool emptied = agents_.any_credit() && run_pass();
+        if (emptied || epoch == credit_epoch_.load())
             break;
     }
-    agents_.demand(static_cast<std::uint32_t>(queue_.size()));
+    if (queue_.size() > demanded_)
+        tell_demand();
+}
+
+void dispatcher::tick()
+{
+    const auto now = hooks_.now();
+    std::vector<queued_task> due;
+    {
+        const std::lock_guard lock(delayed_mutex_);
+        const auto end = delayed_.upper_bound(now);
+        for (auto it = delayed_.begin(); it != end; ++it)
+            due.push_back(std::move(it->second));
+        delayed_.erase(delayed_.begin(), end);
+    }
+    for (auto& it : due)
+        queue_.push(std::move(it));
+    pump();
+    tell_demand();
 }
 
 void dispatcher::update(const agent_id& agent, const grant_message& grant,
@@ -41,9 +87,17 @@
     ++credit_epoch_;
 }
 
-void dispatcher::release(const agent_id& agent)
+void dispatcher::finish(const agent_id& agent, const result_message& result)
 {
-    agents_.release(agent);
+    const auto ended = agents_.release(agent, result);
+    ++credit_epoch_;
+    if (ended)
+        learn(agent, *ended, result);
+}
+
+queue_load dispatcher::load_of(const customer_id& customer)
+{
+    return queue_.load_of(customer);
 }
 
 agent_table& dispatcher::agents() noexcept
@@ -51,6 +105,11 @@
     return agents_;
 }
 
+run_times& dispatcher::runs() noexcept
+{
+    return runs_;
+}
+
 std::size_t dispatcher::queued() const noexcept
 {
     return queue_.size();
@@ -61,26 +120,166 @@
     return dispatched_;
 }
 
-dispatcher::step dispatcher::dispatch_one(const queued_task& next)
+queued_task dispatcher::to_queued(const task_to_queue& it)
 {
-    const auto work = hooks_.waiting(next.key);
-    if (!work)
-        return step::gone;
-    const auto agent = hooks_.route(*work, agents_.candidates());
-    if (!agent)
+    return {.customer = it.customer,
+            .key = it.key,
+            .kind = it.kind,
+            .asked = {.need = it.need, .avoid = {}},
+            .expected_run = runs_.expect(it.kind, it.declared_run),
+            .deadline = it.deadline,
+            .since = hooks_.now()};
+}
+
+// @return whether the queue was emptied. Tasks that fit nowhere are passed over
+// and put back, so that they hold back no other.
+bool dispatcher::run_pass()
+{
+    pass state;
+    state.now = hooks_.now();
+    state.candidates = agents_.candidates(state.now);
+    bool emptied = false;
+    while (!state.candidates.empty() &&
+           state.passed_over.size() < options_.lookahead)
+    {
+        auto next = queue_.pop();
+        emptied = !next;
+        if (emptied)
+            break;
+        auto done = dispatch_one(*next, state);
+        if (done == step::stale)
+        {
+            state.candidates = agents_.candidates(state.now);
+            done = dispatch_one(*next, state);
+        }
+        if (done == step::no_room || done == step::stale)
+            state.passed_over.push_back(*std::move(next));
+    }
+    emptied = emptied && state.passed_over.empty();
+    for (auto& it : state.passed_over)
+    {
+        if (!hooks_.waiting(it.key))
+        {
+            drop_hold(it.key);
+            continue;
+        }
+        keep_free_for(it, state.now);
+        queue_.unpop(std::move(it));
+    }
+    return emptied;
+}
+
+dispatcher::step dispatcher::dispatch_one(const queued_task& next, pass& state)
+{
+    const auto chosen = choose(next, state);
+    if (!chosen)
         return step::no_room;
-    const auto credit = agents_.take(*agent);
+    auto& agent = state.candidates[*chosen];
+    const auto credit = agents_.take(agent.agent, state.now);
     if (!credit)
-        return step::no_room;
-    auto message = hooks_.begin(next.key, *agent, *credit);
+        return step::stale;
+    auto message = hooks_.begin(next.key, agent.agent, *credit);
     if (!message)
     {
-        agents_.untake(*agent);
+        agents_.untake(agent.agent);
+        drop_hold(next.key);
         return step::gone;
     }
-    ++dispatched_;
-    credit->link->send(std::move(*message));
+    send(next, agent, *credit, *std::move(message));
+    if (agent.credits == 0)
+    {
+        std::swap(agent, state.candidates.back());
+        state.candidates.pop_back();
+    }
     return step::sent;
 }
 
+// A task that was declined may go back to the same agent if no other fits.
+std::optional<std::size_t> dispatcher::choose(const queued_task& next,
+                                              const pass& state)
+{
+    const auto kept = held(state.now);
+    if (kept && kept->key != next.key)
+    {
+        auto others = state.candidates;
+        for (auto& it : others)
+            it.credits = it.agent == kept->agent ? 0 : it.credits;
+        return hooks_.route(next.asked, others);
+    }
+    auto chosen = hooks_.route(next.asked, state.candidates);
+    if (chosen || !next.asked.avoid)
+        return chosen;
+    return hooks_.route({.need = next.asked.need, .avoid = {}},
+                        state.candidates);
+}
+
+void dispatcher::send(const queued_task& next, route_candidate& chosen,
+                      const taken_credit& credit, dispatch_message message)
+{
+    --chosen.credits;
+    ++chosen.outstanding;
+    chosen.free = subtract(chosen.free, next.asked.need);
+    const auto waiting = static_cast<std::uint32_t>(queue_.size());
+    message.wanted = chosen.credits > 0 ? 0 : std::min(waiting, chosen.slots);
+    agents_.begin(credit, message, {next.customer, next.kind, next.asked.need});
+    retries_.earn(next.customer);
+    drop_hold(next.key);
+    ++dispatched_;
+    credit.link->send(std::move(message));
+}
+
+// One agent at a time is kept free, so that a large task gets its turn and
+// costs the others no more than one worker.
+void dispatcher::keep_free_for(const queued_task& next, instant now)
+{
+    if (now - next.since < options_.hold_after || held(now))
+        return;
+    const auto agent = agents_.best_fit(next.asked.need, now);
+    if (!agent)
+        return;
+    const std::lock_guard lock(hold_mutex_);
+    hold_ = hold{next.key, *agent, now + hold_period};
+}
+
+std::optional<dispatcher::hold> dispatcher::held(instant now)
+{
+    const std::lock_guard lock(hold_mutex_);
+    if (hold_ && now >= hold_->until)
+        hold_.reset();
+    return hold_;
+}
+
+void dispatcher::drop_hold(const task_key& key)
+{
+    const std::lock_guard lock(hold_mutex_);
+    if (hold_ && hold_->key == key)
+        hold_.reset();
+}
+
+// A kind that fails everywhere must not set aside every worker.
+void dispatcher::learn(const agent_id& agent, const open_dispatch& ended,
+                       const result_message& result)
+{
+    if (succeeded(result.result))
+    {
+        runs_.observe(ended.kind, result.ran_for);
+        return agents_.observe(agent, true, hooks_.now());
+    }
+    if (!blames_worker(result.result))
+        return;
+    runs_.observe_failure(ended.kind);
+    if (!runs_.mostly_fails(ended.kind))
+        agents_.observe(agent, false, hooks_.now());
+}
+
+void dispatcher::tell_demand()
+{
+    const auto waiting = queue_.size();
+    const auto before = demanded_.exchange(waiting);
+    if (waiting > 0)
+        agents_.demand(static_cast<std::uint32_t>(waiting));
+    else if (before > 0)
+        agents_.end_demand();
+}
+
 } // namespace lagoonquay
--- a/process/src/entry_service.cpp
+++ b/process/src/entry_service.cpp
@@ -1,6 +1,7 @@
 #include "lagoonquay/process/entry_service.hpp"
 
 #include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/process/agent_subset.hpp"
 #include "lagoonquay/process/log.hpp"
 #include "lagoonquay/request/dispatch.hpp"
 
@@ -34,6 +35,18 @@
     return declined && result->ran == effect::not_run;
 }
 
+task_to_queue describe_task(const job& submitted, task_index index,
+                            instant deadline)
+{
+    const auto& work = submitted->tasks[index.number()];
+    return {.customer = submitted->customer,
+            .key = {submitted->submission, index},
+            .kind = work->kind,
+            .need = work->need,
+            .declared_run = work->declared_run,
+            .deadline = deadline};
+}
+
 job_answer claim_refusal(const submission_id& submission, claim_status status)
 {
     switch (status)
@@ -73,15 +86,21 @@
 
 entry_service::entry_service(entry_options options, entry_hooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks)),
+      settings_(hooks_.draw),
       dispatcher_(
-          {.route = hooks_.route,
-           .waiting = [this](const task_key& key) { return waiting_task(key); },
+          {.now = hooks_.now,
+           .route = settings_.route(),
+           .weight = [this](const customer_id& it)
+           { return limits_of(*settings_.current(), it).weight; },
+           .draw = hooks_.draw,
+           .waiting = [this](const task_key& key) { return is_waiting(key); },
            .begin =
                [this](const task_key& key, const agent_id& agent,
                       const taken_credit& credit)
            {
                return begin_dispatch(key, agent, credit);
-           }})
+           }}),
+      admission_({}, dispatcher_, settings_, hooks_.now)
 {
 }
 
@@ -153,8 +172,25 @@
 
 void entry_service::hold(const permit& granted)
 {
-    const std::lock_guard lock(permit_mutex_);
-    permit_ = granted;
+    {
+        const std::lock_guard lock(permit_mutex_);
+        permit_ = granted;
+    }
+    if (!settings_.apply(granted->view))
+        return;
+    const auto& current = **settings_.current();
+    dispatcher_.agents().set_health_options(
+        {.failures = current.quarantine.failures,
+         .first_pause = current.quarantine.first_pause,
+         .longest_pause = current.quarantine.longest_pause,
+         .ramp = current.ramp});
+}
+
+void entry_service::learn(const std::vector<member>& agents)
+{
+    const auto most = (*settings_.current())->subset_agents;
+    dispatcher_.agents().learn(agent_subset(options_.id, agents, most),
+                               hooks_.now());
 }
 
 void entry_service::tick()
@@ -162,7 +198,7 @@
     const auto now = hooks_.now();
     expire_jobs(now);
     renew_claims(now);
-    dispatcher_.pump();
+    dispatcher_.tick();
 }
 
 void entry_service::drain()
@@ -211,25 +247,29 @@
 std::string entry_service::dump()
 {
     const auto n = counts();
-    const json::object state{{"role", "entry"},
-                             {"id", options_.id.text()},
-                             {"run", std::to_string(options_.run.number())},
-                             {"domain", options_.domain.text()},
-                             {"ready", ready()},
-                             {"draining", draining_.load()},
-                             {"version", view()->version.number()},
-                             {"agents", dispatcher_.agents().size()},
-                             {"queued_tasks", dispatcher_.queued()},
-                             {"jobs", jobs_.size()},
-                             {"unanswered", unanswered()},
-                             {"accepted", n.jobs},
-                             {"joined", n.joined},
-                             {"refused", n.refused},
-                             {"completed", n.completed},
-                             {"failed", n.failed},
-                             {"dispatched", n.dispatched},
-                             {"requeued", n.requeued},
-                             {"dropped_results", n.dropped_results}};
+    const json::object state{
+        {"role", "entry"},
+        {"id", options_.id.text()},
+        {"run", std::to_string(options_.run.number())},
+        {"domain", options_.domain.text()},
+        {"ready", ready()},
+        {"draining", draining_.load()},
+        {"version", view()->version.number()},
+        {"agents", dispatcher_.agents().size()},
+        {"suspect_agents", dispatcher_.agents().suspects()},
+        {"usable_slots", dispatcher_.agents().usable_slots()},
+        {"learned_kinds", dispatcher_.runs().kinds()},
+        {"queued_tasks", dispatcher_.queued()},
+        {"jobs", jobs_.size()},
+        {"unanswered", unanswered()},
+        {"accepted", n.jobs},
+        {"joined", n.joined},
+        {"refused", n.refused},
+        {"completed", n.completed},
+        {"failed", n.failed},
+        {"dispatched", n.dispatched},
+        {"requeued", n.requeued},
+        {"dropped_results", n.dropped_results}};
     return json::serialize(state);
 }
 
@@ -253,6 +293,30 @@
     return std::nullopt;
 }
 
+// An adopted job has run in part and is never refused. "Not run" is said only
+// of a job so young that this entry can't have answered and forgotten it.
+std::optional<job_answer>
+entry_service::refuse_claimed(const submission_id& submission,
+                              const claim_outcome& outcome)
+{
+    if (outcome->first_claim_age > duration::zero())
+        return std::nullopt;
+    std::optional<job> asked;
+    jobs_.with(submission,
+               [&](auto* it)
+               {
+                   if (it != nullptr)
+                       asked = (*it)->run.submitted();
+               });
+    if (!asked)
+        return std::nullopt;
+    const auto age = hooks_.wall() - (*asked)->created;
+    const bool remembered =
+        age + options_.clock_skew < options_.answer_retention;
+    return admission_.refuse(*asked,
+                             remembered ? effect::not_run : effect::unknown);
+}
+
 // @return whether the job was known already; `done` is then taken care of.
 bool entry_service::join_or_add(const job& submitted, content_digest digest,
                                 answer_hook& done)
@@ -325,6 +389,11 @@
     }
     if (outcome->status != claim_status::held)
         return fail_job(submission, claim_refusal(submission, outcome->status));
+    if (const auto refused = refuse_claimed(submission, outcome))
+    {
+        ++refused_;
+        return fail_job(submission, *refused);
+    }
     jobs_.with(submission,
                [&](auto* it)
                {
@@ -343,16 +412,16 @@
 
 void entry_service::enqueue_waiting(const submission_id& submission)
 {
-    std::vector<queued_task> tasks;
+    std::vector<task_to_queue> tasks;
     jobs_.with(submission,
                [&](auto* it)
                {
                    if (it == nullptr)
                        return;
                    auto& run = (*it)->run;
-                   const auto& customer = run.submitted()->customer;
                    for (const auto& index : run.waiting())
-                       tasks.push_back({customer, {submission, index}});
+                       tasks.push_back(describe_task(run.submitted(), index,
+                                                     (*it)->deadline));
                });
     for (const auto& it : tasks)
         dispatcher_.enqueue(it);
@@ -376,16 +445,11 @@
         it(answer);
 }
 
-std::optional<task> entry_service::waiting_task(const task_key& key)
+bool entry_service::is_waiting(const task_key& key)
 {
     return jobs_.with(
-        key.submission,
-        [&](auto* it) -> std::optional<task>
-        {
-            if (it == nullptr || !(*it)->run.is_waiting(key.index))
-                return std::nullopt;
-            return (*it)->run.submitted()->tasks[key.index.number()];
-        });
+        key.submission, [&](auto* it)
+        { return it != nullptr && (*it)->run.is_waiting(key.index); });
 }
 
 // The agent's clock was at least `agent_time` when it was heard, so the sum
@@ -465,7 +529,7 @@
 void entry_service::on_result(const agent_id& agent, const result_message& it)
 {
     bool counted = false;
-    std::optional<queued_task> again;
+    std::optional<task_to_queue> again;
     jobs_.with(it.submission,
                [&](auto* found)
                {
@@ -479,16 +543,18 @@
                    }
                    counted = run.requeue(it.key);
                    if (counted)
-                       again = queued_task{run.submitted()->customer,
-                                           {it.submission, it.key.index}};
+                       again = describe_task(run.submitted(), it.key.index,
+                                             (*found)->deadline);
                });
-    dispatcher_.release(agent);
+    dispatcher_.finish(agent, it);
     if (!counted)
         ++dropped_;
     if (again)
     {
         ++requeued_;
-        dispatcher_.enqueue(*again);
+        const auto moves = it.key.attempt.number() % attempts_per_round;
+        dispatcher_.enqueue_again(*again, agent,
+                                  static_cast<std::uint32_t>(moves));
     }
     finish_if_complete(it.submission);
 }
--- /dev/null
+++ b/process/src/job_admission.cpp
@@ -0,0 +1,97 @@
+#include "lagoonquay/process/job_admission.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+std::string explain(failure_reason reason)
+{
+    if (reason == failure_reason::quota)
+        return "the customer's waiting tasks are at their limit";
+    return "the job can't end before its deadline";
+}
+
+} // namespace
+
+job_admission::job_admission(job_admission_options options, dispatcher& tasks,
+                             const live_settings& settings, clock_hook now)
+    : options_(options), tasks_(tasks), settings_(settings),
+      now_(std::move(now))
+{
+}
+
+std::optional<job_answer> job_admission::refuse(const job& submitted,
+                                                effect ran)
+{
+    if (auto refused = refuse_impossible(submitted, ran))
+        return refused;
+    const auto reason =
+        lagoonquay::refuse(describe(submitted), load_for(submitted));
+    if (!reason)
+        return std::nullopt;
+    return refusal(submitted->submission, *reason, ran, explain(*reason));
+}
+
+std::optional<job_answer> job_admission::refuse_impossible(const job& submitted,
+                                                           effect ran)
+{
+    if (!knows_fleet())
+        return std::nullopt;
+    for (const auto& it : submitted->tasks)
+    {
+        const auto misfit = tasks_.agents().misfit(it->need);
+        if (!misfit)
+            continue;
+        return refusal(submitted->submission, failure_reason::impossible_need,
+                       ran, "no worker has enough " + *misfit);
+    }
+    return std::nullopt;
+}
+
+admission_request job_admission::describe(const job& submitted)
+{
+    admission_request asked;
+    asked.tasks = submitted->tasks.size();
+    asked.time_limit = submitted->time_limit;
+    for (const auto& it : submitted->tasks)
+    {
+        const auto run = tasks_.runs().expect(it->kind, it->declared_run);
+        asked.work += run;
+        asked.longest = std::max(asked.longest, run);
+    }
+    return asked;
+}
+
+admission_load job_admission::load_for(const job& submitted)
+{
+    const auto& customer = submitted->customer;
+    const auto queue = tasks_.load_of(customer);
+    const auto settings = settings_.current();
+    return {.customer_tasks = queue.customer_tasks,
+            .customer_work = queue.customer_work,
+            .all_tasks = queue.all_tasks,
+            .all_work = queue.all_work,
+            .customer_share = queue.customer_share,
+            .slots = tasks_.agents().usable_slots(),
+            .most_customer_tasks = limits_of(*settings, customer).queued_tasks,
+            .most_tasks = (*settings)->queued_tasks};
+}
+
+// Right after its start an entry has heard of few workers or none.
+bool job_admission::knows_fleet()
+{
+    if (tasks_.agents().usable_slots() == 0)
+        return false;
+    const auto now = now_().time_since_epoch().count();
+    duration::rep unseen = 0;
+    if (fleet_seen_.compare_exchange_strong(unseen, now))
+        return false;
+    return duration(now - fleet_seen_) >= options_.fleet_known_after;
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/tests/fake_link.hpp
@@ -0,0 +1,48 @@
+//! A link written by hand that keeps what is sent.
+#pragma once
+
+#include "lagoonquay/connection/message_link.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace lagoonquay
+{
+
+//! Hands every message to a hook, or keeps it if there is none.
+class fake_link : public message_link
+{
+public:
+    explicit fake_link(std::function<void(const link_message&)> on_send = {})
+        : on_send_(std::move(on_send))
+    {
+    }
+
+    void start(link_hooks hooks) override
+    {
+        hooks_ = std::move(hooks);
+    }
+    void send(link_message message) override
+    {
+        ++counts_.messages_sent;
+        if (on_send_)
+            return on_send_(message);
+        sent.push_back(std::move(message));
+    }
+    void close() override
+    {
+    }
+    link_counts counts() const noexcept override
+    {
+        return counts_;
+    }
+
+    std::vector<link_message> sent;
+
+private:
+    std::function<void(const link_message&)> on_send_;
+    link_hooks hooks_;
+    link_counts counts_;
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/tests/task_queue_test.cpp
@@ -0,0 +1,118 @@
+#include "lagoonquay/process/task_queue.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+const customer_id large("large");
+const customer_id small("small");
+constexpr duration run = std::chrono::milliseconds(100);
+
+queued_task task_of(const customer_id& customer, std::uint64_t n,
+                    duration expected = run, instant deadline = {})
+{
+    return {.customer = customer,
+            .key = {submission_id(customer.text()), task_index(n)},
+            .kind = {},
+            .asked = {},
+            .expected_run = expected,
+            .deadline = deadline,
+            .since = {}};
+}
+
+task_queue queue_with_equal_weights()
+{
+    return task_queue([](const customer_id&) { return 1U; });
+}
+
+std::map<customer_id, int> pop_many(task_queue& queue, int n)
+{
+    std::map<customer_id, int> popped;
+    for (; n > 0; --n)
+        ++popped[queue.pop()->customer];
+    return popped;
+}
+
+TEST(task_queue, divides_by_weight_while_both_wait)
+{
+    task_queue queue([](const customer_id& it)
+                     { return it == large ? 3U : 1U; });
+    for (std::uint64_t n = 0; n < 100; ++n)
+    {
+        queue.push(task_of(large, n));
+        queue.push(task_of(small, n));
+    }
+    EXPECT_EQ(pop_many(queue, 40)[large], 30);
+}
+
+TEST(task_queue, charges_by_run_time)
+{
+    auto queue = queue_with_equal_weights();
+    for (std::uint64_t n = 0; n < 100; ++n)
+    {
+        queue.push(task_of(large, n, 4 * run));
+        queue.push(task_of(small, n));
+    }
+    EXPECT_EQ(pop_many(queue, 50)[small], 40);
+}
+
+TEST(task_queue, a_flood_does_not_delay_a_customer_that_was_idle)
+{
+    auto queue = queue_with_equal_weights();
+    for (std::uint64_t n = 0; n < 1000; ++n)
+        queue.push(task_of(large, n));
+    pop_many(queue, 500);
+    queue.push(task_of(small, 0));
+    EXPECT_EQ(pop_many(queue, 2)[small], 1);
+}
+
+TEST(task_queue, serves_the_earliest_deadline_then_the_longest_task)
+{
+    auto queue = queue_with_equal_weights();
+    const instant soon(std::chrono::seconds(1));
+    const instant late(std::chrono::seconds(2));
+    queue.push(task_of(small, 0, run, late));
+    queue.push(task_of(small, 1, run, soon));
+    queue.push(task_of(small, 2, 2 * run, soon));
+    EXPECT_EQ(queue.pop()->key.index, task_index(2));
+    EXPECT_EQ(queue.pop()->key.index, task_index(1));
+    EXPECT_EQ(queue.pop()->key.index, task_index(0));
+}
+
+TEST(task_queue, a_task_put_back_costs_its_customer_nothing)
+{
+    auto queue = queue_with_equal_weights();
+    for (std::uint64_t n = 0; n < 10; ++n)
+    {
+        queue.push(task_of(large, n));
+        queue.push(task_of(small, n));
+    }
+    for (int n = 0; n < 30; ++n)
+        queue.unpop(*queue.pop());
+    EXPECT_EQ(queue.size(), 20U);
+    EXPECT_EQ(pop_many(queue, 10)[small], 5);
+}
+
+TEST(task_queue, reports_backlog_and_share)
+{
+    task_queue queue([](const customer_id& it)
+                     { return it == large ? 3U : 1U; });
+    queue.push(task_of(large, 0));
+    queue.push(task_of(large, 1));
+    queue.push(task_of(small, 0));
+    const auto load = queue.load_of(small);
+    EXPECT_EQ(load.customer_tasks, 1U);
+    EXPECT_EQ(load.customer_work, run);
+    EXPECT_EQ(load.all_work, 3 * run);
+    EXPECT_DOUBLE_EQ(load.customer_share, 0.25);
+    EXPECT_DOUBLE_EQ(queue.load_of(customer_id("new")).customer_share, 0.2);
+}
+
+} // namespace
+
+} // namespace lagoonquay
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -54,9 +54,10 @@
 {
     submission_id submission;
     attempt_key key;
-    instant start_before{};  //!< on the agent's clock: the claim's end
-    duration run_limit{};    //!< the longest run that the deadline allows
-    bool repeatable = false; //!< a later attempt may start it again
+    instant start_before{};   //!< on the agent's clock: the claim's end
+    duration run_limit{};     //!< the longest run that the deadline allows
+    bool repeatable = false;  //!< a later attempt may start it again
+    std::uint32_t wanted = 0; //!< credits that the entry still misses here
     task work;
 
     friend bool operator==(const dispatch_message&,
@@ -69,6 +70,10 @@
     submission_id submission;
     attempt_key key;
     task_result result;
+    //! Credits granted since the link opened if the credit came back with this
+    //! result; zero if it did not.
+    std::uint64_t credits_total = 0;
+    duration ran_for{}; //!< at the upstream; zero if it was not called
 
     friend bool operator==(const result_message&,
                            const result_message&) = default;
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -84,6 +84,7 @@
         {"start_before_us", it.start_before.time_since_epoch().count()},
         {"run_limit_us", it.run_limit.count()},
         {"repeatable", it.repeatable},
+        {"wanted", it.wanted},
         {"task", task_to_json(it.work)}};
     put_key(object, it.submission, it.key);
     return object;
@@ -92,7 +93,9 @@
 json::object to_json(const result_message& it)
 {
     json::object object{{"type", "result"},
-                        {"result", result_to_json(it.result)}};
+                        {"result", result_to_json(it.result)},
+                        {"credits_total", it.credits_total},
+                        {"ran_for_us", it.ran_for.count()}};
     put_key(object, it.submission, it.key);
     return object;
 }
@@ -142,6 +145,8 @@
     it.start_before = get_instant(fields, "start_before_us");
     it.run_limit = duration(fields.number("run_limit_us", 0, json_exact_limit));
     it.repeatable = fields.flag_or("repeatable", false);
+    it.wanted =
+        static_cast<std::uint32_t>(fields.number("wanted", 0, count_limit));
     const auto* work = fields.member("task");
     if (work == nullptr)
     {
@@ -157,6 +162,8 @@
     result_message it;
     it.submission = get_submission(fields, limits);
     it.key = get_key(fields, limits);
+    it.credits_total = fields.number("credits_total", 0, json_exact_limit);
+    it.ran_for = duration(fields.number("ran_for_us", 0, json_exact_limit));
     const auto* result = fields.member("result");
     if (result == nullptr)
     {
--- a/tests/scenarios/runner/fake_fleet.cpp
+++ b/tests/scenarios/runner/fake_fleet.cpp
@@ -250,7 +250,10 @@
                              .wall = [this] { return time_.wall(); },
                              .claim = claim_from(it.name),
                              .forward = forward_from(it.name),
-                             .route = route_least_outstanding()});
+                             .draw = [](std::uint64_t) -> std::uint64_t
+                             {
+                                 return 0;
+                             }});
     start_entry_ticks(it);
 }
 
@@ -288,7 +291,7 @@
     auto* node = &it;
     const auto beat = [this, service, name = it.name]
     {
-        service->agents().learn(known_agents());
+        service->learn(known_agents());
         ask_permit(
             name, [service] { return service->view(); },
             [service](const permit& granted) { service->hold(granted); });
