--- /dev/null
+++ b/connection/src/agent_slots.cpp
@@ -0,0 +1,156 @@
+#include "lagoonquay/connection/agent_slots.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+//! Credits that one result may bring: one comes back and one more opens the
+//! window again.
+constexpr std::uint32_t most_with_a_result = 2;
+
+} // namespace
+
+void agent_slots::resize(std::uint32_t slots,
+                         const resources& capacity) noexcept
+{
+    slots_ = slots;
+    capacity_ = capacity;
+}
+
+void agent_slots::open(link_number link)
+{
+    accounts_.emplace(link, account());
+}
+
+void agent_slots::close(link_number link)
+{
+    accounts_.erase(link);
+}
+
+bool agent_slots::accept(link_number link, const dispatch_message& message)
+{
+    const auto it = accounts_.find(link);
+    if (it == accounts_.end() || it->second.granted == it->second.used)
+        return false;
+    ++it->second.used;
+    ++it->second.here;
+    waiting_.push_back({link, message});
+    return true;
+}
+
+// A large task at the head lets smaller ones pass only while it finds no room;
+// entries keep a worker free for a task that waits too long.
+std::optional<waiting_start> agent_slots::next()
+{
+    if (running_ >= slots_)
+        return std::nullopt;
+    const auto it = std::find_if(waiting_.begin(), waiting_.end(),
+                                 [this](const auto& each)
+                                 { return has_room(each.message.work->need); });
+    if (it == waiting_.end())
+        return std::nullopt;
+    auto found = std::move(*it);
+    waiting_.erase(it);
+    ++running_;
+    used_ = add(used_, found.message.work->need);
+    return found;
+}
+
+std::vector<waiting_start> agent_slots::take_waiting()
+{
+    const auto taken = std::exchange(waiting_, {});
+    return {taken.begin(), taken.end()};
+}
+
+std::uint64_t agent_slots::finish(link_number link, const resources& need)
+{
+    if (running_ > 0)
+        --running_;
+    used_ = subtract(used_, need);
+    return drop(link);
+}
+
+// Credits travel with results only. A link that holds less than its window gets
+// its credit back, and one more until the window is open again; while tasks
+// wait the window is small, so that the entries queue them by their own order.
+std::uint64_t agent_slots::drop(link_number link)
+{
+    const auto it = accounts_.find(link);
+    if (it == accounts_.end())
+        return 0;
+    auto& target = it->second;
+    if (target.here > 0)
+        --target.here;
+    const auto most = window();
+    std::uint32_t given = 0;
+    while (holding(target) < most && given < most_with_a_result)
+    {
+        ++target.granted;
+        ++given;
+    }
+    return given > 0 ? target.granted : 0;
+}
+
+std::vector<link_grant> agent_slots::refill()
+{
+    std::vector<link_grant> changed;
+    for (auto& [link, it] : accounts_)
+    {
+        if (slots_ == 0 || holding(it) > 0)
+            continue;
+        it.granted += slots_;
+        changed.push_back({link, it.granted});
+    }
+    return changed;
+}
+
+link_grant agent_slots::total(link_number link) const
+{
+    const auto it = accounts_.find(link);
+    return {link, it == accounts_.end() ? 0 : it->second.granted};
+}
+
+std::uint32_t agent_slots::running() const noexcept
+{
+    return running_;
+}
+
+std::uint32_t agent_slots::busy() const noexcept
+{
+    return running_ + static_cast<std::uint32_t>(waiting_.size());
+}
+
+std::uint32_t agent_slots::slots() const noexcept
+{
+    return slots_;
+}
+
+std::uint64_t agent_slots::holding(const account& it) noexcept
+{
+    return it.granted - it.used + it.here;
+}
+
+// At least one, so that every link has a task here or a credit.
+std::uint32_t agent_slots::window() const noexcept
+{
+    if (waiting_.empty())
+        return std::max(slots_, 1U);
+    const auto active =
+        std::count_if(accounts_.begin(), accounts_.end(),
+                      [](const auto& it) { return it.second.here > 0; });
+    const auto sharing = std::max(static_cast<std::uint32_t>(active), 1U);
+    return std::max(slots_ / sharing, 1U);
+}
+
+// A task that needs nothing runs even after the worker has shrunk.
+bool agent_slots::has_room(const resources& need) const noexcept
+{
+    return need == resources() || fits(add(used_, need), capacity_);
+}
+
+} // namespace lagoonquay
--- a/connection/src/grant_pacing.cpp
+++ b/connection/src/grant_pacing.cpp
@@ -16,8 +16,7 @@
         return true;
     const bool changed = grant.accepting != last_->accepting ||
                          grant.slots != last_->slots ||
-                         grant.capacity != last_->capacity ||
-                         grant.recalled_total != last_->recalled_total;
+                         grant.capacity != last_->capacity;
     return changed ||
            grant.agent_time - last_->agent_time >= options_.stamp_age;
 }
--- a/process/bench/bench_fleet.cpp
+++ b/process/bench/bench_fleet.cpp
@@ -13,7 +13,6 @@
 
 constexpr duration entry_tick = std::chrono::milliseconds(50);
 constexpr duration failing_run = std::chrono::milliseconds(5);
-constexpr std::uint32_t unbounded_slots = 100000;
 constexpr resources worker_capacity{32000, 65536, 4};
 
 random_hook seeded(std::uint64_t seed)
@@ -132,7 +131,7 @@
         const auto& found = jobs.at(id);
         return {.customer = found.asked.customer,
                 .key = {id, task_index(n)},
-                .kind = found.asked.customer.text(),
+                .kind = found.asked.kinds[n],
                 .need = {},
                 .declared_run = found.asked.declared[n],
                 .deadline = found.began + found.asked.time_limit};
@@ -146,21 +145,8 @@
 
 struct bench_fleet::agent_side
 {
-    struct waiting_task
-    {
-        std::size_t entry = 0;
-        dispatch_message message;
-    };
-
-    agent_side(std::uint32_t slots, std::size_t links)
-        : grants(slots), pacing(links)
-    {
-    }
-
-    slot_grants grants;
+    agent_slots slots;
     std::vector<grant_pacing> pacing;
-    std::deque<waiting_task> queue;
-    std::uint32_t running = 0;
     std::uint32_t domain = 0;
     bool failing = false;
     bool accepting = true;
@@ -169,12 +155,12 @@
 
 bench_fleet::bench_fleet(bench_options options) : options_(std::move(options))
 {
-    const auto slots = options_.credits ? options_.slots : unbounded_slots;
     std::vector<member> members;
     for (std::uint32_t n = 0; n < options_.agents; ++n)
     {
-        auto& it = *agents_.emplace_back(
-            std::make_unique<agent_side>(slots, options_.entries));
+        auto& it = *agents_.emplace_back(std::make_unique<agent_side>());
+        it.slots.resize(options_.slots, worker_capacity);
+        it.pacing.resize(options_.entries);
         it.id = agent_id("agent" + std::to_string(n));
         it.domain = n % options_.domains;
         member_options about;
@@ -202,7 +188,7 @@
     for (std::size_t a = 0; a < agents_.size(); ++a)
     {
         for (std::size_t e = 0; e < options_.entries; ++e)
-            agents_[a]->grants.open(link_number(e + 1));
+            agents_[a]->slots.open(link_number(e + 1));
         send_changed(a);
     }
     tick();
@@ -223,9 +209,9 @@
     described.submission = id;
     described.customer = asked.customer;
     described.time_limit = asked.time_limit;
-    for (const auto& it : asked.declared)
-        described.tasks.emplace_back(
-            task_options{.kind = asked.customer.text(), .declared_run = it});
+    for (std::size_t n = 0; n < asked.runs.size(); ++n)
+        described.tasks.emplace_back(task_options{
+            .kind = asked.kinds[n], .declared_run = asked.declared[n]});
     if (options_.admission &&
         entry.admission.refuse(job(described), effect::not_run))
     {
@@ -241,8 +227,10 @@
                       .outcome = {.customer = asked.customer,
                                   .ideal = ideal_of(asked, options_)}};
     ++unfinished_;
+    std::vector<task_to_queue> tasks;
     for (std::size_t at = 0; at < n; ++at)
-        entry.tasks.enqueue(entry.describe(id, at));
+        tasks.push_back(entry.describe(id, at));
+    entry.tasks.enqueue(tasks);
     entry.tasks.pump();
 }
 
@@ -259,7 +247,7 @@
             continue;
         agents_[a]->accepting = in_service;
         for (std::size_t e = 0; e < entries_.size(); ++e)
-            send_grant(a, agents_[a]->grants.totals(link_number(e + 1)), true);
+            send_grant(a, agents_[a]->slots.total(link_number(e + 1)), true);
     }
 }
 
@@ -283,12 +271,6 @@
 {
     if (const auto* it = std::get_if<dispatch_message>(&message))
         on_dispatch(agent, entry, *it);
-    if (const auto* it = std::get_if<demand_message>(&message))
-    {
-        ++counts_.demands;
-        agents_[agent]->grants.demand(link_number(entry + 1), it->wanted,
-                                      it->returned_total);
-    }
     send_changed(agent);
 }
 
@@ -308,59 +290,61 @@
 {
     auto& it = *agents_[agent];
     ++counts_.dispatches;
-    if (!it.grants.start(link_number(entry + 1), message.wanted))
-        return reply(agent, entry, message, failure_reason::not_startable, {});
-    if (!it.accepting)
-    {
-        ++counts_.declined;
-        return reply(agent, entry, message, failure_reason::no_permit, {});
-    }
-    it.queue.push_back({entry, message});
+    if (!it.slots.accept(link_number(entry + 1), message))
+        return reply(agent, entry, message, failure_reason::not_startable, 0,
+                     {});
     start_next(agent);
 }
 
 void bench_fleet::start_next(std::size_t agent)
 {
     auto& it = *agents_[agent];
-    while (!it.queue.empty() && it.running < options_.slots)
+    while (const auto next = it.slots.next())
     {
-        const auto next = it.queue.front();
-        it.queue.pop_front();
-        ++it.running;
-        counts_.most_running = std::max(counts_.most_running, it.running);
-        const auto ran = it.failing ? failing_run : next.message.run_limit;
-        clock_.after(ran, [this, agent, next, ran]
-                     { on_end(agent, next.entry, next.message, ran); });
+        const auto& message = next->message;
+        if (!it.accepting)
+        {
+            ++counts_.declined;
+            const auto credits = it.slots.finish(next->link, {});
+            reply(agent, next->link.number() - 1, message,
+                  failure_reason::no_permit, credits, {});
+            continue;
+        }
+        counts_.most_running =
+            std::max(counts_.most_running, it.slots.running());
+        const auto ran = it.failing ? failing_run : message.run_limit;
+        clock_.after(ran, [this, agent, begun = *next, ran]
+                     { on_end(agent, begun, ran); });
     }
 }
 
-void bench_fleet::on_end(std::size_t agent, std::size_t entry,
-                         const dispatch_message& message, duration ran)
+void bench_fleet::on_end(std::size_t agent, const waiting_start& begun,
+                         duration ran)
 {
-    auto& it = *agents_[agent];
-    --it.running;
-    const bool failed = ran != message.run_limit;
+    const bool failed = ran != begun.message.run_limit;
     if (!failed)
         counts_.work_done += ran;
-    reply(agent, entry, message,
-          failed ? failure_reason::upstream_failed : failure_reason::none, ran);
+    const auto credits = agents_[agent]->slots.finish(begun.link, {});
+    reply(agent, begun.link.number() - 1, begun.message,
+          failed ? failure_reason::upstream_failed : failure_reason::none,
+          credits, ran);
     start_next(agent);
-    send_changed(agent);
 }
 
 void bench_fleet::reply(std::size_t agent, std::size_t entry,
                         const dispatch_message& message, failure_reason reason,
-                        duration ran)
+                        std::uint64_t credits, duration ran)
 {
-    const auto credits =
-        agents_[agent]->grants.finish_for(link_number(entry + 1)).value_or(0);
     const auto effect_of =
         ran == duration::zero() ? effect::not_run : effect::ran;
     const result_message result{
-        message.submission, message.key,
+        message.submission,
+        message.key,
         task_result(
             {.index = message.key.index, .reason = reason, .ran = effect_of}),
-        credits, ran};
+        credits,
+        agents_[agent]->slots.busy(),
+        ran};
     ++counts_.results;
     clock_.after(options_.one_way, [this, agent, entry, result]
                  { deliver_to_entry(entry, agent, result); });
@@ -368,7 +352,7 @@
 
 void bench_fleet::send_changed(std::size_t agent)
 {
-    for (const auto& it : agents_[agent]->grants.rebalance())
+    for (const auto& it : agents_[agent]->slots.refill())
         send_grant(agent, it, false);
 }
 
@@ -381,8 +365,7 @@
     grant.agent = it.id;
     grant.agent_time = clock_.now();
     grant.credits_total = totals.credits_total;
-    grant.recalled_total = totals.recalled_total;
-    grant.slots = options_.credits ? options_.slots : unbounded_slots;
+    grant.slots = options_.slots;
     grant.capacity = worker_capacity;
     grant.accepting = it.accepting;
     if (if_due && !it.pacing[entry].due(grant))
@@ -424,7 +407,7 @@
     for (std::size_t a = 0; a < agents_.size(); ++a)
     {
         for (std::size_t e = 0; e < entries_.size(); ++e)
-            send_grant(a, agents_[a]->grants.totals(link_number(e + 1)), true);
+            send_grant(a, agents_[a]->slots.total(link_number(e + 1)), true);
     }
     clock_.after(entry_tick, [this] { tick(); });
 }
--- a/process/bench/bench_fleet.hpp
+++ b/process/bench/bench_fleet.hpp
@@ -1,8 +1,8 @@
 //! Entries and agents on virtual time, for measuring decisions.
 #pragma once
 
+#include "lagoonquay/connection/agent_slots.hpp"
 #include "lagoonquay/connection/grant_pacing.hpp"
-#include "lagoonquay/connection/slot_grants.hpp"
 #include "lagoonquay/process/dispatcher.hpp"
 #include "lagoonquay/process/job_admission.hpp"
 #include "lagoonquay/process/live_settings.hpp"
@@ -52,7 +52,6 @@
     std::uint32_t slots = 8;
     std::uint32_t domains = 3;
     duration one_way = std::chrono::microseconds(1500);
-    bool credits = true;   //!< false lets agents queue without a bound
     bool admission = true; //!< false takes every job
     std::string settings;  //!< of the fleet, as INI
     std::uint64_t seed = 1;
@@ -63,6 +62,7 @@
     customer_id customer;
     std::vector<duration> runs;     //!< true run times
     std::vector<duration> declared; //!< as the caller says
+    std::vector<std::string> kinds;
     duration time_limit = std::chrono::seconds(30);
 };
 
@@ -82,7 +82,6 @@
     std::uint64_t dispatches = 0;
     std::uint64_t results = 0;
     std::uint64_t grants = 0;
-    std::uint64_t demands = 0;
     std::uint64_t declined = 0;
     duration work_done{};
     std::uint32_t most_running = 0; //!< at one agent
@@ -119,11 +118,10 @@
     void on_dispatch(std::size_t agent, std::size_t entry,
                      const dispatch_message& message);
     void start_next(std::size_t agent);
-    void on_end(std::size_t agent, std::size_t entry,
-                const dispatch_message& message, duration ran);
+    void on_end(std::size_t agent, const waiting_start& begun, duration ran);
     void reply(std::size_t agent, std::size_t entry,
                const dispatch_message& message, failure_reason reason,
-               duration ran);
+               std::uint64_t credits, duration ran);
     void send_changed(std::size_t agent);
     void send_grant(std::size_t agent, const link_grant& totals, bool if_due);
     void on_result(std::size_t entry, std::size_t agent,
--- a/process/bench/policy_bench.cpp
+++ b/process/bench/policy_bench.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr std::uint32_t total_slots = 88;
+//! The large customer has an exception, as operators give it.
+const std::string exception = "[customer:large]\nweight = 60\n"
+                              "reason = larger than all others together\n";
 const customer_id large("large");
 
 //! What a run offers to the fleet.
@@ -44,8 +47,10 @@
         const auto n = 1 + draw_() % what_.widest;
         for (std::uint64_t at = 0; at < n; ++at)
         {
-            asked.runs.push_back(draw_run());
+            const auto kind = draw_kind();
+            asked.runs.push_back(draw_run(kind));
             asked.declared.push_back(misdeclare(asked.runs.back()));
+            asked.kinds.push_back(customer.text() + std::to_string(kind));
         }
         return asked;
     }
@@ -59,14 +64,20 @@
     }
 
 private:
-    // 50 ms to 1 s by its logarithm; two in a hundred take 2 to 6 s.
-    duration draw_run()
+    // Eight common kinds of 50 ms to 1 s by the logarithm, and a rare long one.
+    std::uint64_t draw_kind()
+    {
+        return draw_() % 50 == 0 ? kinds : draw_() % kinds;
+    }
+
+    duration draw_run(std::uint64_t kind)
     {
         std::uniform_real_distribution<double> part(0, 1);
-        if (draw_() % 50 == 0)
+        if (kind == kinds)
             return duration(2000000 + draw_() % 4000000);
-        const auto ms = 50 * std::pow(20.0, part(draw_));
-        return duration(static_cast<duration::rep>(ms * 1000));
+        const auto step = (static_cast<double>(kind) + part(draw_)) / kinds;
+        return duration(
+            static_cast<duration::rep>(50000 * std::pow(20.0, step)));
     }
 
     static double mean_run_us()
@@ -89,6 +100,8 @@
         }
     }
 
+    static constexpr std::uint64_t kinds = 8;
+
     workload what_;
     std::mt19937_64 draw_;
 };
@@ -159,7 +172,7 @@
 {
     const auto& n = fleet.counts();
     const auto tasks = static_cast<double>(n.dispatches - n.declined);
-    return static_cast<double>(n.grants + n.demands + 2 * n.declined) / tasks;
+    return static_cast<double>(n.grants + 2 * n.declined) / tasks;
 }
 
 void print_row(const std::string& name, const bench_fleet& fleet,
@@ -197,7 +210,7 @@
 
 std::string policy_settings(std::string_view policy)
 {
-    return "[routing]\npolicy = " + std::string(policy) + "\n";
+    return exception + "[routing]\npolicy = " + std::string(policy) + "\n";
 }
 
 void compare_policies(const workload& what, std::uint32_t entries,
@@ -211,28 +224,22 @@
                          .slots = total_slots,
                          .domains = 1,
                          .one_way = one_way,
-                         .settings = "[slow_start]\nramp = 1ms\n",
+                         .settings = exception + "[slow_start]\nramp = 1ms\n",
                          .seed = what.seed});
     run(central, what);
     print_row("one queue, one worker", central, any);
-    for (const bool credits : {false, true})
+    for (const auto policy :
+         {route_policy::random, route_policy::round_robin,
+          route_policy::least_outstanding, route_policy::two_choices,
+          route_policy::slot_credits})
     {
-        for (const auto policy :
-             {route_policy::random, route_policy::round_robin,
-              route_policy::least_outstanding, route_policy::two_choices,
-              route_policy::slot_credits})
-        {
-            bench_fleet fleet({.entries = entries,
-                               .domains = domains,
-                               .one_way = one_way,
-                               .credits = credits,
-                               .settings = policy_settings(to_text(policy)),
-                               .seed = what.seed});
-            run(fleet, what);
-            print_row(std::string(credits ? "credits, " : "no credits, ") +
-                          std::string(to_text(policy)),
-                      fleet, any);
-        }
+        bench_fleet fleet({.entries = entries,
+                           .domains = domains,
+                           .one_way = one_way,
+                           .settings = policy_settings(to_text(policy)),
+                           .seed = what.seed});
+        run(fleet, what);
+        print_row(std::string(to_text(policy)), fleet, any);
     }
 }
 
@@ -251,7 +258,7 @@
         what.load = load;
         what.large_part = (load - 0.32) / load;
         what.time_limit = std::chrono::seconds(5);
-        bench_fleet fleet({.seed = what.seed});
+        bench_fleet fleet({.settings = exception, .seed = what.seed});
         offer_all(fleet, what);
         fleet.clock().run_until(fleet.clock().now() + what.length);
         print_row("load " + std::to_string(load) + ", small ones", fleet,
@@ -270,7 +277,7 @@
     for (const auto* failures : {"100", "3"})
     {
         bench_fleet fleet(
-            {.settings = std::string("[quarantine]\nfailures = ") + failures,
+            {.settings = exception + "[quarantine]\nfailures = " + failures,
              .seed = what.seed});
         fleet.clock().after(std::chrono::seconds(20),
                             [&] { fleet.set_failing(0, true); });
@@ -291,7 +298,7 @@
     std::printf("\na failure domain leaves at 40 s and returns at 80 s\n");
     what.load = 1.5;
     what.time_limit = std::chrono::seconds(10);
-    bench_fleet fleet({.seed = what.seed});
+    bench_fleet fleet({.settings = exception, .seed = what.seed});
     offer_all(fleet, what);
     const auto began = fleet.clock().now();
     auto before = fleet.counts();
@@ -330,6 +337,7 @@
                                      customers));
             asked.runs.emplace_back(50000 + at);
             asked.declared.emplace_back(50000);
+            asked.kinds.emplace_back("kind");
             fleet.submit(asked);
         }
         fleet.clock().run_until(fleet.clock().now() +
--- a/process/include/lagoonquay/process/agent_service.hpp
+++ b/process/include/lagoonquay/process/agent_service.hpp
@@ -1,9 +1,8 @@
 //! The agent beside one upstream: guards its starts and grants its slots.
 #pragma once
 
-#include "lagoonquay/connection/capacity_account.hpp"
+#include "lagoonquay/connection/agent_slots.hpp"
 #include "lagoonquay/connection/grant_pacing.hpp"
-#include "lagoonquay/connection/slot_grants.hpp"
 #include "lagoonquay/connection/upstream.hpp"
 #include "lagoonquay/process/sharded_map.hpp"
 #include "lagoonquay/request/start_guard.hpp"
@@ -134,6 +133,9 @@
     void reply(link_number link, const dispatch_message& it,
                const task_result& result, std::uint64_t credits_total,
                duration ran_for = {});
+    void start_waiting();
+    void start_one(const waiting_start& next);
+    void decline_waiting();
     //! @return the link's total if its credit came back, or zero.
     std::uint64_t free_slot(link_number link, const resources& need);
     void send_grant(const link_grant& totals, bool only_if_due);
@@ -152,8 +154,7 @@
     standing standing_;
 
     mutable std::mutex grants_mutex_;
-    slot_grants grants_;
-    capacity_account capacity_;
+    agent_slots slots_;
 
     mutable std::mutex links_mutex_;
     std::map<link_number, open_link> links_;
--- a/process/include/lagoonquay/process/agent_table.hpp
+++ b/process/include/lagoonquay/process/agent_table.hpp
@@ -95,13 +95,6 @@
     //! Sends a message to a linked agent; drops it otherwise.
     void send(const agent_id& agent, link_message message);
 
-    //! Tells agents how many tasks wait: first those with most slots
-    //! elsewhere, and only where they don't know it yet.
-    void demand(std::uint32_t wanted);
-
-    //! Tells agents that nothing waits any more.
-    void end_demand();
-
     //! @return whether some agent has a credit.
     bool any_credit() const noexcept;
 
@@ -131,10 +124,9 @@
         resources reserved;
         std::map<open_key, open_dispatch> open;
         std::uint32_t outstanding = 0; //!< includes credits just taken
-        std::uint32_t told = 0;
+        std::uint32_t others = 0; //!< tasks of other entries, as last heard
     };
 
-    static std::uint32_t elsewhere(const entry& it) noexcept;
     void clear(entry& it);
     void forget_unnamed(instant now);
     template <typename Change>
--- a/process/include/lagoonquay/process/dispatcher.hpp
+++ b/process/include/lagoonquay/process/dispatcher.hpp
@@ -41,6 +41,8 @@
     std::size_t lookahead = 64;
     //! A task that was passed over for this long gets an agent kept free.
     duration hold_after = std::chrono::milliseconds(250);
+    //! A job is due after this many times its expected run time alone.
+    std::uint32_t stretch = 4;
     retry_options retries;
     run_times_options runs;
 
@@ -69,8 +71,8 @@
     explicit dispatcher(dispatcher_hooks hooks,
                         dispatcher_options options = {});
 
-    //! Adds a task; call pump() after the last one.
-    void enqueue(const task_to_queue& it);
+    //! Adds the tasks of one job; call pump() afterwards.
+    void enqueue(const std::vector<task_to_queue>& job_tasks);
 
     //! Adds a task that `declined` proved not to have started, once its retry
     //! is due.
@@ -81,7 +83,7 @@
     //! Dispatches until the queue is empty or no agent has room.
     void pump();
 
-    //! Takes up retries that are due, and settles the demand.
+    //! Takes up retries that are due.
     void tick();
 
     //! Takes over what an agent says of itself.
@@ -122,7 +124,8 @@
         bool refreshed = false;
     };
 
-    queued_task to_queued(const task_to_queue& it);
+    queued_task to_queued(const task_to_queue& it, instant now);
+    void set_start_by(std::vector<queued_task>& job_tasks, instant now);
     bool run_pass();
     step dispatch_one(const queued_task& next, pass& state);
     std::optional<std::size_t> choose(const queued_task& next,
@@ -134,7 +137,6 @@
     void drop_hold(const task_key& key);
     void learn(const agent_id& agent, const open_dispatch& ended,
                const result_message& result);
-    void tell_demand();
 
     const dispatcher_hooks hooks_;
     const dispatcher_options options_;
@@ -148,7 +150,6 @@
     std::optional<hold> hold_;
     std::atomic<std::uint64_t> credit_epoch_{0};
     std::atomic<std::uint64_t> dispatched_{0};
-    std::atomic<std::size_t> demanded_{0};
 };
 
 } // namespace lagoonquay
--- a/process/include/lagoonquay/process/task_queue.hpp
+++ b/process/include/lagoonquay/process/task_queue.hpp
@@ -28,8 +28,8 @@
     std::string kind;
     route_request asked;
     duration expected_run{};
-    instant deadline{};
-    instant since{}; //!< when it was first queued
+    instant start_by{}; //!< order within the customer
+    instant since{};    //!< when it was first queued
 
     friend bool operator==(const queued_task&, const queued_task&) = default;
 };
@@ -51,8 +51,7 @@
 };
 
 //! Weighted fair queueing between customers, charged by expected run time.
-//! Within a customer the earliest deadline goes first, and of equal deadlines
-//! the longest task. Thread-safe.
+//! Within a customer the task that must start first goes first. Thread-safe.
 class task_queue
 {
 public:
@@ -107,6 +106,7 @@
     std::optional<queued_task> take_first(shard& from);
     void insert(shard& target, line& into, queued_task it);
     void remember_least(shard& target) noexcept;
+    virtual_time burst_start(std::uint32_t weight) const noexcept;
     static virtual_time cost(const queued_task& it,
                              std::uint32_t weight) noexcept;
 
--- a/process/src/agent_service.cpp
+++ b/process/src/agent_service.cpp
@@ -36,7 +36,7 @@
 } // namespace
 
 agent_service::agent_service(agent_options options, agent_hooks hooks)
-    : options_(std::move(options)), hooks_(std::move(hooks)), grants_(0)
+    : options_(std::move(options)), hooks_(std::move(hooks))
 {
     for (auto& it : guards_)
         it = std::make_unique<guard_shard>(
@@ -55,7 +55,7 @@
     }
     {
         const std::lock_guard lock(grants_mutex_);
-        grants_.open(number);
+        slots_.open(number);
     }
     link->start({[this, number](const std::vector<link_message>& it)
                  { on_messages(number, it); },
@@ -63,7 +63,7 @@
                  {
                      on_close(number);
                  }});
-    send_grant({number, 0, 0}, false);
+    send_grant({number, 0}, false);
     send_changed_grants();
 }
 
@@ -77,8 +77,7 @@
     {
         const std::lock_guard lock(grants_mutex_);
         const auto others = running_of_others(it, options_.run);
-        grants_.resize(it.slots - std::min(it.slots, others));
-        capacity_.resize(it.capacity);
+        slots_.resize(it.slots - std::min(it.slots, others), it.capacity);
     }
     send_changed_grants();
 }
@@ -107,12 +106,13 @@
         standing_.draining = true;
     }
     send_all_grants();
+    decline_waiting();
 }
 
 std::uint32_t agent_service::running() const
 {
     const std::lock_guard lock(grants_mutex_);
-    return grants_.running();
+    return slots_.running();
 }
 
 member agent_service::self() const
@@ -188,11 +188,6 @@
             on_dispatch(link, *dispatch);
         if (const auto* cancel = std::get_if<cancel_message>(&it))
             on_cancel(link, *cancel);
-        if (const auto* demand = std::get_if<demand_message>(&it))
-        {
-            const std::lock_guard lock(grants_mutex_);
-            grants_.demand(link, demand->wanted, demand->returned_total);
-        }
     }
     send_changed_grants();
 }
@@ -205,31 +200,43 @@
     }
     {
         const std::lock_guard lock(grants_mutex_);
-        grants_.close(link);
+        slots_.close(link);
     }
     send_changed_grants();
 }
 
-// The slot is taken first and the permit is read last, so that as little as
-// possible lies between the permit check and the upstream call.
 void agent_service::on_dispatch(link_number link, const dispatch_message& it)
 {
-    bool has_slot = false;
-    bool has_room = false;
-    std::uint64_t credits = 0;
+    bool accepted = false;
     {
         const std::lock_guard lock(grants_mutex_);
-        has_slot = grants_.start(link, it.wanted);
-        has_room = has_slot && capacity_.reserve(it.work->need);
-        if (has_slot && !has_room)
-            credits = grants_.finish_for(link).value_or(0);
+        accepted = slots_.accept(link, it);
     }
-    if (!has_slot)
-        return decline(link, it, failure_reason::not_startable,
-                       "no credit for a slot");
-    if (!has_room)
-        return decline(link, it, failure_reason::not_startable,
-                       "the worker has no room for the need", credits);
+    if (!accepted)
+        return decline(link, it, failure_reason::not_startable, "no credit", 0);
+    start_waiting();
+}
+
+void agent_service::start_waiting()
+{
+    for (;;)
+    {
+        std::optional<waiting_start> next;
+        {
+            const std::lock_guard lock(grants_mutex_);
+            next = slots_.next();
+        }
+        if (!next)
+            return;
+        start_one(*next);
+    }
+}
+
+// The slot is taken first and the permit is read last, so that as little as
+// possible lies between the permit check and the upstream call.
+void agent_service::start_one(const waiting_start& next)
+{
+    const auto& it = next.message;
     const auto upstream = permitted_upstream();
     auto verdict = start_verdict::fenced;
     if (upstream)
@@ -239,12 +246,33 @@
         verdict = shard.guard.try_start(it, hooks_.now());
     }
     if (upstream && verdict == start_verdict::start)
-        return run(link, it, *upstream);
-    credits = free_slot(link, it.work->need);
+        return run(next.link, it, *upstream);
+    const auto credits = free_slot(next.link, it.work->need);
     if (!upstream)
-        return decline(link, it, failure_reason::no_permit,
+        return decline(next.link, it, failure_reason::no_permit,
                        "no permit to start", credits);
-    decline(link, it, failure_reason::not_startable, explain(verdict), credits);
+    decline(next.link, it, failure_reason::not_startable, explain(verdict),
+            credits);
+}
+
+// What waits goes back as "not run", so that its entry moves it at once.
+void agent_service::decline_waiting()
+{
+    std::vector<waiting_start> waiting;
+    {
+        const std::lock_guard lock(grants_mutex_);
+        waiting = slots_.take_waiting();
+    }
+    for (const auto& it : waiting)
+    {
+        std::uint64_t credits = 0;
+        {
+            const std::lock_guard lock(grants_mutex_);
+            credits = slots_.drop(it.link);
+        }
+        decline(it.link, it.message, failure_reason::draining,
+                "the agent is draining", credits);
+    }
 }
 
 void agent_service::on_cancel(link_number link, const cancel_message& it)
@@ -264,7 +292,7 @@
                               .ran = effect::not_run,
                               .body = {},
                               .detail = "cancelled before its start"});
-    send(link, result_message{it.submission, it.key, result, 0, {}});
+    send(link, result_message{it.submission, it.key, result, 0, 0, {}});
 }
 
 void agent_service::run(link_number link, const dispatch_message& it,
@@ -290,6 +318,7 @@
     ++finished_;
     reply(link, it, result, free_slot(link, it.work->need),
           hooks_.now() - started);
+    start_waiting();
     send_changed_grants();
 }
 
@@ -322,15 +351,19 @@
                           const task_result& result,
                           std::uint64_t credits_total, duration ran_for)
 {
-    send(link,
-         result_message{it.submission, it.key, result, credits_total, ran_for});
+    std::uint32_t busy = 0;
+    {
+        const std::lock_guard lock(grants_mutex_);
+        busy = slots_.busy();
+    }
+    send(link, result_message{it.submission, it.key, result, credits_total,
+                              busy, ran_for});
 }
 
 std::uint64_t agent_service::free_slot(link_number link, const resources& need)
 {
     const std::lock_guard lock(grants_mutex_);
-    capacity_.release(need);
-    return grants_.finish_for(link).value_or(0);
+    return slots_.finish(link, need);
 }
 
 void agent_service::send(link_number link, link_message message)
@@ -351,7 +384,7 @@
     std::vector<link_grant> changed;
     {
         const std::lock_guard lock(grants_mutex_);
-        changed = grants_.rebalance();
+        changed = slots_.refill();
     }
     for (const auto& it : changed)
         send_grant(it, false);
@@ -370,7 +403,7 @@
         link_grant totals;
         {
             const std::lock_guard lock(grants_mutex_);
-            totals = grants_.totals(it);
+            totals = slots_.total(it);
         }
         send_grant(totals, true);
     }
@@ -401,7 +434,6 @@
     grant.agent_run = options_.run;
     grant.agent_time = hooks_.now();
     grant.credits_total = totals.credits_total;
-    grant.recalled_total = totals.recalled_total;
     grant.accepting = accepting(standing_);
     if (standing_.upstream)
     {
--- a/process/src/agent_table.cpp
+++ b/process/src/agent_table.cpp
@@ -11,29 +11,6 @@
 namespace
 {
 
-//! A message and the link it goes out on, once no lock is held.
-struct outgoing
-{
-    std::shared_ptr<message_link> link;
-    demand_message message;
-};
-
-void send_all(const std::vector<outgoing>& messages)
-{
-    for (const auto& it : messages)
-        it.link->send(it.message);
-}
-
-//! Slots of one agent that this entry neither uses nor holds.
-struct other_slots
-{
-    agent_id agent;
-    std::uint32_t slots = 0;
-};
-
-// Twice what waits is asked for, since some of those asked have nothing idle.
-constexpr std::uint32_t asked_per_waiting = 2;
-
 //! An agent that control has not named for this long is forgotten.
 constexpr duration forget_after = std::chrono::seconds(30);
 
@@ -145,26 +122,16 @@
 void agent_table::update(const agent_id& agent, const grant_message& grant,
                          instant now)
 {
-    std::vector<outgoing> replies;
     agents_.with_shard(
         agent,
         [&](auto& values)
         {
             auto& it = values[agent];
-            change_credits(it,
-                           [&] {
-                               it.credits.update(grant.credits_total,
-                                                 grant.recalled_total);
-                           });
+            change_credits(it, [&] { it.credits.update(grant.credits_total); });
             it.last = grant;
             it.heard = now;
             it.health.set_accepting(grant.accepting, now);
-            if (!it.link || !it.credits.give_back())
-                return;
-            it.told = 0;
-            replies.push_back({it.link, {0, it.credits.returned_total()}});
         });
-    send_all(replies);
 }
 
 std::vector<route_candidate> agent_table::candidates(instant now)
@@ -185,7 +152,7 @@
                     continue;
                 found.push_back({id, it.about->domain,
                                  std::min(credits, most - it.outstanding),
-                                 it.outstanding, it.last->slots,
+                                 it.outstanding, it.others, it.last->slots,
                                  it.last->capacity,
                                  subtract(it.last->capacity, it.reserved)});
             }
@@ -297,7 +264,6 @@
                  {
                      if (it == nullptr || it->link != credit.link)
                          return;
-                     it->told = message.wanted;
                      it->reserved = add(it->reserved, about.need);
                      it->open.emplace(
                          open_key{{message.submission, message.key.index},
@@ -318,8 +284,8 @@
         {
             if (it == nullptr)
                 return std::nullopt;
-            change_credits(*it, [&]
-                           { it->credits.update(result.credits_total, 0); });
+            change_credits(*it,
+                           [&] { it->credits.update(result.credits_total); });
             const auto found = it->open.find(key);
             if (found == it->open.end())
                 return std::nullopt;
@@ -328,6 +294,8 @@
             it->reserved = subtract(it->reserved, ended.need);
             if (it->outstanding > 0)
                 --it->outstanding;
+            const auto own = it->outstanding;
+            it->others = result.busy > own ? result.busy - own : 0;
             return ended;
         });
 }
@@ -366,63 +334,6 @@
         link->send(std::move(message));
 }
 
-// An agent whose slots are all in use here, or held here, can give nothing.
-void agent_table::demand(std::uint32_t wanted)
-{
-    std::vector<other_slots> others;
-    agents_.for_each_shard(
-        [&](auto& values)
-        {
-            for (const auto& [id, it] : values)
-            {
-                const auto slots = elsewhere(it);
-                if (slots > 0)
-                    others.push_back({id, slots});
-            }
-        });
-    std::sort(others.begin(), others.end(),
-              [](const auto& left, const auto& right)
-              { return left.slots > right.slots; });
-    std::uint32_t asking = wanted * asked_per_waiting;
-    const auto share = others.empty() ? 0 : asking / others.size() + 1;
-    std::vector<outgoing> messages;
-    for (const auto& other : others)
-    {
-        if (asking == 0)
-            break;
-        const auto part =
-            std::min({static_cast<std::uint32_t>(share), other.slots, asking});
-        asking -= part;
-        agents_.with(other.agent,
-                     [&](entry* it)
-                     {
-                         if (it == nullptr || !it->link || it->told >= part)
-                             return;
-                         it->told = part;
-                         messages.push_back(
-                             {it->link, {part, it->credits.returned_total()}});
-                     });
-    }
-    send_all(messages);
-}
-
-void agent_table::end_demand()
-{
-    std::vector<outgoing> messages;
-    agents_.for_each_shard(
-        [&](auto& values)
-        {
-            for (auto& [id, it] : values)
-            {
-                if (!it.link || it.told == 0)
-                    continue;
-                it.told = 0;
-                messages.push_back({it.link, {0, it.credits.returned_total()}});
-            }
-        });
-    send_all(messages);
-}
-
 bool agent_table::any_credit() const noexcept
 {
     return credits_ > 0;
@@ -445,14 +356,6 @@
     return agents_.size();
 }
 
-std::uint32_t agent_table::elsewhere(const entry& it) noexcept
-{
-    if (!it.link || !it.last || !it.last->accepting)
-        return 0;
-    const auto here = it.outstanding + it.credits.available();
-    return it.last->slots > here ? it.last->slots - here : 0;
-}
-
 // The health stays: a worker is not cured by a new link.
 void agent_table::clear(entry& it)
 {
@@ -463,7 +366,7 @@
     it.reserved = {};
     it.open.clear();
     it.outstanding = 0;
-    it.told = 0;
+    it.others = 0;
 }
 
 agent_health_options agent_table::health_options() const
--- a/process/src/dispatcher.cpp
+++ b/process/src/dispatcher.cpp
@@ -29,21 +29,30 @@
 {
 }
 
-void dispatcher::enqueue(const task_to_queue& it)
+void dispatcher::enqueue(const std::vector<task_to_queue>& job_tasks)
 {
-    queue_.push(to_queued(it));
+    const auto now = hooks_.now();
+    std::vector<queued_task> tasks;
+    tasks.reserve(job_tasks.size());
+    for (const auto& it : job_tasks)
+        tasks.push_back(to_queued(it, now));
+    set_start_by(tasks, now);
+    for (auto& it : tasks)
+        queue_.push(std::move(it));
 }
 
 void dispatcher::enqueue_again(const task_to_queue& it,
                                const agent_id& declined, std::uint32_t moves)
 {
     const auto delay = retries_.spend(it.customer, moves);
-    auto queued = to_queued(it);
-    queued.asked.avoid = declined;
+    const auto now = hooks_.now();
+    std::vector<queued_task> queued{to_queued(it, now)};
+    set_start_by(queued, now);
+    queued.front().asked.avoid = declined;
     if (delay == duration::zero())
-        return queue_.push(std::move(queued));
+        return queue_.push(std::move(queued.front()));
     const std::lock_guard lock(delayed_mutex_);
-    delayed_.emplace(hooks_.now() + delay, std::move(queued));
+    delayed_.emplace(now + delay, std::move(queued.front()));
 }
 
 // Several threads may pump at once. A credit that arrives during a pass raises
@@ -57,10 +66,8 @@
             return;
         const bool emptied = agents_.any_credit() && run_pass();
         if (emptied || epoch == credit_epoch_.load())
-            break;
+            return;
     }
-    if (queue_.size() > demanded_)
-        tell_demand();
 }
 
 void dispatcher::tick()
@@ -77,7 +84,6 @@
     for (auto& it : due)
         queue_.push(std::move(it));
     pump();
-    tell_demand();
 }
 
 void dispatcher::update(const agent_id& agent, const grant_message& grant,
@@ -120,15 +126,36 @@
     return dispatched_;
 }
 
-queued_task dispatcher::to_queued(const task_to_queue& it)
+queued_task dispatcher::to_queued(const task_to_queue& it, instant now)
 {
     return {.customer = it.customer,
             .key = it.key,
             .kind = it.kind,
             .asked = {.need = it.need, .avoid = {}},
             .expected_run = runs_.expect(it.kind, it.declared_run),
-            .deadline = it.deadline,
-            .since = hooks_.now()};
+            .start_by = it.deadline,
+            .since = now};
+}
+
+// A short job is due soon after its arrival and a long one later, so that both
+// wait in proportion to their run time; never later than the deadline. Within a
+// job the longest task must start first.
+void dispatcher::set_start_by(std::vector<queued_task>& job_tasks, instant now)
+{
+    duration longest{};
+    duration work{};
+    for (const auto& it : job_tasks)
+    {
+        longest = std::max(longest, it.expected_run);
+        work += it.expected_run;
+    }
+    const auto slots = std::max(agents_.usable_slots(), 1U);
+    const auto alone = std::max(longest, work / slots);
+    for (auto& it : job_tasks)
+    {
+        const auto due = std::min(it.start_by, now + options_.stretch * alone);
+        it.start_by = due - it.expected_run;
+    }
 }
 
 // @return whether the queue was emptied. Tasks that fit nowhere are passed over
@@ -152,8 +179,10 @@
             state.candidates = agents_.candidates(state.now);
             done = dispatch_one(*next, state);
         }
-        if (done == step::no_room || done == step::stale)
-            state.passed_over.push_back(*std::move(next));
+        if (done != step::no_room && done != step::stale)
+            continue;
+        keep_free_for(*next, state.now);
+        state.passed_over.push_back(*std::move(next));
     }
     emptied = emptied && state.passed_over.empty();
     for (auto& it : state.passed_over)
@@ -163,7 +192,6 @@
             drop_hold(it.key);
             continue;
         }
-        keep_free_for(it, state.now);
         queue_.unpop(std::move(it));
     }
     return emptied;
@@ -219,8 +247,6 @@
     --chosen.credits;
     ++chosen.outstanding;
     chosen.free = subtract(chosen.free, next.asked.need);
-    const auto waiting = static_cast<std::uint32_t>(queue_.size());
-    message.wanted = chosen.credits > 0 ? 0 : std::min(waiting, chosen.slots);
     agents_.begin(credit, message, {next.customer, next.kind, next.asked.need});
     retries_.earn(next.customer);
     drop_hold(next.key);
@@ -272,14 +298,4 @@
         agents_.observe(agent, false, hooks_.now());
 }
 
-void dispatcher::tell_demand()
-{
-    const auto waiting = queue_.size();
-    const auto before = demanded_.exchange(waiting);
-    if (waiting > 0)
-        agents_.demand(static_cast<std::uint32_t>(waiting));
-    else if (before > 0)
-        agents_.end_demand();
-}
-
 } // namespace lagoonquay
--- a/process/src/entry_service.cpp
+++ b/process/src/entry_service.cpp
@@ -423,8 +423,7 @@
                        tasks.push_back(describe_task(run.submitted(), index,
                                                      (*it)->deadline));
                });
-    for (const auto& it : tasks)
-        dispatcher_.enqueue(it);
+    dispatcher_.enqueue(tasks);
 }
 
 // Also hands the answer of a forwarded job to its waiters.
--- a/process/src/task_queue.cpp
+++ b/process/src/task_queue.cpp
@@ -14,8 +14,15 @@
 constexpr std::uint64_t weight_scale = 1000;
 constexpr std::size_t most_idle_lines = 1024;
 constexpr duration least_charge = std::chrono::milliseconds(1);
+//! Work that an idle customer may have done ahead of others.
+constexpr duration burst_work = std::chrono::seconds(10);
 constexpr auto none_waits = std::numeric_limits<std::uint64_t>::max();
 
+std::uint64_t cost_of(duration work, std::uint32_t weight) noexcept
+{
+    return static_cast<std::uint64_t>(work.count()) * weight_scale / weight;
+}
+
 } // namespace
 
 task_queue::task_queue(weight_hook weight) : weight_(std::move(weight))
@@ -24,15 +31,17 @@
         it.least = none_waits;
 }
 
-// A customer that was idle starts at the present virtual time: it neither saves
-// up turns nor pays for what it used long ago.
+// A customer that was idle gets a burst of its work ahead of those that wait
+// all the time, so that a wide job of a small customer isn't paced by its
+// share. It saves up no more than that, and doesn't pay for what it used long
+// ago.
 void task_queue::push(queued_task it)
 {
     auto& target = shard_of(it.customer);
     const std::lock_guard lock(target.mutex);
     auto& into = open_line(target, it.customer);
     if (into.tasks.empty())
-        into.start = std::max(into.start, now_.load());
+        into.start = std::max(into.start, burst_start(into.weight));
     insert(target, into, std::move(it));
 }
 
@@ -93,8 +102,8 @@
 bool task_queue::more_urgent::operator()(
     const queued_task& left, const queued_task& right) const noexcept
 {
-    return std::tie(left.deadline, right.expected_run, left.key) <
-           std::tie(right.deadline, left.expected_run, right.key);
+    return std::tie(left.start_by, left.key) <
+           std::tie(right.start_by, right.key);
 }
 
 task_queue::shard& task_queue::shard_of(const customer_id& customer)
@@ -182,11 +191,17 @@
         target.turns.empty() ? none_waits : target.turns.begin()->start;
 }
 
+task_queue::virtual_time
+task_queue::burst_start(std::uint32_t weight) const noexcept
+{
+    const auto now = now_.load();
+    return now - std::min(now, cost_of(burst_work, weight));
+}
+
 task_queue::virtual_time task_queue::cost(const queued_task& it,
                                           std::uint32_t weight) noexcept
 {
-    const auto charge = std::max(it.expected_run, least_charge);
-    return static_cast<virtual_time>(charge.count()) * weight_scale / weight;
+    return cost_of(std::max(it.expected_run, least_charge), weight);
 }
 
 } // namespace lagoonquay
--- /dev/null
+++ b/process/tests/dispatcher_test.cpp
@@ -0,0 +1,210 @@
+#include "lagoonquay/process/dispatcher.hpp"
+
+#include "fake_link.hpp"
+
+#include <gtest/gtest.h>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr resources worker{8000, 1000, 0};
+constexpr duration second = std::chrono::seconds(1);
+
+//! An entry's dispatcher with fake agents.
+class dispatcher_bench
+{
+public:
+    explicit dispatcher_bench(int agents)
+        : tasks({.now = [this] { return now; },
+                 .route = make_route(route_policy::slot_credits, draw_zero),
+                 .weight = [](const customer_id&) { return 1U; },
+                 .draw = draw_zero,
+                 .waiting = [this](const task_key& key)
+                 { return gone.count(key) == 0; },
+                 .begin =
+                     [this](const task_key& key, const agent_id& agent,
+                            const taken_credit&)
+                 {
+                     return begin(key, agent);
+                 }})
+    {
+        for (int n = 1; n <= agents; ++n)
+        {
+            const agent_id id("a" + std::to_string(n));
+            links.push_back(std::make_shared<fake_link>());
+            tasks.agents().learn(
+                {member({.id = id.text(), .domain = domain_id(id.text())})},
+                now);
+            tasks.agents().open(id, links.back());
+            grant(n, 2, true);
+        }
+        now += 10 * second;
+    }
+
+    void grant(int agent, std::uint64_t credits, bool accepting)
+    {
+        grant_message it;
+        it.agent = agent_id("a" + std::to_string(agent));
+        it.credits_total = credits;
+        it.slots = 2;
+        it.capacity = worker;
+        it.accepting = accepting;
+        tasks.update(it.agent, it, now);
+    }
+
+    void add(std::uint64_t index, const resources& need = {})
+    {
+        tasks.enqueue({describe(index, need)});
+        tasks.pump();
+    }
+
+    static task_to_queue describe(std::uint64_t index,
+                                  const resources& need = {})
+    {
+        return {.customer = customer_id("c"),
+                .key = {submission_id("s"), task_index(index)},
+                .kind = "kind",
+                .need = need,
+                .declared_run = second,
+                .deadline = instant(1000 * second)};
+    }
+
+    //! Ends the newest dispatch of an agent.
+    void end(int agent, failure_reason reason, std::uint64_t credits)
+    {
+        const auto sent =
+            std::get<dispatch_message>(links[agent - 1]->sent.back());
+        result_message it{sent.submission, sent.key, {}, credits, 0, second};
+        it.result = task_result(
+            {.index = sent.key.index, .reason = reason, .ran = effect::ran});
+        tasks.finish(agent_id("a" + std::to_string(agent)), it);
+        tasks.pump();
+    }
+
+    std::size_t sent_to(int agent) const
+    {
+        return links[agent - 1]->sent.size();
+    }
+
+    instant now{100 * second};
+    std::set<task_key> gone;
+    std::vector<std::shared_ptr<fake_link>> links;
+    dispatcher tasks;
+
+private:
+    static std::uint64_t draw_zero(std::uint64_t)
+    {
+        return 0;
+    }
+
+    std::optional<dispatch_message> begin(const task_key& key,
+                                          const agent_id& agent)
+    {
+        if (gone.count(key) > 0)
+            return std::nullopt;
+        dispatch_message message;
+        message.submission = key.submission;
+        message.key = {key.index, attempt_number(++attempts_), agent, {}};
+        return message;
+    }
+
+    std::uint64_t attempts_ = 0;
+};
+
+TEST(dispatcher, a_task_that_fits_nowhere_now_holds_back_no_other)
+{
+    dispatcher_bench bench(1);
+    bench.add(0, {5000, 0, 0});
+    bench.add(1, {5000, 0, 0});
+    bench.add(2, {1000, 0, 0});
+    EXPECT_EQ(bench.sent_to(1), 2U);
+    EXPECT_EQ(bench.tasks.queued(), 1U);
+}
+
+// Small tasks would always fill the worker; the large one gets it in the end.
+TEST(dispatcher, a_large_task_does_not_starve)
+{
+    dispatcher_bench bench(1);
+    bench.add(0, {4000, 0, 0});
+    bench.add(1, {8000, 0, 0});
+    bench.add(2, {4000, 0, 0});
+    ASSERT_EQ(bench.sent_to(1), 2U);
+    bench.add(3, {4000, 0, 0});
+    bench.now += second;
+    bench.end(1, failure_reason::none, 3);
+    bench.tasks.tick();
+    ASSERT_EQ(bench.sent_to(1), 2U);
+    const auto first = std::get<dispatch_message>(bench.links[0]->sent.front());
+    bench.tasks.finish(agent_id("a1"),
+                       {first.submission, first.key, {}, 4, 0, {}});
+    bench.tasks.pump();
+    ASSERT_EQ(bench.sent_to(1), 3U);
+    const auto large = std::get<dispatch_message>(bench.links[0]->sent.back());
+    EXPECT_EQ(large.key.index, task_index(1));
+}
+
+TEST(dispatcher, a_doubled_result_frees_nothing_twice)
+{
+    dispatcher_bench bench(1);
+    bench.add(0);
+    bench.end(1, failure_reason::none, 3);
+    bench.end(1, failure_reason::none, 3);
+    bench.add(1);
+    bench.add(2);
+    bench.add(3);
+    EXPECT_EQ(bench.sent_to(1), 3U);
+    EXPECT_EQ(bench.tasks.queued(), 1U);
+}
+
+TEST(dispatcher, a_worker_that_fails_all_is_set_aside)
+{
+    dispatcher_bench bench(1);
+    for (std::uint64_t n = 0; n < 3; ++n)
+    {
+        bench.add(n);
+        bench.end(1, failure_reason::upstream_failed, 3 + n);
+    }
+    bench.add(3);
+    EXPECT_EQ(bench.sent_to(1), 3U);
+    EXPECT_EQ(bench.tasks.agents().suspects(), 1U);
+    bench.now += second;
+    bench.tasks.tick();
+    EXPECT_EQ(bench.sent_to(1), 4U);
+}
+
+TEST(dispatcher, a_declined_task_moves_at_once_and_then_waits_longer)
+{
+    dispatcher_bench bench(2);
+    bench.add(0);
+    const int declined = bench.sent_to(1) == 1 ? 1 : 2;
+    const agent_id agent("a" + std::to_string(declined));
+    bench.tasks.enqueue_again(dispatcher_bench::describe(0), agent, 1);
+    bench.tasks.pump();
+    EXPECT_EQ(bench.sent_to(3 - declined), 1U);
+    bench.tasks.enqueue_again(dispatcher_bench::describe(0), agent, 2);
+    bench.tasks.tick();
+    EXPECT_EQ(bench.sent_to(3 - declined), 1U);
+    bench.now += second;
+    bench.tasks.tick();
+    EXPECT_EQ(bench.sent_to(3 - declined), 2U);
+}
+
+TEST(dispatcher, a_task_that_is_gone_uses_no_credit)
+{
+    dispatcher_bench bench(1);
+    bench.gone.insert({submission_id("s"), task_index(0)});
+    bench.add(0);
+    bench.add(1);
+    bench.add(2);
+    EXPECT_EQ(bench.sent_to(1), 2U);
+}
+
+} // namespace
+
+} // namespace lagoonquay
--- a/process/tests/task_queue_test.cpp
+++ b/process/tests/task_queue_test.cpp
@@ -14,14 +14,14 @@
 constexpr duration run = std::chrono::milliseconds(100);
 
 queued_task task_of(const customer_id& customer, std::uint64_t n,
-                    duration expected = run, instant deadline = {})
+                    duration expected = run, instant start_by = {})
 {
     return {.customer = customer,
             .key = {submission_id(customer.text()), task_index(n)},
             .kind = {},
             .asked = {},
             .expected_run = expected,
-            .deadline = deadline,
+            .start_by = start_by,
             .since = {}};
 }
 
@@ -71,14 +71,14 @@
     EXPECT_EQ(pop_many(queue, 2)[small], 1);
 }
 
-TEST(task_queue, serves_the_earliest_deadline_then_the_longest_task)
+TEST(task_queue, serves_what_must_start_first)
 {
     auto queue = queue_with_equal_weights();
     const instant soon(std::chrono::seconds(1));
     const instant late(std::chrono::seconds(2));
     queue.push(task_of(small, 0, run, late));
     queue.push(task_of(small, 1, run, soon));
-    queue.push(task_of(small, 2, 2 * run, soon));
+    queue.push(task_of(small, 2, 2 * run, soon - run));
     EXPECT_EQ(queue.pop()->key.index, task_index(2));
     EXPECT_EQ(queue.pop()->key.index, task_index(1));
     EXPECT_EQ(queue.pop()->key.index, task_index(0));
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -28,10 +28,9 @@
 {
     agent_id agent;
     incarnation agent_run;
-    instant agent_time{};             //!< the agent's monotonic clock
-    std::uint64_t credits_total = 0;  //!< credits granted since the link opened
-    std::uint64_t recalled_total = 0; //!< credits asked back since then
-    std::uint32_t slots = 0;          //!< slots of the worker
+    instant agent_time{};            //!< the agent's monotonic clock
+    std::uint64_t credits_total = 0; //!< credits granted since the link opened
+    std::uint32_t slots = 0;         //!< slots of the worker
     resources capacity;
     bool accepting = false; //!< false without permit or upstream
 
@@ -39,25 +38,14 @@
                            const grant_message&) = default;
 };
 
-//! The entry's demand for slots.
-struct demand_message
-{
-    std::uint32_t wanted = 0;         //!< tasks that wait for a credit
-    std::uint64_t returned_total = 0; //!< unused credits given back so far
-
-    friend bool operator==(const demand_message&,
-                           const demand_message&) = default;
-};
-
 //! One task on its way to an agent; uses one credit.
 struct dispatch_message
 {
     submission_id submission;
     attempt_key key;
-    instant start_before{};   //!< on the agent's clock: the claim's end
-    duration run_limit{};     //!< the longest run that the deadline allows
-    bool repeatable = false;  //!< a later attempt may start it again
-    std::uint32_t wanted = 0; //!< credits that the entry still misses here
+    instant start_before{};  //!< on the agent's clock: the claim's end
+    duration run_limit{};    //!< the longest run that the deadline allows
+    bool repeatable = false; //!< a later attempt may start it again
     task work;
 
     friend bool operator==(const dispatch_message&,
@@ -73,7 +61,8 @@
     //! Credits granted since the link opened if the credit came back with this
     //! result; zero if it did not.
     std::uint64_t credits_total = 0;
-    duration ran_for{}; //!< at the upstream; zero if it was not called
+    std::uint32_t busy = 0; //!< tasks that run or wait at the agent
+    duration ran_for{};     //!< at the upstream; zero if it was not called
 
     friend bool operator==(const result_message&,
                            const result_message&) = default;
@@ -90,7 +79,7 @@
 };
 
 using link_message =
-    std::variant<hello_message, grant_message, demand_message, dispatch_message,
-                 result_message, cancel_message>;
+    std::variant<hello_message, grant_message, dispatch_message, result_message,
+                 cancel_message>;
 
 } // namespace lagoonquay
--- a/request/include/lagoonquay/request/routing.hpp
+++ b/request/include/lagoonquay/request/routing.hpp
@@ -30,6 +30,7 @@
     domain_id domain;
     std::uint32_t credits = 0;     //!< free credits at this entry
     std::uint32_t outstanding = 0; //!< this entry's tasks at the agent
+    std::uint32_t others = 0; //!< tasks of other entries there, as last heard
     std::uint32_t slots = 0;
     resources capacity;
     resources free; //!< capacity less the needs of this entry's tasks there
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -64,19 +64,11 @@
             {"agent_run", wide(it.agent_run.number())},
             {"agent_time_us", it.agent_time.time_since_epoch().count()},
             {"credits_total", it.credits_total},
-            {"recalled_total", it.recalled_total},
             {"slots", it.slots},
             {"capacity", resources_to_json(it.capacity)},
             {"accepting", it.accepting}};
 }
 
-json::object to_json(const demand_message& it)
-{
-    return {{"type", "demand"},
-            {"wanted", it.wanted},
-            {"returned_total", it.returned_total}};
-}
-
 json::object to_json(const dispatch_message& it)
 {
     json::object object{
@@ -84,7 +76,6 @@
         {"start_before_us", it.start_before.time_since_epoch().count()},
         {"run_limit_us", it.run_limit.count()},
         {"repeatable", it.repeatable},
-        {"wanted", it.wanted},
         {"task", task_to_json(it.work)}};
     put_key(object, it.submission, it.key);
     return object;
@@ -95,6 +86,7 @@
     json::object object{{"type", "result"},
                         {"result", result_to_json(it.result)},
                         {"credits_total", it.credits_total},
+                        {"busy", it.busy},
                         {"ran_for_us", it.ran_for.count()}};
     put_key(object, it.submission, it.key);
     return object;
@@ -120,7 +112,6 @@
     it.agent_run = incarnation(fields.wide_number("agent_run"));
     it.agent_time = get_instant(fields, "agent_time_us");
     it.credits_total = fields.number("credits_total", 0, json_exact_limit);
-    it.recalled_total = fields.number("recalled_total", 0, json_exact_limit);
     it.slots =
         static_cast<std::uint32_t>(fields.number("slots", 0, count_limit));
     it.capacity = resources_from_json(fields, "capacity");
@@ -128,15 +119,6 @@
     return it;
 }
 
-link_message read_demand(json_fields& fields)
-{
-    demand_message it;
-    it.wanted =
-        static_cast<std::uint32_t>(fields.number("wanted", 0, count_limit));
-    it.returned_total = fields.number("returned_total", 0, json_exact_limit);
-    return it;
-}
-
 link_message read_dispatch(json_fields& fields, const job_limits& limits)
 {
     dispatch_message it;
@@ -145,8 +127,6 @@
     it.start_before = get_instant(fields, "start_before_us");
     it.run_limit = duration(fields.number("run_limit_us", 0, json_exact_limit));
     it.repeatable = fields.flag_or("repeatable", false);
-    it.wanted =
-        static_cast<std::uint32_t>(fields.number("wanted", 0, count_limit));
     const auto* work = fields.member("task");
     if (work == nullptr)
     {
@@ -163,6 +143,7 @@
     it.submission = get_submission(fields, limits);
     it.key = get_key(fields, limits);
     it.credits_total = fields.number("credits_total", 0, json_exact_limit);
+    it.busy = static_cast<std::uint32_t>(fields.number("busy", 0, count_limit));
     it.ran_for = duration(fields.number("ran_for_us", 0, json_exact_limit));
     const auto* result = fields.member("result");
     if (result == nullptr)
@@ -190,8 +171,6 @@
         message = read_hello(fields, limits);
     else if (type == "grant")
         message = read_grant(fields, limits);
-    else if (type == "demand")
-        message = read_demand(fields);
     else if (type == "dispatch")
         message = read_dispatch(fields, limits);
     else if (type == "result")
--- a/request/src/routing.cpp
+++ b/request/src/routing.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <atomic>
-#include <map>
 #include <memory>
 
 namespace lagoonquay
@@ -100,65 +99,79 @@
     };
 }
 
-//! Load of one failure domain as this entry causes it.
-struct domain_load
+//! Tasks and slots of a worker or of a failure domain.
+struct known_load
 {
-    std::uint64_t outstanding = 0;
+    std::uint64_t tasks = 0;
     std::uint64_t slots = 0;
 };
 
-using domain_loads = std::map<domain_id, domain_load>;
+bool less_loaded(const known_load& left, const known_load& right) noexcept
+{
+    return left.tasks * right.slots < right.tasks * left.slots;
+}
 
-domain_loads sum_by_domain(const candidate_list& candidates)
+known_load load_of(const route_candidate& it) noexcept
 {
-    domain_loads loads;
-    for (const auto& it : candidates)
-    {
-        auto& load = loads[it.domain];
-        load.outstanding += it.outstanding;
-        load.slots += it.slots;
-    }
-    return loads;
+    return {std::uint64_t{it.outstanding} + it.others, it.slots};
+}
+
+// A task that would wait at the agent waits better in the entry's own order.
+// An agent that has none of this entry's tasks sends no news, so it is tried.
+bool is_full(const route_candidate& it) noexcept
+{
+    const auto load = load_of(it);
+    return it.outstanding > 0 && load.tasks >= load.slots;
 }
 
-bool less_loaded(const domain_load& left, const domain_load& right) noexcept
+known_load domain_load_of(const domain_id& domain,
+                          const candidate_list& candidates) noexcept
 {
-    return left.outstanding * right.slots < right.outstanding * left.slots;
+    known_load sum;
+    for (const auto& it : candidates)
+    {
+        if (it.domain != domain)
+            continue;
+        sum.tasks += it.outstanding + it.others;
+        sum.slots += it.slots;
+    }
+    return sum;
 }
 
-// Equal workers are told apart by the load of their failure domain, so that a
-// wide job spreads evenly. The search starts at a new place each time: entries
-// that know the same workers then don't all begin with the same one.
+// Takes the least loaded worker, other entries' tasks included. Of the first
+// equals it takes the one whose failure domain has less to do, so that a wide
+// job spreads evenly. The search starts at a new place each time: entries that
+// know the same workers then don't all begin with the same one.
 position spread_least_loaded(const route_request& asked,
                              const candidate_list& candidates,
                              std::size_t first)
 {
     position best;
-    std::vector<std::size_t> equals;
+    position equal;
     for (std::size_t n = 0; n < candidates.size(); ++n)
     {
         const auto at = (first + n) % candidates.size();
         const auto& it = candidates[at];
-        if (!can_take(it, asked))
+        if (!can_take(it, asked) || is_full(it))
             continue;
-        if (best && less_loaded(candidates[*best], it))
+        if (best && less_loaded(load_of(candidates[*best]), load_of(it)))
             continue;
-        if (!best || less_loaded(it, candidates[*best]))
-            equals.clear();
-        if (equals.empty())
+        if (!best || less_loaded(load_of(it), load_of(candidates[*best])))
+        {
             best = at;
-        equals.push_back(at);
+            equal.reset();
+        }
+        else if (!equal && it.domain != candidates[*best].domain)
+        {
+            equal = at;
+        }
     }
-    if (equals.size() < 2)
+    if (!equal)
         return best;
-    const auto loads = sum_by_domain(candidates);
-    for (const auto at : equals)
-    {
-        if (less_loaded(loads.at(candidates[at].domain),
-                        loads.at(candidates[*best].domain)))
-            best = at;
-    }
-    return best;
+    const bool swap =
+        less_loaded(domain_load_of(candidates[*equal].domain, candidates),
+                    domain_load_of(candidates[*best].domain, candidates));
+    return swap ? equal : best;
 }
 
 route_hook route_slot_credits()
--- a/tests/scenarios/runner/fake_upstream.cpp
+++ b/tests/scenarios/runner/fake_upstream.cpp
@@ -44,10 +44,11 @@
          .ran = effect::ran,
          .body = fails ? std::string() : expected_body(key),
          .detail = fails ? "failed to order" : ""});
-    network_.at_node(agent_, run_length(asked.payload),
-                     [result, done] { done(result); });
+    // The task has ended before its answer arrives.
     time_.after(run_length(asked.payload),
                 [this, agent_run = asked.agent_run] { load_.end(agent_run); });
+    network_.at_node(agent_, run_length(asked.payload),
+                     [result, done] { done(result); });
 }
 
 upstream_announcement fake_upstream::announcement(std::uint32_t slots) const
