Refuse what a caller's document leaves open to two readings

Cause: a submission id went unescaped into the upstream's query and into paths; a member that stood twice in an object was taken by its last value; an answer could say "complete" and carry a reason.

Ruled out: escaping ids (every place that writes one would have to do it, and logs would show another text than the caller sent); our own parser for duplicates (Boost.JSON's event parser shows the members as they come).

Conclusion: what is taken has one reading.

--- a/request/include/lagoonquay/request/job_codec.hpp
+++ b/request/include/lagoonquay/request/job_codec.hpp
@@ -28,6 +28,12 @@
 //! @return the job, or malformed / out_of_range with the offending key.
 request_result<job> decode_job(std::string_view text, const job_limits& limits);
 
+//! Decodes a single request: a job of one task, whose members stand beside
+//! those of the job. It must say whether it is idempotent.
+//! @return the job, or malformed / out_of_range with the offending key.
+request_result<job> decode_single_request(std::string_view text,
+                                          const job_limits& limits);
+
 //! Encodes a job as decode_job reads it.
 std::string encode_job(const job& submitted);
 
--- a/request/include/lagoonquay/request/json_fields.hpp
+++ b/request/include/lagoonquay/request/json_fields.hpp
@@ -26,6 +26,10 @@
 //! @return the value, or malformed. Checks UTF-8 and json_depth_limit.
 request_result<boost::json::value> parse_json(std::string_view text);
 
+//! Parses a document from outside the fleet. @return the value, or malformed;
+//! a member that stands twice in an object is malformed too.
+request_result<boost::json::value> parse_outside_json(std::string_view text);
+
 //! Reads the members of one object. The first error sticks; later reads
 //! return defaults. Not thread-safe.
 class json_fields
@@ -36,6 +40,8 @@
 
     //! Reads a required string of at most `longest` bytes.
     std::string text(std::string_view key, std::size_t longest);
+    //! Reads a required id, which is_valid_id() must admit.
+    std::string id(std::string_view key, std::size_t longest);
     //! Reads an optional string.
     std::string text_or(std::string_view key, std::string fallback,
                         std::size_t longest);
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -32,7 +32,7 @@
 
 submission_id get_submission(json_fields& fields, const job_limits& limits)
 {
-    return submission_id(fields.text("submission", limits.id_bytes));
+    return submission_id(fields.id("submission", limits.id_bytes));
 }
 
 attempt_key get_key(json_fields& fields, const job_limits& limits)
--- a/request/src/job_codec.cpp
+++ b/request/src/job_codec.cpp
@@ -44,8 +44,6 @@
 std::vector<task_result> read_results(json_fields& fields, std::string_view key)
 {
     std::vector<task_result> results;
-    if (fields.member(key) == nullptr)
-        return results;
     const auto* source = fields.array(key);
     if (source == nullptr)
         return results;
@@ -55,35 +53,48 @@
     return results;
 }
 
-void require_id(json_fields& fields, std::string_view key, bool empty)
+//! Reads everything but the tasks.
+job_options read_job(json_fields& fields, const job_limits& limits)
 {
-    if (!empty)
-        return;
-    fields.reject(request_errc::out_of_range,
-                  "'" + std::string(key) + "' must not be empty");
+    job_options options;
+    options.submission =
+        submission_id(fields.id("submission", limits.id_bytes));
+    options.customer = customer_id(fields.id("customer", limits.id_bytes));
+    options.created = wall_time(std::chrono::milliseconds(
+        fields.number("created_ms", 0, json_exact_limit)));
+    options.time_limit = std::chrono::milliseconds(fields.number_or(
+        "time_limit_ms", milliseconds_of(limits.default_time_limit), 1,
+        milliseconds_of(limits.longest_time_limit)));
+    options.idempotent = fields.flag_or("idempotent", false);
+    return options;
 }
 
 } // namespace
 
 request_result<job> decode_job(std::string_view text, const job_limits& limits)
 {
-    BOOST_OUTCOME_TRY(const auto document, parse_json(text));
+    BOOST_OUTCOME_TRY(const auto document, parse_outside_json(text));
     json_fields fields(document, "");
     fields.only({"submission", "customer", "created_ms", "time_limit_ms",
                  "idempotent", "tasks"});
-    job_options options;
-    options.submission =
-        submission_id(fields.text("submission", limits.id_bytes));
-    options.customer = customer_id(fields.text("customer", limits.id_bytes));
-    options.created = wall_time(std::chrono::milliseconds(
-        fields.number("created_ms", 0, json_exact_limit)));
-    options.time_limit = std::chrono::milliseconds(fields.number_or(
-        "time_limit_ms", milliseconds_of(limits.default_time_limit), 1,
-        milliseconds_of(limits.longest_time_limit)));
-    options.idempotent = fields.flag_or("idempotent", false);
+    auto options = read_job(fields, limits);
     options.tasks = read_tasks(fields, limits);
-    require_id(fields, "submission", options.submission.empty());
-    require_id(fields, "customer", options.customer.empty());
+    if (fields.failed())
+        return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
+    return job(std::move(options));
+}
+
+request_result<job> decode_single_request(std::string_view text,
+                                          const job_limits& limits)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse_outside_json(text));
+    json_fields fields(document, "");
+    fields.only({"submission", "customer", "created_ms", "time_limit_ms",
+                 "idempotent", "kind", "payload", "need", "declared_run_ms"});
+    auto options = read_job(fields, limits);
+    options.tasks.push_back(read_task(fields, limits));
+    if (fields.member("idempotent") == nullptr)
+        fields.reject(request_errc::malformed, "'idempotent' is missing");
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
     return job(std::move(options));
@@ -137,9 +148,20 @@
         submission_id(fields.text("submission", limits.id_bytes));
     options.ran = effect_from_json(fields, "ran");
     options.reason = reason_from_json(fields, "reason");
-    options.detail = fields.text_or("detail", "", detail_bytes);
-    options.results = read_results(fields, "results");
-    options.failures = read_results(fields, "failures");
+    if (options.reason != failure_reason::none)
+        options.detail = fields.text("detail", detail_bytes);
+    const auto status = fields.text("status", limits.id_bytes);
+    const bool complete = options.reason == failure_reason::none;
+    if (status != (complete ? "complete" : "failed"))
+        fields.reject(request_errc::malformed,
+                      "'status' and 'reason' contradict each other");
+    if (complete)
+        options.results = read_results(fields, "results");
+    else
+        options.failures = read_results(fields, "failures");
+    if (fields.member(complete ? "failures" : "results") != nullptr)
+        fields.reject(request_errc::malformed,
+                      "an answer has results or failures");
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
     return job_answer(std::move(options));
--- a/request/src/json_fields.cpp
+++ b/request/src/json_fields.cpp
@@ -1,5 +1,8 @@
 #include "lagoonquay/request/json_fields.hpp"
 
+#include "duplicate_members.hpp"
+#include "lagoonquay/request/text.hpp"
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
@@ -30,6 +33,15 @@
     return parsed;
 }
 
+request_result<json::value> parse_outside_json(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(auto parsed, parse_json(text));
+    if (const auto twice = find_duplicate_member(text))
+        return fail(request_errc::malformed,
+                    "'" + *twice + "' stands twice in an object");
+    return parsed;
+}
+
 json_fields::json_fields(const json::value& source, std::string where)
     : object_(source.if_object()), where_(std::move(where))
 {
@@ -58,6 +70,16 @@
     return std::string(found->data(), found->size());
 }
 
+std::string json_fields::id(std::string_view key, std::size_t longest)
+{
+    auto found = text(key, longest);
+    if (!failed() && !is_valid_id(found))
+        reject(request_errc::out_of_range,
+               quoted(key) + " must be letters, digits, '.', '_', ':' or '-' "
+                             "and begin with a letter or a digit");
+    return found;
+}
+
 std::string json_fields::text_or(std::string_view key, std::string fallback,
                                  std::size_t longest)
 {
--- a/request/src/task_json.cpp
+++ b/request/src/task_json.cpp
@@ -80,13 +80,19 @@
 {
     json_fields fields(source, where);
     fields.only({"kind", "payload", "need", "declared_run_ms"});
+    auto work = read_task(fields, limits);
+    parent.absorb(fields);
+    return work;
+}
+
+task read_task(json_fields& fields, const job_limits& limits)
+{
     task_options options;
     options.kind = fields.text("kind", limits.id_bytes);
     options.payload = fields.text_or("payload", "", limits.payload_bytes);
     options.need = resources_from_json(fields, "need");
     options.declared_run = std::chrono::milliseconds(
         fields.number_or("declared_run_ms", 0, 0, run_limit_ms));
-    parent.absorb(fields);
     return task(std::move(options));
 }
 
@@ -124,8 +130,14 @@
     options.index = task_index(fields.number("index", 0, json_exact_limit));
     options.ran = effect_from_json(fields, "ran");
     options.reason = reason_from_json(fields, "reason");
-    options.body = fields.text_or("body", "", body_limit_bytes);
-    options.detail = fields.text_or("detail", "", detail_bytes);
+    const bool success = options.reason == failure_reason::none;
+    if (success)
+        options.body = fields.text("body", body_limit_bytes);
+    else
+        options.detail = fields.text("detail", detail_bytes);
+    if (fields.member(success ? "detail" : "body") != nullptr)
+        fields.reject(request_errc::malformed,
+                      "a result has a body or a reason with its detail");
     parent.absorb(fields);
     return task_result(std::move(options));
 }
--- a/request/src/task_json.hpp
+++ b/request/src/task_json.hpp
@@ -20,6 +20,9 @@
 task task_from_json(const boost::json::value& source, const std::string& where,
                     const job_limits& limits, json_fields& parent);
 
+//! Reads the members of a task from an object that may hold others.
+task read_task(json_fields& fields, const job_limits& limits);
+
 //! @return the JSON object of resources.
 boost::json::object resources_to_json(const resources& amounts);
 
