Bound and answer all input at a listener, and stop without cutting

Cause: a connection over the limit was dropped without an answer; a wrong method on a known path was 404; a response to a body that was not read could be lost by a reset; nothing told when every response was written; an upstream's answer that is not UTF-8 or is larger than a result may be broke the link that carried the results of other jobs; an agent that stopped could lose a dispatch that was on its way.

Ruled out: a fixed sleep before the exit (too short under load, wasted otherwise); a ping over each link before the agent leaves (another thread of the entry may have taken a credit already and send after the pong).

Change: a table of routes with 404 and 405; 503 over the connection limit; a rejected request is read to its end after the response; requests in progress and unsent messages are counted; frames are cut at 2 MiB of text; an answer that is cut, too large or not UTF-8 is a failed task. slot_grants::drain() recalls every credit, and drained() is true only once none is out: then no dispatch can be on its way.

Proof: http_server_test sends the bytes over loopback; slot_grants_test drains with credits out.

--- a/connection/include/lagoonquay/connection/http_message.hpp
+++ b/connection/include/lagoonquay/connection/http_message.hpp
@@ -1,7 +1,9 @@
 //! HTTP requests and responses as values.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -53,6 +55,9 @@
     http_status status = http_status::ok;
     std::string body;
     std::string content_type = "application/json";
+    //! Seconds after which a caller may try again (Retry-After).
+    std::optional<std::uint32_t> retry_after_s;
+    std::string allow; //!< methods that the path takes (Allow)
 
     friend bool operator==(const http_response&,
                            const http_response&) = default;
--- a/connection/include/lagoonquay/connection/http_server.hpp
+++ b/connection/include/lagoonquay/connection/http_server.hpp
@@ -1,4 +1,6 @@
 //! HTTP listener with limits on all input, and WebSocket links on one path.
+//! A connection over the limit gets a response with status 503 and is closed;
+//! one that is idle, or whose request does not arrive in time, is closed.
 #pragma once
 
 #include "lagoonquay/connection/endpoint.hpp"
@@ -55,12 +57,16 @@
     //! @return the port in use, also where the options asked for port 0.
     std::uint16_t port() const noexcept;
 
-    //! Accepts no more; requests in progress are answered.
+    //! Accepts no more connections; requests in progress are answered and
+    //! open connections go on.
     void stop_accepting();
 
     //! @return open connections, links included.
     std::size_t open_connections() const noexcept;
 
+    //! @return requests whose response is not written yet.
+    std::size_t requests_in_progress() const noexcept;
+
 private:
     struct state;
     explicit http_server(std::shared_ptr<state> shared) noexcept;
--- a/connection/include/lagoonquay/connection/message_link.hpp
+++ b/connection/include/lagoonquay/connection/message_link.hpp
@@ -5,6 +5,7 @@
 #include "lagoonquay/request/dispatch.hpp"
 #include "lagoonquay/request/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -51,13 +52,19 @@
     //! Begins to read; messages before this wait in the socket.
     virtual void start(link_hooks hooks) = 0;
 
-    //! Queues a message; all that is queued goes out as one frame.
+    //! Queues a message; what is queued goes out in as few frames as fit.
     virtual void send(link_message message) = 0;
 
     //! Closes the link; on_close follows.
     virtual void close() = 0;
 
     virtual link_counts counts() const noexcept = 0;
+
+    //! @return messages queued or being written.
+    virtual std::size_t unsent() const noexcept
+    {
+        return 0;
+    }
 };
 
 //! Called once with an open link, or with the error.
--- a/connection/include/lagoonquay/connection/slot_grants.hpp
+++ b/connection/include/lagoonquay/connection/slot_grants.hpp
@@ -35,6 +35,13 @@
     //! Changes the number of slots; credits already granted stay valid.
     void resize(std::uint32_t slots) noexcept;
 
+    //! Grants no more, and recalls every credit with each rebalance().
+    void drain() noexcept;
+
+    //! @return whether it drains, nothing runs and no credit is out: then no
+    //! link can send a dispatch any more.
+    bool drained() const noexcept;
+
     void open(link_number link);
     //! Forgets the link; its unused credits are free again.
     void close(link_number link);
@@ -84,10 +91,12 @@
     account* most_starved() noexcept;
     account* fewest_credits() noexcept;
     void grant_free();
+    void recall_all();
     void recall_idle();
 
     std::uint32_t slots_;
     std::uint32_t running_ = 0;
+    bool draining_ = false;
     std::map<link_number, account> accounts_;
 };
 
--- a/connection/include/lagoonquay/connection/upstream.hpp
+++ b/connection/include/lagoonquay/connection/upstream.hpp
@@ -63,8 +63,9 @@
 
 class http_client;
 
-//! @return a hook that posts the payload to the upstream's /v1/tasks.
-//! The client must outlive the hook.
+//! @return a hook that posts the payload to the upstream's /v1/tasks. An
+//! answer that is not valid UTF-8, is cut or is over the client's limit is a
+//! failed task. The client must outlive the hook.
 upstream_hook call_over_http(http_client& client);
 
 } // namespace lagoonquay
--- a/connection/src/http_server.cpp
+++ b/connection/src/http_server.cpp
@@ -26,6 +26,7 @@
     std::uint16_t port = 0;
     const std::shared_ptr<std::atomic<std::size_t>> open =
         std::make_shared<std::atomic<std::size_t>>(0);
+    std::atomic<std::size_t> in_progress{0};
 };
 
 namespace
@@ -121,6 +122,14 @@
         wait_for_request();
     }
 
+    //! Tells the peer that the connection is over the limit, and closes.
+    void refuse()
+    {
+        ++server_->in_progress;
+        reject(http_status::unavailable, "too_many_connections",
+               "the connection limit is reached; nothing was run");
+    }
+
 private:
     // The idle timeout runs until the first byte, the read timeout from it.
     void wait_for_request()
@@ -153,6 +162,7 @@
 
     void on_read(error_code ec)
     {
+        ++server_->in_progress;
         if (ec == http::error::body_limit)
             return reject(http_status::payload_too_large, "too_large",
                           "the body is over the limit");
@@ -162,7 +172,10 @@
         if (ec == http::error::end_of_stream || ec == beast::error::timeout ||
             ec == http::error::partial_message ||
             ec == net::error::connection_reset)
+        {
+            --server_->in_progress;
             return close();
+        }
         if (ec)
             return reject(http_status::bad_request, "malformed",
                           "not an HTTP request: " + ec.message());
@@ -204,6 +217,7 @@
         const message_link_options options;
         socket_.emplace(std::move(stream_));
         websocket_link::prepare(*socket_, options);
+        --server_->in_progress;
         socket_->async_accept(
             parser_->get(),
             [self = this->shared_from_this(), options](error_code ec)
@@ -228,6 +242,11 @@
         response_.version(11);
         response_.result(static_cast<unsigned>(answer.status));
         response_.set(http::field::content_type, answer.content_type);
+        if (answer.retry_after_s)
+            response_.set(http::field::retry_after,
+                          std::to_string(*answer.retry_after_s));
+        if (!answer.allow.empty())
+            response_.set(http::field::allow, answer.allow);
         response_.keep_alive(keep_alive_);
         response_.body() = std::move(answer.body);
         response_.prepare_payload();
@@ -236,12 +255,37 @@
             stream_, response_,
             [self = this->shared_from_this()](error_code ec, std::size_t)
             {
-                if (ec || !self->keep_alive_)
+                --self->server_->in_progress;
+                if (ec)
                     return self->close();
+                if (!self->keep_alive_)
+                    return self->finish_sending();
                 self->wait_for_request();
             });
     }
 
+    // A socket that is closed with unread input is reset, and the peer may
+    // lose the response: so the input is read to its end, up to the timeout.
+    void finish_sending()
+    {
+        error_code ec;
+        stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+        buffer_.consume(buffer_.size());
+        discard();
+    }
+
+    void discard()
+    {
+        stream_.async_read_some(
+            buffer_.prepare(server_->options.header_bytes),
+            [self = this->shared_from_this()](error_code ec, std::size_t)
+            {
+                if (ec)
+                    return self->close();
+                self->discard();
+            });
+    }
+
     void close()
     {
         error_code ec;
@@ -258,6 +302,23 @@
     bool keep_alive_ = false;
 };
 
+// The connection limit leaves as many places again for refusals on their way.
+template <typename State>
+void begin_session(const std::shared_ptr<State>& server,
+                   const std::shared_ptr<std::atomic<std::size_t>>& count,
+                   tcp::socket socket)
+{
+    const auto limit = server->options.connections;
+    const std::size_t open = *count;
+    if (open >= 2 * limit)
+        return;
+    const auto session = std::make_shared<http_session<State>>(
+        std::move(socket), server, std::make_shared<connection_place>(count));
+    if (open < limit)
+        return session->run();
+    session->refuse();
+}
+
 template <typename State>
 void accept_next(const std::shared_ptr<State>& server,
                  std::shared_ptr<std::atomic<std::size_t>> count)
@@ -269,14 +330,8 @@
             if (ec == net::error::operation_aborted ||
                 !server->acceptor.is_open())
                 return;
-            const bool room = *count < server->options.connections;
-            if (!ec && room)
-            {
-                const auto place = std::make_shared<connection_place>(count);
-                const auto session = std::make_shared<http_session<State>>(
-                    std::move(socket), server, place);
-                session->run();
-            }
+            if (!ec)
+                begin_session(server, count, std::move(socket));
             accept_next(server, count);
         });
 }
@@ -347,4 +402,9 @@
     return *state_->open;
 }
 
+std::size_t http_server::requests_in_progress() const noexcept
+{
+    return state_->in_progress;
+}
+
 } // namespace lagoonquay
--- a/connection/src/slot_grants.cpp
+++ b/connection/src/slot_grants.cpp
@@ -14,6 +14,19 @@
     slots_ = slots;
 }
 
+void slot_grants::drain() noexcept
+{
+    draining_ = true;
+}
+
+bool slot_grants::drained() const noexcept
+{
+    std::uint64_t held = running_;
+    for (const auto& [link, it] : accounts_)
+        held += outstanding(it);
+    return draining_ && held == 0;
+}
+
 void slot_grants::open(link_number link)
 {
     accounts_.emplace(link, account());
@@ -61,7 +74,7 @@
 {
     finish();
     const auto it = accounts_.find(link);
-    if (it == accounts_.end() || free_slots() == 0)
+    if (draining_ || it == accounts_.end() || free_slots() == 0)
         return std::nullopt;
     auto& target = it->second;
     const auto* starved = most_starved();
@@ -77,8 +90,15 @@
 
 std::vector<link_grant> slot_grants::rebalance()
 {
-    grant_free();
-    recall_idle();
+    if (draining_)
+    {
+        recall_all();
+    }
+    else
+    {
+        grant_free();
+        recall_idle();
+    }
     std::vector<link_grant> changed;
     for (auto& [link, it] : accounts_)
     {
@@ -181,6 +201,18 @@
     }
 }
 
+// An entry gives back what is idle when it hears of a recall, and may free a
+// credit later; so the recall is repeated for as long as credits are out.
+void slot_grants::recall_all()
+{
+    for (auto& [link, it] : accounts_)
+    {
+        const auto held = outstanding(it);
+        it.recalled += held;
+        it.changed = it.changed || held > 0;
+    }
+}
+
 // Recalls only credits that exceed the holder's own demand, and no more than
 // the others miss. A link with an open recall is not asked again.
 void slot_grants::recall_idle()
--- a/connection/src/upstream.cpp
+++ b/connection/src/upstream.cpp
@@ -2,6 +2,7 @@
 
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/request/json_fields.hpp"
+#include "lagoonquay/request/text.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -35,7 +36,8 @@
                         .detail = std::move(detail)});
 }
 
-// A refused connection proves that nothing ran. A lost one proves nothing.
+// A refused connection proves that nothing ran. A lost one proves nothing. An
+// answer that is too large proves that the task ran.
 task_result broken_result(task_index index,
                           const layer_error<connection_errc>& error)
 {
@@ -45,8 +47,10 @@
     if (error.code == connection_errc::timeout)
         return failed_result(index, failure_reason::deadline, effect::unknown,
                              error.detail);
-    return failed_result(index, failure_reason::upstream_failed,
-                         effect::unknown, error.detail);
+    const auto ran = error.code == connection_errc::too_large ? effect::ran
+                                                              : effect::unknown;
+    return failed_result(index, failure_reason::upstream_failed, ran,
+                         error.detail);
 }
 
 task_result to_result(task_index index, connection_result<http_response> answer)
@@ -57,7 +61,11 @@
     if (response.status != http_status::ok)
         return failed_result(index, failure_reason::upstream_failed,
                              effect::ran,
-                             response.body.substr(0, detail_bytes));
+                             to_valid_utf8(response.body, detail_bytes));
+    if (!is_valid_utf8(response.body))
+        return failed_result(index, failure_reason::upstream_failed,
+                             effect::ran,
+                             "the upstream's answer is not valid UTF-8");
     return task_result({.index = index,
                         .reason = failure_reason::none,
                         .ran = effect::ran,
@@ -96,7 +104,7 @@
 
 request_result<upstream_announcement> decode_announcement(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(const auto document, parse_json(text));
+    BOOST_OUTCOME_TRY(const auto document, parse_outside_json(text));
     json_fields fields(document, "");
     fields.only({"address", "slots", "processors_milli", "memory_mb",
                  "accelerators", "leaving", "running", "agent_run",
--- a/connection/src/websocket_link.cpp
+++ b/connection/src/websocket_link.cpp
@@ -2,9 +2,49 @@
 
 #include "lagoonquay/request/dispatch_codec.hpp"
 
+#include <algorithm>
+#include <variant>
+
 namespace lagoonquay
 {
 
+namespace
+{
+
+// A frame stays well below the peer's limit, also when its text is escaped:
+// JSON writes one byte as six at the worst.
+constexpr std::size_t batch_bytes = 2UL * 1024 * 1024;
+
+//! @return roughly the text that a message carries.
+std::size_t weight_of(const link_message& message)
+{
+    if (const auto* it = std::get_if<dispatch_message>(&message))
+        return it->work->payload.size();
+    if (const auto* it = std::get_if<result_message>(&message))
+        return it->result->body.size() + it->result->detail.size();
+    return 0;
+}
+
+//! Takes the oldest messages that fit into one frame; at least one.
+std::vector<link_message> take_batch(std::vector<link_message>& pending)
+{
+    std::size_t bytes = 0;
+    auto end = pending.begin();
+    while (end != pending.end())
+    {
+        bytes += weight_of(*end);
+        if (bytes > batch_bytes && end != pending.begin())
+            break;
+        ++end;
+    }
+    std::vector<link_message> batch(std::make_move_iterator(pending.begin()),
+                                    std::make_move_iterator(end));
+    pending.erase(pending.begin(), end);
+    return batch;
+}
+
+} // namespace
+
 websocket_link::websocket_link(stream opened, message_link_options options)
     : stream_(std::move(opened)), in_(options.frame_bytes)
 {
@@ -35,11 +75,15 @@
 
 void websocket_link::send(link_message message)
 {
+    ++unsent_;
     net::post(stream_.get_executor(),
               [self = shared_from_this(), m = std::move(message)]() mutable
               {
                   if (self->ended_)
+                  {
+                      --self->unsent_;
                       return;
+                  }
                   self->pending_.push_back(std::move(m));
                   if (!self->writing_)
                       self->write();
@@ -61,6 +105,11 @@
     return {frames_sent_, messages_sent_, messages_received_};
 }
 
+std::size_t websocket_link::unsent() const noexcept
+{
+    return unsent_;
+}
+
 void websocket_link::read()
 {
     stream_.async_read(in_,
@@ -91,10 +140,11 @@
 void websocket_link::write()
 {
     writing_ = true;
-    out_ = encode_frame(pending_);
-    messages_sent_ += pending_.size();
+    const auto batch = take_batch(pending_);
+    in_frame_ = batch.size();
+    out_ = encode_frame(batch);
+    messages_sent_ += batch.size();
     ++frames_sent_;
-    pending_.clear();
     stream_.text(true);
     stream_.async_write(net::buffer(out_),
                         [self = shared_from_this()](error_code ec, std::size_t)
@@ -104,6 +154,8 @@
 void websocket_link::on_write(error_code ec)
 {
     writing_ = false;
+    unsent_ -= in_frame_;
+    in_frame_ = 0;
     if (ec)
         return end();
     if (!pending_.empty())
@@ -115,6 +167,8 @@
     if (ended_)
         return;
     ended_ = true;
+    unsent_ -= pending_.size();
+    pending_.clear();
     beast::get_lowest_layer(stream_).close();
     auto hooks = std::move(hooks_);
     hooks_ = {};
--- a/connection/src/websocket_link.hpp
+++ b/connection/src/websocket_link.hpp
@@ -27,6 +27,7 @@
     void send(link_message message) override;
     void close() override;
     link_counts counts() const noexcept override;
+    std::size_t unsent() const noexcept override;
 
 private:
     void read();
@@ -40,9 +41,11 @@
     beast::flat_buffer in_;
     std::vector<link_message> pending_;
     std::string out_;
+    std::size_t in_frame_ = 0; //!< messages in the frame being written
     bool writing_ = false;
     bool ended_ = false;
     bool started_ = false;
+    std::atomic<std::size_t> unsent_{0};
     std::atomic<std::uint64_t> frames_sent_{0};
     std::atomic<std::uint64_t> messages_sent_{0};
     std::atomic<std::uint64_t> messages_received_{0};
--- /dev/null
+++ b/connection/tests/http_server_test.cpp
@@ -0,0 +1,271 @@
+#include "lagoonquay/connection/http_server.hpp"
+
+#include "lagoonquay/connection/http_client.hpp"
+#include "lagoonquay/connection/http_routes.hpp"
+#include "lagoonquay/connection/upstream.hpp"
+#include "raw_connection.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <future>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+//! Runs an I/O context on one thread.
+class io_thread
+{
+public:
+    io_thread() : guard_(io_.get_executor()), thread_([this] { io_.run(); })
+    {
+    }
+    ~io_thread()
+    {
+        io_.stop();
+        thread_.join();
+    }
+    io_thread(const io_thread&) = delete;
+    io_thread& operator=(const io_thread&) = delete;
+
+    boost::asio::io_context& io()
+    {
+        return io_;
+    }
+
+private:
+    boost::asio::io_context io_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        guard_;
+    std::thread thread_;
+};
+
+//! Echoes the body of POST /echo.
+http_handler echo_routes()
+{
+    const auto echo = [](const http_request& request, std::string_view rest,
+                         const http_responder& respond)
+    {
+        respond({.body = request.body + std::string(rest)});
+    };
+    return route_requests({{http_method::post, "/echo", echo},
+                           {http_method::get, "/echo/", echo}});
+}
+
+//! @return options that `set` has changed.
+template <typename Set>
+http_server_options limited(Set set)
+{
+    http_server_options options;
+    set(options);
+    return options;
+}
+
+class http_server_test : public testing::Test
+{
+protected:
+    http_server start(http_server_options options, http_handler handler)
+    {
+        options.listen = {"127.0.0.1", 0};
+        auto server = http_server::listen(thread_.io(), std::move(options),
+                                          std::move(handler));
+        EXPECT_TRUE(server);
+        return std::move(server).value();
+    }
+
+    http_server start(http_server_options options)
+    {
+        return start(std::move(options), echo_routes());
+    }
+
+    //! @return all that the server answers to these bytes.
+    static std::string answer(const http_server& server,
+                              const std::string& bytes)
+    {
+        const raw_connection peer(server.port());
+        peer.send(bytes);
+        peer.finish_sending();
+        return peer.read_to_end();
+    }
+
+    //! @return the result of a task whose upstream sends these bytes.
+    task_result call_upstream(const std::string& body)
+    {
+        const auto server =
+            start({}, [&](const http_request&, const http_responder& respond)
+                  { respond({.body = body}); });
+        return call({"127.0.0.1", server.port()});
+    }
+
+    task_result call(const endpoint& target)
+    {
+        constexpr std::size_t limit = 1000;
+        http_client client(thread_.io(), {.response_bytes = limit});
+        std::promise<task_result> done;
+        upstream_call asked;
+        asked.address = target;
+        asked.submission = submission_id("s");
+        asked.run_limit = std::chrono::minutes(1);
+        call_over_http(client)(asked, [&](const task_result& it)
+                               { done.set_value(it); });
+        return done.get_future().get();
+    }
+
+    io_thread thread_;
+};
+
+const std::string post = "POST /echo HTTP/1.1\r\nHost: h\r\n";
+const std::string post_hello = post + "Content-Length: 5\r\n\r\nhello";
+
+bool has_status(const std::string& answer, const std::string& code)
+{
+    return answer.starts_with("HTTP/1.1 " + code);
+}
+
+TEST_F(http_server_test, serves_pipelined_requests_in_order)
+{
+    const auto server = start({});
+    const auto all =
+        answer(server, post_hello + post + "Content-Length: 2\r\n\r\nhi" +
+                           "GET /echo/last HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto first = all.find("hello");
+    const auto second = all.find("hi", first);
+    EXPECT_NE(first, std::string::npos);
+    EXPECT_NE(second, std::string::npos);
+    EXPECT_NE(all.find("last", second), std::string::npos);
+}
+
+TEST_F(http_server_test, answers_what_it_does_not_serve)
+{
+    const auto server = start({});
+    const std::string end = " HTTP/1.1\r\nHost: h\r\n\r\n";
+    EXPECT_TRUE(has_status(answer(server, "GET /none" + end), "404"));
+    EXPECT_TRUE(has_status(answer(server, "POST /echo/" + end), "404"));
+    const auto wrong_method = answer(server, "GET /echo" + end);
+    EXPECT_TRUE(has_status(wrong_method, "405"));
+    EXPECT_NE(wrong_method.find("Allow: POST"), std::string::npos);
+    EXPECT_TRUE(has_status(answer(server, "PATCH /echo" + end), "405"));
+}
+
+TEST_F(http_server_test, refuses_a_body_over_the_limit)
+{
+    const auto server = start(limited([](auto& it) { it.body_bytes = 4; }));
+    EXPECT_TRUE(has_status(answer(server, post_hello), "413"));
+    const auto chunked =
+        post + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    EXPECT_TRUE(has_status(answer(server, chunked), "413"));
+}
+
+TEST_F(http_server_test, refuses_a_header_over_the_limit)
+{
+    const auto server = start(limited(
+        [](auto& it)
+        {
+            it.body_bytes = 100;
+            it.header_bytes = 200;
+        }));
+    const auto long_header = post + "X: " + std::string(5000, 'x') + "\r\n\r\n";
+    EXPECT_TRUE(has_status(answer(server, long_header), "400"));
+    EXPECT_TRUE(has_status(answer(server, post_hello), "200"));
+}
+
+TEST_F(http_server_test, closes_or_refuses_what_is_no_request)
+{
+    const auto server = start({});
+    const std::string bad_starts[] = {
+        "",
+        std::string(1000, '\0'),
+        "\x16\x03\x01\x02 hello",
+        "GET\r\n\r\n",
+        post + "Content-Length: -1\r\n\r\n",
+        post + "Content-Length: 99999999999999999999\r\n\r\n",
+        post + "Content-Length: 10\r\n\r\ncut",
+        post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"};
+    for (const auto& it : bad_starts)
+    {
+        const auto answered = answer(server, it);
+        EXPECT_TRUE(answered.empty() || has_status(answered, "4")) << answered;
+    }
+    EXPECT_TRUE(has_status(answer(server, post_hello), "200"));
+    EXPECT_EQ(server.requests_in_progress(), 0U);
+}
+
+TEST_F(http_server_test, closes_idle_and_slow_connections)
+{
+    const auto server = start(limited(
+        [](auto& it)
+        {
+            it.idle_timeout = std::chrono::milliseconds(20);
+            it.read_timeout = std::chrono::milliseconds(20);
+        }));
+    const raw_connection idle(server.port());
+    EXPECT_EQ(idle.read_to_end(), "");
+    const raw_connection slow(server.port());
+    slow.send("POST /echo HT");
+    EXPECT_EQ(slow.read_to_end(), "");
+    const raw_connection cut(server.port());
+    cut.send(post + "Content-Length: 5\r\n\r\nhe");
+    EXPECT_EQ(cut.read_to_end(), "");
+}
+
+TEST_F(http_server_test, refuses_a_connection_over_the_limit)
+{
+    const auto server = start(limited([](auto& it) { it.connections = 1; }));
+    const raw_connection first(server.port());
+    first.send(post_hello);
+    EXPECT_TRUE(has_status(first.read_until("hello"), "200"));
+    const raw_connection second(server.port());
+    second.finish_sending();
+    EXPECT_TRUE(has_status(second.read_to_end(), "503"));
+    first.send(post_hello);
+    EXPECT_TRUE(has_status(first.read_until("hello"), "200"));
+}
+
+TEST_F(http_server_test, needs_the_bearer_token)
+{
+    const auto server = start(limited([](auto& it) { it.bearer = "secret"; }));
+    EXPECT_TRUE(has_status(answer(server, post_hello), "401"));
+    const std::string body = "Content-Length: 0\r\n\r\n";
+    const auto with = [&](const std::string& token)
+    {
+        return post + "Authorization: Bearer " + token + "\r\n" + body;
+    };
+    EXPECT_TRUE(has_status(answer(server, with("secreT")), "401"));
+    EXPECT_TRUE(has_status(answer(server, with("secret2")), "401"));
+    EXPECT_TRUE(has_status(answer(server, with("secret")), "200"));
+}
+
+TEST_F(http_server_test, counts_a_request_until_its_response_is_written)
+{
+    std::promise<http_responder> held;
+    const auto server =
+        start({}, [&](const http_request&, const http_responder& respond)
+              { held.set_value(respond); });
+    const raw_connection peer(server.port());
+    peer.send(post_hello);
+    const auto respond = held.get_future().get();
+    EXPECT_EQ(server.requests_in_progress(), 1U);
+    respond({.body = "done"});
+    peer.finish_sending();
+    EXPECT_NE(peer.read_to_end().find("done"), std::string::npos);
+    EXPECT_EQ(server.requests_in_progress(), 0U);
+}
+
+TEST_F(http_server_test, fails_a_task_whose_answer_can_not_be_delivered)
+{
+    EXPECT_TRUE(succeeded(call_upstream("fine")));
+    const auto large = call_upstream(std::string(1001, 'x'));
+    EXPECT_EQ(large->reason, failure_reason::upstream_failed);
+    EXPECT_EQ(large->ran, effect::ran);
+    const auto binary = call_upstream("\xff\xfe");
+    EXPECT_EQ(binary->reason, failure_reason::upstream_failed);
+    EXPECT_EQ(binary->ran, effect::ran);
+    EXPECT_EQ(binary->detail, "the upstream's answer is not valid UTF-8");
+}
+
+} // namespace
+
+} // namespace lagoonquay
--- a/connection/tests/slot_grants_test.cpp
+++ b/connection/tests/slot_grants_test.cpp
@@ -336,6 +336,30 @@
     EXPECT_TRUE(account.reserve({500, 100, 1}));
 }
 
+TEST(slot_grants, is_drained_once_no_link_can_dispatch)
+{
+    slot_grants grants(4);
+    grants.open(first);
+    grants.open(second);
+    grants.rebalance();
+    EXPECT_TRUE(grants.start(first));
+    EXPECT_FALSE(grants.drained());
+    grants.drain();
+    const auto recalled = grants.rebalance();
+    ASSERT_EQ(recalled.size(), 2U);
+    EXPECT_EQ(recalled[0].recalled_total, 1U);
+    EXPECT_EQ(recalled[1].recalled_total, 2U);
+    grants.demand(first, 5, 1);
+    grants.finish();
+    EXPECT_FALSE(grants.drained());
+    EXPECT_TRUE(grants.start(second));
+    grants.finish();
+    EXPECT_FALSE(grants.drained());
+    grants.close(second);
+    EXPECT_TRUE(grants.drained());
+    EXPECT_TRUE(grants.rebalance().empty());
+}
+
 } // namespace
 
 } // namespace lagoonquay
