Give each process limits, metrics, one main and a stop without a sleep

Ruled out: quantiles from accumulators per shard (they can't be merged without error); counts per bucket are exact, and count, sum and longest come from Boost.Accumulators.

--- a/process/include/lagoonquay/process/agent_http.hpp
+++ b/process/include/lagoonquay/process/agent_http.hpp
@@ -7,11 +7,14 @@
 {
 
 class agent_service;
+class latency_statistics;
 
 //! @return the routes for the upstream. The service must outlive the handler.
 http_handler upstream_routes(agent_service& service);
 
-//! @return the routes for operators. The service must outlive the handler.
-http_handler agent_operator_routes(agent_service& service);
+//! @return the routes for operators; `calls` counts the upstream's run times.
+//! Both must outlive the handler.
+http_handler agent_operator_routes(agent_service& service,
+                                   const latency_statistics& calls);
 
 } // namespace lagoonquay
--- a/process/include/lagoonquay/process/agent_service.hpp
+++ b/process/include/lagoonquay/process/agent_service.hpp
@@ -78,6 +78,10 @@
     //! Takes no more work. Running tasks end by themselves.
     void drain();
 
+    //! @return whether a drain is over: nothing runs, every result is written,
+    //! and no dispatch can be on its way.
+    bool drained() const;
+
     //! @return tasks that run now.
     std::uint32_t running() const;
 
@@ -134,6 +138,7 @@
     grant_message grant_for(const link_grant& totals) const;
     std::optional<endpoint> permitted_upstream() const;
     bool accepting(const standing& it) const;
+    std::size_t unsent() const;
     guard_shard& shard_of(const submission_id& submission);
 
     const agent_options options_;
--- a/process/include/lagoonquay/process/entry_http.hpp
+++ b/process/include/lagoonquay/process/entry_http.hpp
@@ -10,16 +10,20 @@
 
 class http_client;
 class ledger_replica;
+class latency_statistics;
 
-//! @return the routes for callers. The service must outlive the handler.
-http_handler caller_routes(entry_service& service, const job_limits& limits);
+//! @return the routes for callers; `answers` counts the time from a
+//! submission to its answer. Both must outlive the handler.
+http_handler caller_routes(entry_service& service, const job_limits& limits,
+                           latency_statistics& answers);
 
 //! @return the routes for other entries. Both must outlive the handler.
 http_handler peer_routes(entry_service& service, ledger_replica& ledger,
                          const job_limits& limits);
 
-//! @return the routes for operators. The service must outlive the handler.
-http_handler entry_operator_routes(entry_service& service);
+//! @return the routes for operators. Both must outlive the handler.
+http_handler entry_operator_routes(entry_service& service,
+                                   const latency_statistics& answers);
 
 //! @return a hook that hands jobs to other entries over HTTP.
 forward_hook forward_over_http(http_client& client);
--- a/process/include/lagoonquay/process/error.hpp
+++ b/process/include/lagoonquay/process/error.hpp
@@ -24,6 +24,9 @@
     failed = 1,
     usage = 2,        //!< command line
     bad_settings = 3, //!< settings file
+    conflict = 4,     //!< another version is in force than expected
+    no_answer = 5,    //!< no answer; the change may have been made
+    unauthorized = 6, //!< bearer token
 };
 
 } // namespace lagoonquay
--- a/process/include/lagoonquay/process/io_threads.hpp
+++ b/process/include/lagoonquay/process/io_threads.hpp
@@ -35,7 +35,8 @@
     //! Runs `work` once on some thread.
     void post(std::function<void()> work);
 
-    //! Blocks until SIGTERM or SIGINT.
+    //! Blocks until SIGTERM or SIGINT. Later ones are ignored, so that an
+    //! impatient sender does not turn a graceful stop into an abrupt one.
     void wait_for_stop_signal();
 
     //! Ends the threads; pending work is dropped.
--- a/process/include/lagoonquay/process/process_settings.hpp
+++ b/process/include/lagoonquay/process/process_settings.hpp
@@ -5,15 +5,31 @@
 #include "lagoonquay/process/error.hpp"
 #include "lagoonquay/process/log.hpp"
 #include "lagoonquay/request/ids.hpp"
+#include "lagoonquay/request/job_codec.hpp"
+#include "lagoonquay/request/time.hpp"
 #include "lagoonquay/version/ini_file.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace lagoonquay
 {
 
+//! Limits on what may arrive at a listener.
+struct listener_limits
+{
+    std::size_t body_bytes = 32UL * 1024 * 1024;
+    std::uint32_t header_bytes = 8192;
+    std::size_t connections = 1024;
+    duration idle_timeout = std::chrono::seconds(60);
+    duration read_timeout = std::chrono::seconds(10);
+
+    friend bool operator==(const listener_limits&,
+                           const listener_limits&) = default;
+};
+
 //! What every program reads.
 struct process_settings
 {
@@ -24,6 +40,10 @@
     endpoint operators;            //!< listener for operators
     std::string operator_token;    //!< required bearer token
     std::vector<endpoint> control; //!< every control replica
+    listener_limits limits;        //!< of each listener
+
+    friend bool operator==(const process_settings&,
+                           const process_settings&) = default;
 };
 
 struct entry_settings
@@ -32,6 +52,16 @@
     endpoint callers;                   //!< listener for callers
     endpoint peers;                     //!< listener for other entries
     std::vector<endpoint> ledger_peers; //!< the other ledger replicas
+    job_limits jobs;
+    duration claim_lease = std::chrono::seconds(5);
+    duration claim_margin = std::chrono::milliseconds(250);
+    duration clock_skew = std::chrono::milliseconds(500);
+    duration oldest_submission = std::chrono::minutes(5);
+    duration answer_retention = std::chrono::minutes(1);
+    duration claim_retention = std::chrono::minutes(10);
+
+    friend bool operator==(const entry_settings&,
+                           const entry_settings&) = default;
 };
 
 struct agent_settings
@@ -39,6 +69,12 @@
     process_settings process;
     endpoint entries;  //!< listener for links of entries
     endpoint upstream; //!< listener for the upstream's announcements
+    std::size_t answer_bytes = 1024UL * 1024; //!< most in an upstream's answer
+    duration upstream_silence = std::chrono::seconds(2);
+    duration record_retention = std::chrono::minutes(10);
+
+    friend bool operator==(const agent_settings&,
+                           const agent_settings&) = default;
 };
 
 struct control_settings
@@ -46,6 +82,9 @@
     process_settings process;
     endpoint members; //!< listener for heartbeats and other replicas
     std::string data_folder;
+
+    friend bool operator==(const control_settings&,
+                           const control_settings&) = default;
 };
 
 //! Each reads and checks a whole file.
--- a/process/include/lagoonquay/process/program.hpp
+++ b/process/include/lagoonquay/process/program.hpp
@@ -1,10 +1,15 @@
 //! What the main functions of the programs share.
 #pragma once
 
+#include "lagoonquay/connection/endpoint.hpp"
+#include "lagoonquay/connection/http_server.hpp"
 #include "lagoonquay/process/error.hpp"
+#include "lagoonquay/process/log.hpp"
+#include "lagoonquay/process/process_settings.hpp"
 #include "lagoonquay/request/ids.hpp"
 
 #include <functional>
+#include <initializer_list>
 #include <optional>
 #include <string>
 
@@ -29,12 +34,56 @@
                                  const std::string& name,
                                  const std::string& summary);
 
+//! Prints the name and version of a program.
+void print_version(const std::string& name);
+
 //! Prints an error for a person. @return its exit code.
 exit_code report(const layer_error<process_errc>& error);
 
 //! @return a number for this run of the process, drawn at random.
 incarnation draw_incarnation();
 
+//! One program: how it reads its settings, and what it does with them.
+template <typename Settings>
+struct program_definition
+{
+    std::string name;
+    std::string summary;
+    std::function<process_result<Settings>(const std::string& path)> load;
+    std::function<process_result<void>(const Settings&)> run;
+};
+
+//! Runs a program from its command line to its end. With --check, only the
+//! settings are read. @return the code to leave with.
+template <typename Settings>
+int run_program(int argc, const char* const* argv,
+                const program_definition<Settings>& it)
+{
+    const auto parsed = parse_arguments(argc, argv, it.name, it.summary);
+    if (!parsed.arguments)
+        return static_cast<int>(parsed.code);
+    const auto settings = it.load(parsed.arguments->config);
+    if (!settings)
+        return static_cast<int>(report(settings.error()));
+    if (parsed.arguments->check_only)
+        return static_cast<int>(exit_code::ok);
+    open_log(settings.value().process.log);
+    const auto ended = it.run(settings.value());
+    return ended ? static_cast<int>(exit_code::ok)
+                 : static_cast<int>(report(ended.error()));
+}
+
+//! @return the options of one listener of a process.
+http_server_options listener_options(const process_settings& settings,
+                                     const endpoint& listen);
+
+//! @return the options of a process's listener for operators.
+http_server_options operator_listener_options(const process_settings& settings);
+
+//! @return success, or bad_listen with what kept a listener from opening.
+process_result<void> require_listening(
+    std::initializer_list<const connection_result<http_server>*> listeners);
+
 //! Blocks until `idle` returns true, looking every 20 ms.
 void wait_until(const std::function<bool()>& idle);
 
--- a/process/include/lagoonquay/process/stand_in_upstream.hpp
+++ b/process/include/lagoonquay/process/stand_in_upstream.hpp
@@ -33,6 +33,8 @@
 
     std::uint64_t started() const noexcept;
     const upstream_load& load() const noexcept;
+    //! @return tasks that were told to hang, which never get an answer.
+    std::uint64_t hung() const noexcept;
 
 private:
     void run(const http_request& request, const http_responder& respond);
@@ -41,6 +43,7 @@
     start_record_hook record_;
     std::atomic<std::uint64_t> started_{0};
     upstream_load load_;
+    std::atomic<std::uint64_t> hung_{0};
 };
 
 } // namespace lagoonquay
--- a/process/programs/control_main.cpp
+++ b/process/programs/control_main.cpp
@@ -21,19 +21,15 @@
     control_service service({.id = replica_id(settings.process.id)},
                             steady_now);
     auto members = http_server::listen(
-        io.context(), {.listen = settings.members}, member_routes(service));
-    auto operators =
-        http_server::listen(io.context(),
-                            {.listen = settings.process.operators,
-                             .bearer = settings.process.operator_token},
-                            control_operator_routes(service));
-    for (const auto* it : {&members, &operators})
-    {
-        if (!*it)
-            return fail(process_errc::bad_listen, it->error().detail);
-    }
+        io.context(), listener_options(settings.process, settings.members),
+        member_routes(service));
+    auto operators = http_server::listen(
+        io.context(), operator_listener_options(settings.process),
+        control_operator_routes(service));
+    BOOST_OUTCOME_TRY(require_listening({&members, &operators}));
     write_log(log_level::info, part, "Control replica started.");
     io.wait_for_stop_signal();
+    wait_until([&] { return operators.value().requests_in_progress() == 0; });
     write_log(log_level::info, part, "Stopped.");
     io.stop();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -46,17 +42,10 @@
 int main(int argc, char** argv)
 {
     using namespace lagoonquay;
-    const auto parsed =
-        parse_arguments(argc, argv, "lagoonquay-control",
-                        "Keeps one replica of the fleet's state.");
-    if (!parsed.arguments)
-        return static_cast<int>(parsed.code);
-    const auto settings = load_control_settings(parsed.arguments->config);
-    if (!settings)
-        return static_cast<int>(report(settings.error()));
-    if (parsed.arguments->check_only)
-        return 0;
-    open_log(settings.value().process.log);
-    const auto ended = run(settings.value());
-    return ended ? 0 : static_cast<int>(report(ended.error()));
+    return run_program<control_settings>(
+        argc, argv,
+        {.name = "lagoonquay-control",
+         .summary = "Keeps one replica of the fleet's state.",
+         .load = load_control_settings,
+         .run = run});
 }
--- a/process/programs/entry_main.cpp
+++ b/process/programs/entry_main.cpp
@@ -5,14 +5,13 @@
 #include "lagoonquay/process/entry_http.hpp"
 #include "lagoonquay/process/entry_service.hpp"
 #include "lagoonquay/process/io_threads.hpp"
+#include "lagoonquay/process/latency_statistics.hpp"
 #include "lagoonquay/process/ledger_client.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
 #include "lagoonquay/process/permit_client.hpp"
 #include "lagoonquay/process/process_settings.hpp"
 #include "lagoonquay/process/program.hpp"
 
-#include <thread>
-
 namespace lagoonquay
 {
 
@@ -66,6 +65,11 @@
     options.run = run;
     options.domain = settings.process.domain;
     options.address = to_text(settings.peers);
+    options.claim_lease = settings.claim_lease;
+    options.claim_margin = settings.claim_margin;
+    options.answer_retention = settings.answer_retention;
+    options.oldest_submission = settings.oldest_submission;
+    options.clock_skew = settings.clock_skew;
     return options;
 }
 
@@ -84,13 +88,20 @@
             }};
 }
 
-//! Stops the entry once every accepted job is answered.
-void drain(entry_service& service)
+//! Stops the entry once every accepted job is answered and every response is
+//! written.
+void drain(entry_service& service, const http_server& callers,
+           const http_server& peers)
 {
     write_log(log_level::info, part, "Stopping: no new jobs.");
     service.drain();
-    wait_until([&] { return service.unanswered() == 0; });
-    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    wait_until(
+        [&]
+        {
+            return service.unanswered() == 0 &&
+                   callers.requests_in_progress() == 0 &&
+                   peers.requests_in_progress() == 0;
+        });
     write_log(log_level::info, part, "Stopped.");
 }
 
@@ -99,7 +110,11 @@
     const auto run = draw_incarnation();
     io_threads io(settings.process.threads);
     http_client client(io.context(), {});
-    ledger_replica ledger({.memory_since = wall_now()}, steady_now);
+    ledger_replica ledger({.memory_since = wall_now(),
+                           .clock_skew = settings.clock_skew,
+                           .retention = settings.claim_retention},
+                          steady_now);
+    latency_statistics answers;
     entry_service service(
         to_options(settings, run),
         {.now = steady_now,
@@ -111,22 +126,16 @@
     permit_client permits(client, {.replicas = settings.process.control},
                           permit_hooks(service, settings, run));
 
-    const job_limits limits;
-    auto callers =
-        http_server::listen(io.context(), {.listen = settings.callers},
-                            caller_routes(service, limits));
-    auto peers = http_server::listen(io.context(), {.listen = settings.peers},
-                                     peer_routes(service, ledger, limits));
-    auto operators =
-        http_server::listen(io.context(),
-                            {.listen = settings.process.operators,
-                             .bearer = settings.process.operator_token},
-                            entry_operator_routes(service));
-    for (const auto* it : {&callers, &peers, &operators})
-    {
-        if (!*it)
-            return fail(process_errc::bad_listen, it->error().detail);
-    }
+    auto callers = http_server::listen(
+        io.context(), listener_options(settings.process, settings.callers),
+        caller_routes(service, settings.jobs, answers));
+    auto peers = http_server::listen(
+        io.context(), listener_options(settings.process, settings.peers),
+        peer_routes(service, ledger, settings.jobs));
+    auto operators = http_server::listen(
+        io.context(), operator_listener_options(settings.process),
+        entry_operator_routes(service, answers));
+    BOOST_OUTCOME_TRY(require_listening({&callers, &peers, &operators}));
     permits.tick();
     io.every(heartbeat_period, [&] { permits.tick(); });
     io.every(link_period, [&] { link_agents(service, io); });
@@ -134,7 +143,7 @@
     io.every(std::chrono::seconds(1), [&] { ledger.expire(); });
     write_log(log_level::info, part, "Entry started.");
     io.wait_for_stop_signal();
-    drain(service);
+    drain(service, callers.value(), peers.value());
     io.stop();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -146,16 +155,10 @@
 int main(int argc, char** argv)
 {
     using namespace lagoonquay;
-    const auto parsed = parse_arguments(argc, argv, "lagoonquay-entry",
-                                        "Takes jobs and answers them.");
-    if (!parsed.arguments)
-        return static_cast<int>(parsed.code);
-    const auto settings = load_entry_settings(parsed.arguments->config);
-    if (!settings)
-        return static_cast<int>(report(settings.error()));
-    if (parsed.arguments->check_only)
-        return 0;
-    open_log(settings.value().process.log);
-    const auto ended = run(settings.value());
-    return ended ? 0 : static_cast<int>(report(ended.error()));
+    return run_program<entry_settings>(
+        argc, argv,
+        {.name = "lagoonquay-entry",
+         .summary = "Takes jobs and answers them.",
+         .load = load_entry_settings,
+         .run = run});
 }
--- a/process/programs/upstream_main.cpp
+++ b/process/programs/upstream_main.cpp
@@ -7,8 +7,11 @@
 #include "lagoonquay/process/program.hpp"
 #include "lagoonquay/process/stand_in_upstream.hpp"
 
+#include <atomic>
 #include <cxxopts.hpp>
 #include <fstream>
+#include <functional>
+#include <future>
 #include <iostream>
 #include <mutex>
 
@@ -79,7 +82,8 @@
 }
 
 void announce(http_client& client, const endpoint& agent,
-              const upstream_announcement& it)
+              const upstream_announcement& it,
+              const std::function<void()>& done)
 {
     const http_request request{.method = http_method::post,
                                .path = "/v1/announce",
@@ -87,7 +91,11 @@
                                .body = encode_announcement(it),
                                .bearer = {}};
     client.send(agent, request, announce_timeout,
-                [](const connection_result<http_response>&) {});
+                [done](const connection_result<http_response>&)
+                {
+                    if (done)
+                        done();
+                });
 }
 
 exit_code run(const cxxopts::ParseResult& parsed)
@@ -114,18 +122,24 @@
         return exit_code::failed;
     }
     const auto about = to_announcement(parsed, listen.value());
-    announce(client, agent.value(), about);
-    const auto announce_load = [&](bool leaving)
+    std::atomic<bool> leaving{false};
+    const auto repeat = [&](const std::function<void()>& done)
     {
-        auto now = about;
-        now.leaving = leaving;
-        upstream.load().describe(now);
-        announce(client, agent.value(), now);
+        auto current = about;
+        current.leaving = leaving;
+        upstream.load().describe(current);
+        announce(client, agent.value(), current, done);
     };
-    io.every(announce_period, [&] { announce_load(false); });
+    repeat({});
+    io.every(announce_period, [&] { repeat({}); });
     io.wait_for_stop_signal();
-    announce_load(true);
-    wait_until([&] { return upstream.load().running() == 0; });
+    leaving = true;
+    std::promise<void> told;
+    repeat([&] { told.set_value(); });
+    told.get_future().wait();
+    wait_until(
+        [&]
+        { return server.value().requests_in_progress() <= upstream.hung(); });
     io.stop();
     return exit_code::ok;
 }
--- a/process/src/agent_service.cpp
+++ b/process/src/agent_service.cpp
@@ -96,6 +96,7 @@
         const std::lock_guard lock(it->mutex);
         it->guard.expire(now);
     }
+    send_changed_grants();
     send_all_grants();
 }
 
@@ -105,15 +106,41 @@
         const std::lock_guard lock(standing_mutex_);
         standing_.draining = true;
     }
+    {
+        const std::lock_guard lock(grants_mutex_);
+        grants_.drain();
+        grants_.rebalance();
+    }
     send_all_grants();
 }
 
+// A credit that is out may stand for a dispatch on its way; it is awaited, so
+// that the dispatch is declined as not run rather than lost with the link.
+bool agent_service::drained() const
+{
+    {
+        const std::lock_guard lock(grants_mutex_);
+        if (!grants_.drained())
+            return false;
+    }
+    return finished_ == started_ && unsent() == 0;
+}
+
 std::uint32_t agent_service::running() const
 {
     const std::lock_guard lock(grants_mutex_);
     return grants_.running();
 }
 
+std::size_t agent_service::unsent() const
+{
+    const std::lock_guard lock(links_mutex_);
+    std::size_t n = 0;
+    for (const auto& [number, it] : links_)
+        n += it.link->unsent();
+    return n;
+}
+
 member agent_service::self() const
 {
     const std::lock_guard lock(standing_mutex_);
@@ -284,8 +311,8 @@
         const std::lock_guard lock(grants_mutex_);
         grants_.finish();
     }
-    ++finished_;
     reply(link, it, result);
+    ++finished_;
     send_changed_grants();
 }
 
--- a/process/src/control_http.cpp
+++ b/process/src/control_http.cpp
@@ -1,6 +1,9 @@
 #include "lagoonquay/process/control_http.hpp"
 
+#include "lagoonquay/connection/http_routes.hpp"
 #include "lagoonquay/process/control_service.hpp"
+#include "lagoonquay/process/operator_codec.hpp"
+#include "lagoonquay/process/operator_http.hpp"
 #include "lagoonquay/version/version_codec.hpp"
 
 namespace lagoonquay
@@ -9,11 +12,6 @@
 namespace
 {
 
-http_response not_found()
-{
-    return error_response(http_status::not_found, "not_found", "no such path");
-}
-
 http_response heartbeat_response(control_service& service,
                                  const std::string& body)
 {
@@ -46,31 +44,54 @@
                     { respond(outcome_response(outcome)); });
 }
 
+process_metrics metrics_of(control_service& service)
+{
+    const auto view = service.view();
+    process_metrics metrics;
+    metrics.samples = {
+        {"lagoonquay_fleet_version", "Version of the fleet's state.",
+         metric_kind::gauge, view->version.number()},
+        {"lagoonquay_domains_out", "Failure domains out of service.",
+         metric_kind::gauge, view->out_domains.size()},
+        {"lagoonquay_members", "Entries and agents heard of lately.",
+         metric_kind::gauge, service.members().size()}};
+    return metrics;
+}
+
 } // namespace
 
 http_handler member_routes(control_service& service)
 {
-    return
-        [&service](const http_request& request, const http_responder& respond)
+    const auto heartbeat = [&service](const http_request& request,
+                                      std::string_view,
+                                      const http_responder& respond)
     {
-        if (request.path == "/v1/heartbeat")
-            return respond(heartbeat_response(service, request.body));
-        respond(not_found());
+        respond(heartbeat_response(service, request.body));
     };
+    return route_requests({{http_method::post, "/v1/heartbeat", heartbeat}});
 }
 
 http_handler control_operator_routes(control_service& service)
 {
-    return
-        [&service](const http_request& request, const http_responder& respond)
+    auto routes =
+        operator_routes({.dump = [&service] { return service.dump(); },
+                         .metrics =
+                             [&service]
+                         {
+                             return metrics_of(service);
+                         }});
+    const auto run = [&service](const http_request& request, std::string_view,
+                                const http_responder& respond)
+    {
+        run_command(service, request.body, respond);
+    };
+    const auto view = [&service]() -> http_response
     {
-        if (request.path == "/v1/state")
-            return respond({.body = service.dump()});
-        if (request.path == "/v1/commands" &&
-            request.method == http_method::post)
-            return run_command(service, request.body, respond);
-        respond(not_found());
+        return {.body = encode_replica_view(service.view())};
     };
+    routes.push_back({http_method::post, "/v1/commands", run});
+    routes.push_back({http_method::get, "/v1/view", answer_with(view)});
+    return route_requests(std::move(routes));
 }
 
 } // namespace lagoonquay
--- a/process/src/entry_http.cpp
+++ b/process/src/entry_http.cpp
@@ -1,9 +1,13 @@
 #include "lagoonquay/process/entry_http.hpp"
 
 #include "lagoonquay/connection/http_client.hpp"
+#include "lagoonquay/connection/http_routes.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
+#include "lagoonquay/process/operator_http.hpp"
+#include "lagoonquay/request/text.hpp"
 
+#include <atomic>
 #include <boost/json.hpp>
 
 namespace json = boost::json;
@@ -15,6 +19,7 @@
 {
 
 constexpr std::string_view jobs_path = "/v1/jobs";
+constexpr std::uint32_t retry_after_s = 1;
 
 http_response not_found()
 {
@@ -49,26 +54,94 @@
     }
 }
 
+//! @return whether the same request may succeed soon.
+bool worth_retrying(http_status status) noexcept
+{
+    return status == http_status::too_many_requests ||
+           status == http_status::unavailable;
+}
+
 http_response answer_response(const job_answer& answer)
 {
-    return {.status = status_of(answer), .body = encode_answer(answer)};
+    http_response response{.status = status_of(answer),
+                           .body = encode_answer(answer)};
+    if (worth_retrying(response.status))
+        response.retry_after_s = retry_after_s;
+    return response;
 }
 
-void submit_job(entry_service& service, const job_limits& limits,
-                const http_request& request, const http_responder& respond)
+//! Sends the first of several responses and drops the others.
+class first_response
 {
-    auto decoded = decode_job(request.body, limits);
-    if (!decoded)
-        return respond(error_response(http_status::bad_request, "malformed",
-                                      decoded.error().detail));
-    const auto submitted = std::move(decoded).value();
-    if (query_value(request.query, "wait") == "false")
+public:
+    explicit first_response(http_responder respond)
+        : respond_(std::move(respond))
     {
-        service.submit(submitted, [](const job_answer&) {});
-        return respond({.status = http_status::accepted, .body = "{}"});
     }
-    service.submit(submitted, [respond](const job_answer& answer)
-                   { respond(answer_response(answer)); });
+
+    void send(http_response response)
+    {
+        if (!sent_.exchange(true))
+            respond_(std::move(response));
+    }
+
+private:
+    http_responder respond_;
+    std::atomic<bool> sent_{false};
+};
+
+http_response accepted_response(const submission_id& id)
+{
+    const json::object body{{"submission", id.text()}, {"status", "running"}};
+    return {.status = http_status::accepted, .body = json::serialize(body)};
+}
+
+// A submission that is refused at once is answered as refused, also where the
+// caller does not wait.
+void submit_and_poll(entry_service& service, const job& submitted,
+                     const http_responder& respond)
+{
+    const auto first = std::make_shared<first_response>(respond);
+    service.submit(submitted, [first](const job_answer& answer)
+                   { first->send(answer_response(answer)); });
+    first->send(accepted_response(submitted->submission));
+}
+
+using job_decoder = request_result<job> (*)(std::string_view,
+                                            const job_limits&);
+
+// Nothing of a submission that can't be read has run.
+http_response malformed_response(const layer_error<request_errc>& error)
+{
+    const json::object body{{"error", "malformed"},
+                            {"detail", error.detail},
+                            {"ran", to_text(effect::not_run)}};
+    return {.status = http_status::bad_request, .body = json::serialize(body)};
+}
+
+//! Decodes and submits a job of either form.
+route_handler submit_route(entry_service& service, const job_limits& limits,
+                           job_decoder decode, latency_statistics* answers)
+{
+    return [&service, limits, decode, answers](const http_request& request,
+                                               std::string_view,
+                                               const http_responder& respond)
+    {
+        auto decoded = decode(request.body, limits);
+        if (!decoded)
+            return respond(malformed_response(decoded.error()));
+        const auto submitted = std::move(decoded).value();
+        if (query_value(request.query, "wait") == "false")
+            return submit_and_poll(service, submitted, respond);
+        const auto began = steady_now();
+        service.submit(submitted,
+                       [respond, began, answers](const job_answer& answer)
+                       {
+                           if (answers != nullptr)
+                               answers->add(steady_now() - began);
+                           respond(answer_response(answer));
+                       });
+    };
 }
 
 http_response show_progress(entry_service& service, const submission_id& id)
@@ -92,12 +165,61 @@
     return {.status = http_status::accepted, .body = "{}"};
 }
 
-std::optional<submission_id> job_of(const std::string& path)
+//! Calls `use` with the id at the end of the path, if it can be one.
+template <typename Use>
+route_handler with_job(entry_service& service, Use use)
+{
+    return [&service, use](const http_request&, std::string_view rest,
+                           const http_responder& respond)
+    {
+        if (!is_valid_id(rest))
+            return respond(not_found());
+        respond(use(service, submission_id(std::string(rest))));
+    };
+}
+
+http_response readiness(const entry_service& service)
 {
-    const auto prefix = std::string(jobs_path) + "/";
-    if (!path.starts_with(prefix) || path.size() == prefix.size())
-        return std::nullopt;
-    return submission_id(path.substr(prefix.size()));
+    if (service.ready())
+        return {.body = R"({"ready":true})"};
+    return {.status = http_status::unavailable,
+            .body = R"({"ready":false})",
+            .retry_after_s = retry_after_s};
+}
+
+process_metrics metrics_of(entry_service& service,
+                           const latency_statistics& answers)
+{
+    const auto n = service.counts();
+    const auto counter = metric_kind::counter;
+    const auto gauge = metric_kind::gauge;
+    process_metrics metrics;
+    metrics.samples = {
+        {"lagoonquay_jobs_accepted_total", "Jobs accepted.", counter, n.jobs},
+        {"lagoonquay_jobs_joined_total",
+         "Submissions of a job that was known already.", counter, n.joined},
+        {"lagoonquay_jobs_refused_total", "Jobs refused.", counter, n.refused},
+        {"lagoonquay_jobs_completed_total", "Jobs answered whole.", counter,
+         n.completed},
+        {"lagoonquay_jobs_failed_total", "Jobs answered as failed.", counter,
+         n.failed},
+        {"lagoonquay_dispatches_total", "Tasks sent to agents.", counter,
+         n.dispatched},
+        {"lagoonquay_requeues_total",
+         "Dispatches that an agent declined without a start.", counter,
+         n.requeued},
+        {"lagoonquay_results_dropped_total", "Late or doubled results.",
+         counter, n.dropped_results},
+        {"lagoonquay_jobs_unanswered", "Jobs in progress.", gauge,
+         service.unanswered()},
+        {"lagoonquay_ready", "1 while the entry takes jobs.", gauge,
+         service.ready() ? 1U : 0U},
+        {"lagoonquay_fleet_version", "Version of the fleet's state in use.",
+         gauge, service.view()->version.number()}};
+    metrics.latencies = {{"lagoonquay_job_seconds",
+                          "Time from a submission to its answer.",
+                          answers.summary()}};
+    return metrics;
 }
 
 http_response claim_response(ledger_replica& ledger, const std::string& body)
@@ -117,52 +239,46 @@
 
 } // namespace
 
-http_handler caller_routes(entry_service& service, const job_limits& limits)
+http_handler caller_routes(entry_service& service, const job_limits& limits,
+                           latency_statistics& answers)
 {
-    return [&service, limits](const http_request& request,
-                              const http_responder& respond)
-    {
-        if (request.path == "/readyz")
-        {
-            const bool ready = service.ready();
-            return respond(
-                {.status = ready ? http_status::ok : http_status::unavailable,
-                 .body = ready ? R"({"ready":true})" : R"({"ready":false})"});
-        }
-        if (request.path == jobs_path && request.method == http_method::post)
-            return submit_job(service, limits, request, respond);
-        const auto id = job_of(request.path);
-        if (id && request.method == http_method::get)
-            return respond(show_progress(service, *id));
-        if (id && request.method == http_method::remove)
-            return respond(cancel_job(service, *id));
-        respond(not_found());
-    };
+    const std::string jobs(jobs_path);
+    return route_requests(
+        {health_route(),
+         {http_method::get, "/readyz",
+          answer_with([&service] { return readiness(service); })},
+         {http_method::post, jobs,
+          submit_route(service, limits, decode_job, &answers)},
+         {http_method::post, "/v1/requests",
+          submit_route(service, limits, decode_single_request, &answers)},
+         {http_method::get, jobs + "/", with_job(service, show_progress)},
+         {http_method::remove, jobs + "/", with_job(service, cancel_job)}});
 }
 
 http_handler peer_routes(entry_service& service, ledger_replica& ledger,
                          const job_limits& limits)
 {
-    return [&service, &ledger, limits](const http_request& request,
-                                       const http_responder& respond)
+    const auto claim = [&ledger](const http_request& request, std::string_view,
+                                 const http_responder& respond)
     {
-        if (request.path == "/v1/ledger/claim")
-            return respond(claim_response(ledger, request.body));
-        if (request.path == jobs_path)
-            return submit_job(service, limits, request, respond);
-        respond(not_found());
+        respond(claim_response(ledger, request.body));
     };
+    return route_requests(
+        {{http_method::post, "/v1/ledger/claim", claim},
+         {http_method::post, std::string(jobs_path),
+          submit_route(service, limits, decode_job, nullptr)}});
 }
 
-http_handler entry_operator_routes(entry_service& service)
+http_handler entry_operator_routes(entry_service& service,
+                                   const latency_statistics& answers)
 {
-    return
-        [&service](const http_request& request, const http_responder& respond)
-    {
-        if (request.path == "/v1/state")
-            return respond({.body = service.dump()});
-        respond(not_found());
-    };
+    return route_requests(
+        operator_routes({.dump = [&service] { return service.dump(); },
+                         .metrics =
+                             [&service, &answers]
+                         {
+                             return metrics_of(service, answers);
+                         }}));
 }
 
 forward_hook forward_over_http(http_client& client)
--- a/process/src/io_threads.cpp
+++ b/process/src/io_threads.cpp
@@ -51,6 +51,7 @@
     net::executor_work_guard<net::io_context::executor_type> guard{
         context.get_executor()};
     std::vector<std::thread> threads;
+    net::signal_set signals{context};
 };
 
 io_threads::io_threads(std::size_t threads) : state_(std::make_unique<state>())
@@ -96,9 +97,10 @@
 void io_threads::wait_for_stop_signal()
 {
     std::promise<void> received;
-    net::signal_set signals(state_->context, SIGTERM, SIGINT);
-    signals.async_wait([&](boost::system::error_code, int)
-                       { received.set_value(); });
+    state_->signals.add(SIGTERM);
+    state_->signals.add(SIGINT);
+    state_->signals.async_wait([&](boost::system::error_code, int)
+                               { received.set_value(); });
     received.get_future().wait();
 }
 
--- /dev/null
+++ b/process/src/metrics_text.cpp
@@ -0,0 +1,82 @@
+#include "lagoonquay/process/metrics_text.hpp"
+
+#include <boost/json.hpp>
+#include <iomanip>
+#include <sstream>
+
+namespace json = boost::json;
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+double in_seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+void write_header(std::ostream& out, const std::string& name,
+                  const std::string& help, std::string_view type)
+{
+    out << "# HELP " << name << " " << help << "\n";
+    out << "# TYPE " << name << " " << type << "\n";
+}
+
+void write_sample(std::ostream& out, const metric_sample& it)
+{
+    write_header(out, it.name, it.help,
+                 it.kind == metric_kind::counter ? "counter" : "gauge");
+    out << it.name << " " << it.value << "\n";
+}
+
+void write_latency(std::ostream& out, const latency_sample& it)
+{
+    write_header(out, it.name, it.help, "histogram");
+    for (std::size_t n = 0; n < latency_bounds.size(); ++n)
+        out << it.name << "_bucket{le=\"" << in_seconds(latency_bounds[n])
+            << "\"} " << it.summary.up_to[n] << "\n";
+    out << it.name << "_bucket{le=\"+Inf\"} " << it.summary.count << "\n";
+    out << it.name << "_sum " << in_seconds(it.summary.total) << "\n";
+    out << it.name << "_count " << it.summary.count << "\n";
+}
+
+json::object latency_to_json(const latency_summary& it)
+{
+    const auto count = static_cast<std::int64_t>(it.count);
+    const auto mean = count == 0 ? 0 : it.total.count() / count;
+    return {{"count", it.count},
+            {"mean_us", mean},
+            {"longest_us", it.longest.count()}};
+}
+
+} // namespace
+
+std::string encode_metrics(const process_metrics& metrics)
+{
+    constexpr int digits = 12;
+    std::ostringstream out;
+    out << std::setprecision(digits);
+    for (const auto& it : metrics.samples)
+        write_sample(out, it);
+    for (const auto& it : metrics.latencies)
+        write_latency(out, it);
+    return out.str();
+}
+
+std::string add_latencies(const std::string& dump,
+                          const process_metrics& metrics)
+{
+    boost::system::error_code ec;
+    auto state = json::parse(dump, ec);
+    if (ec || !state.is_object())
+        return dump;
+    json::object latencies;
+    for (const auto& it : metrics.latencies)
+        latencies[it.name] = latency_to_json(it.summary);
+    state.as_object()["latencies"] = std::move(latencies);
+    return json::serialize(state);
+}
+
+} // namespace lagoonquay
--- a/process/src/process_settings.cpp
+++ b/process/src/process_settings.cpp
@@ -12,6 +12,12 @@
 {
 
 constexpr std::uint64_t most_threads = 64;
+constexpr std::uint64_t kibibyte = 1024;
+constexpr std::uint64_t mebibyte = 1024 * kibibyte;
+constexpr duration second = std::chrono::seconds(1);
+constexpr duration minute = std::chrono::minutes(1);
+constexpr duration hour = std::chrono::hours(1);
+constexpr duration millisecond = std::chrono::milliseconds(1);
 
 endpoint read_endpoint(ini_file& file, std::string_view section,
                        std::string_view key)
@@ -87,6 +93,67 @@
     return token;
 }
 
+listener_limits read_limits(ini_file& file)
+{
+    constexpr std::uint64_t most_connections = 65536;
+    constexpr std::string_view section = "limits";
+    listener_limits it;
+    it.body_bytes = file.number_or(section, "body_bytes", it.body_bytes,
+                                   kibibyte, 256 * mebibyte);
+    it.header_bytes = static_cast<std::uint32_t>(file.number_or(
+        section, "header_bytes", it.header_bytes, kibibyte, mebibyte));
+    it.connections = file.number_or(section, "connections", it.connections, 1,
+                                    most_connections);
+    it.idle_timeout = file.duration_or(section, "idle_timeout", it.idle_timeout,
+                                       second, hour);
+    it.read_timeout = file.duration_or(section, "read_timeout", it.read_timeout,
+                                       second, hour);
+    return it;
+}
+
+job_limits read_job_limits(ini_file& file)
+{
+    constexpr std::uint64_t most_tasks = 10000;
+    constexpr std::string_view section = "jobs";
+    job_limits it;
+    it.tasks = file.number_or(section, "tasks", it.tasks, 1, most_tasks);
+    it.payload_bytes =
+        file.number_or(section, "payload_bytes", it.payload_bytes, 1, mebibyte);
+    it.longest_time_limit =
+        file.duration_or(section, "longest_time_limit", it.longest_time_limit,
+                         second, 24 * hour);
+    it.default_time_limit =
+        file.duration_or(section, "default_time_limit", it.default_time_limit,
+                         millisecond, 24 * hour);
+    if (it.default_time_limit > it.longest_time_limit)
+        file.reject(section, "default_time_limit",
+                    "is longer than longest_time_limit");
+    return it;
+}
+
+// A record must outlive every submission that may still arrive.
+void read_ledger(ini_file& file, entry_settings& it)
+{
+    constexpr std::string_view section = "ledger";
+    it.ledger_peers = read_endpoints(file, section, "peers");
+    it.claim_lease = file.duration_or(section, "claim_lease", it.claim_lease,
+                                      second, minute);
+    it.claim_margin = file.duration_or(section, "claim_margin", it.claim_margin,
+                                       millisecond, minute);
+    it.clock_skew = file.duration_or(section, "clock_skew", it.clock_skew,
+                                     millisecond, minute);
+    it.oldest_submission = file.duration_or(
+        section, "oldest_submission", it.oldest_submission, second, 24 * hour);
+    it.claim_retention = file.duration_or(
+        section, "claim_retention", it.claim_retention, second, 48 * hour);
+    if (it.claim_margin * 2 > it.claim_lease)
+        file.reject(section, "claim_margin",
+                    "is more than half of claim_lease");
+    if (it.claim_retention < it.oldest_submission + 2 * it.clock_skew)
+        file.reject(section, "claim_retention",
+                    "is shorter than oldest_submission and twice clock_skew");
+}
+
 process_settings read_common(ini_file& file)
 {
     process_settings common;
@@ -100,6 +167,7 @@
     common.control = read_endpoints(file, "control", "replicas");
     if (common.control.empty())
         file.reject("control", "replicas", "is missing");
+    common.limits = read_limits(file);
     return common;
 }
 
@@ -128,7 +196,10 @@
     settings.process = read_common(file);
     settings.callers = read_endpoint(file, "callers", "listen");
     settings.peers = read_endpoint(file, "peers", "listen");
-    settings.ledger_peers = read_endpoints(file, "ledger", "peers");
+    settings.jobs = read_job_limits(file);
+    settings.answer_retention = file.duration_or(
+        "jobs", "answer_retention", settings.answer_retention, second, hour);
+    read_ledger(file, settings);
     BOOST_OUTCOME_TRY(checked(file.finish()));
     return settings;
 }
@@ -140,6 +211,14 @@
     settings.process = read_common(file);
     settings.entries = read_endpoint(file, "entries", "listen");
     settings.upstream = read_endpoint(file, "upstream", "listen");
+    settings.answer_bytes =
+        file.number_or("upstream", "answer_bytes", settings.answer_bytes,
+                       kibibyte, 4 * mebibyte);
+    settings.upstream_silence = file.duration_or(
+        "upstream", "silence", settings.upstream_silence, second, minute);
+    settings.record_retention =
+        file.duration_or("upstream", "record_retention",
+                         settings.record_retention, minute, 48 * hour);
     BOOST_OUTCOME_TRY(checked(file.finish()));
     return settings;
 }
--- a/process/src/program.cpp
+++ b/process/src/program.cpp
@@ -44,7 +44,7 @@
         }
         if (parsed.count("version") > 0)
         {
-            std::cout << name << " " << version_text << "\n";
+            print_version(name);
             return {std::nullopt, exit_code::ok};
         }
         if (parsed.count("config") == 0)
@@ -63,6 +63,11 @@
     }
 }
 
+void print_version(const std::string& name)
+{
+    std::cout << name << " " << version_text << "\n";
+}
+
 exit_code report(const layer_error<process_errc>& error)
 {
     std::cerr << error.detail << "\n";
@@ -77,6 +82,38 @@
     return incarnation(high << 32U | source());
 }
 
+http_server_options listener_options(const process_settings& settings,
+                                     const endpoint& listen)
+{
+    const auto& limits = settings.limits;
+    http_server_options options;
+    options.listen = listen;
+    options.body_bytes = limits.body_bytes;
+    options.header_bytes = limits.header_bytes;
+    options.connections = limits.connections;
+    options.idle_timeout = limits.idle_timeout;
+    options.read_timeout = limits.read_timeout;
+    return options;
+}
+
+http_server_options operator_listener_options(const process_settings& settings)
+{
+    auto options = listener_options(settings, settings.operators);
+    options.bearer = settings.operator_token;
+    return options;
+}
+
+process_result<void> require_listening(
+    std::initializer_list<const connection_result<http_server>*> listeners)
+{
+    for (const auto* it : listeners)
+    {
+        if (!*it)
+            return fail(process_errc::bad_listen, it->error().detail);
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 void wait_until(const std::function<bool()>& idle)
 {
     while (!idle())
--- a/process/src/stand_in_upstream.cpp
+++ b/process/src/stand_in_upstream.cpp
@@ -74,6 +74,11 @@
     return load_;
 }
 
+std::uint64_t stand_in_upstream::hung() const noexcept
+{
+    return hung_;
+}
+
 void stand_in_upstream::run(const http_request& request,
                             const http_responder& respond)
 {
@@ -84,7 +89,10 @@
     ++started_;
     const auto order = read_order(request.body);
     if (order.hang)
+    {
+        ++hung_;
         return;
+    }
     const auto agent_run = run_of(request);
     load_.begin(agent_run);
     delay_(order.length,
