Let an experiment set the route policy, the subset and a weight

Cause: policies are compared in the same run only if an experiment can name them; the fleet settings carry them. Ruled out: a settings file per process (the settings are the fleet's, and come from control). Change: [fleet] routing, subset and weight become one settings command before the run. The experiment's reader uses the INI reader at its new place.

--- a/process/load/include/lagoonquay/load/experiment.hpp
+++ b/process/load/include/lagoonquay/load/experiment.hpp
@@ -24,6 +24,11 @@
     std::uint64_t processors = 32;   //!< per worker
     std::uint64_t memory_mb = 65536; //!< per worker
 
+    //! Fleet settings set before the run; empty to leave them.
+    std::string routing;      //!< name of a route policy
+    std::uint64_t subset = 0; //!< most agents per entry; 0 to leave it
+    std::uint64_t weight = 0; //!< of the large customer; 0 for no exception
+
     friend bool operator==(const fleet_shape&, const fleet_shape&) = default;
 };
 
--- a/process/load/include/lagoonquay/load/fleet_client.hpp
+++ b/process/load/include/lagoonquay/load/fleet_client.hpp
@@ -5,6 +5,8 @@
 #include "lagoonquay/load/fleet_samples.hpp"
 #include "lagoonquay/load/job_runner.hpp"
 
+#include "lagoonquay/version/command.hpp"
+
 #include <functional>
 #include <string>
 #include <vector>
@@ -32,6 +34,9 @@
     void set_domain_service(const std::string& domain, bool in_service,
                             const std::string& id);
 
+    //! Replaces the fleet's settings.
+    void set_fleet_settings(const std::string& settings, const std::string& id);
+
     //! Asks every agent for its state.
     void sample_agents(const std::function<void(agent_sample)>& each);
 
@@ -42,6 +47,8 @@
     bool ready();
 
 private:
+    void send_command(const command& asked);
+
     http_client& client_;
     const fleet_layout layout_;
 };
--- a/process/load/include/lagoonquay/load/fleet_layout.hpp
+++ b/process/load/include/lagoonquay/load/fleet_layout.hpp
@@ -54,4 +54,7 @@
 std::vector<fleet_file> make_fleet_files(const fleet_layout& layout,
                                          const std::string& folder);
 
+//! @return the fleet settings that the shape asks for, or an empty text.
+std::string make_fleet_settings(const fleet_shape& shape);
+
 } // namespace lagoonquay::load
--- a/process/load/src/experiment.cpp
+++ b/process/load/src/experiment.cpp
@@ -1,6 +1,6 @@
 #include "lagoonquay/load/experiment.hpp"
 
-#include "lagoonquay/process/ini_file.hpp"
+#include "lagoonquay/version/ini_file.hpp"
 
 namespace lagoonquay::load
 {
@@ -29,6 +29,9 @@
     it.domains = count("domains", it.domains, it.workers);
     it.processors = count("processors", it.processors, most_count);
     it.memory_mb = count("memory_mb", it.memory_mb, most_count);
+    it.routing = file.text_or("fleet", "routing", "");
+    it.subset = file.number_or("fleet", "subset", 0, 0, most_count);
+    it.weight = file.number_or("fleet", "weight", 0, 0, 1000);
     return it;
 }
 
@@ -112,8 +115,17 @@
     return it;
 }
 
-process_result<experiment> read_experiment(ini_file file)
+// Turns the version layer's error into this layer's.
+auto bad_settings(const layer_error<version_errc>& error)
 {
+    return fail(process_errc::bad_settings, error.detail);
+}
+
+process_result<experiment> read_experiment(version_result<ini_file> opened)
+{
+    if (!opened)
+        return bad_settings(opened.error());
+    auto file = std::move(opened).value();
     experiment_options options;
     options.name = file.text("experiment", "name");
     options.seed =
@@ -124,7 +136,9 @@
     options.arrivals = read_arrivals(file);
     options.trouble = read_trouble(file);
     options.change = read_change(file, options.arrivals);
-    BOOST_OUTCOME_TRY(file.finish());
+    const auto finished = file.finish();
+    if (!finished)
+        return bad_settings(finished.error());
     return experiment(std::move(options));
 }
 
@@ -133,14 +147,12 @@
 process_result<experiment> parse_experiment(std::string_view text,
                                             const std::string& name)
 {
-    BOOST_OUTCOME_TRY(auto file, ini_file::parse(text, name));
-    return read_experiment(std::move(file));
+    return read_experiment(ini_file::parse(text, name));
 }
 
 process_result<experiment> load_experiment(const std::string& path)
 {
-    BOOST_OUTCOME_TRY(auto file, ini_file::load(path));
-    return read_experiment(std::move(file));
+    return read_experiment(ini_file::load(path));
 }
 
 } // namespace lagoonquay::load
--- a/process/load/src/fleet_client.cpp
+++ b/process/load/src/fleet_client.cpp
@@ -91,19 +91,22 @@
                  [](const connection_result<http_response>&) {});
 }
 
-// Every replica gets the command: one that leads applies it, and one that has
-// it already returns its first outcome.
 void fleet_client::set_domain_service(const std::string& domain,
                                       bool in_service, const std::string& id)
 {
-    const command asked({.id = command_id(id),
-                         .author = "load",
-                         .expected = {},
-                         .what = set_domain{domain_id(domain), in_service}});
-    const auto request = post("/v1/commands", encode_command(asked));
-    for (const auto& it : layout_.control_operators())
-        client_.send(it, request, state_timeout,
-                     [](const connection_result<http_response>&) {});
+    send_command(command({.id = command_id(id),
+                          .author = "load",
+                          .expected = {},
+                          .what = set_domain{domain_id(domain), in_service}}));
+}
+
+void fleet_client::set_fleet_settings(const std::string& settings,
+                                      const std::string& id)
+{
+    send_command(command({.id = command_id(id),
+                          .author = "load",
+                          .expected = {},
+                          .what = set_settings{settings}}));
 }
 
 void fleet_client::sample_agents(const std::function<void(agent_sample)>& each)
@@ -152,4 +155,14 @@
     return true;
 }
 
+// Every replica gets the command: one that leads applies it, and one that has
+// it already returns its first outcome.
+void fleet_client::send_command(const command& asked)
+{
+    const auto request = post("/v1/commands", encode_command(asked));
+    for (const auto& it : layout_.control_operators())
+        client_.send(it, request, state_timeout,
+                     [](const connection_result<http_response>&) {});
+}
+
 } // namespace lagoonquay::load
--- a/process/load/src/fleet_layout.cpp
+++ b/process/load/src/fleet_layout.cpp
@@ -224,4 +224,19 @@
     return files.finish();
 }
 
+std::string make_fleet_settings(const fleet_shape& shape)
+{
+    std::ostringstream out;
+    if (!shape.routing.empty() || shape.subset > 0)
+        out << "[routing]\n";
+    if (!shape.routing.empty())
+        out << "policy = " << shape.routing << "\n";
+    if (shape.subset > 0)
+        out << "subset_agents = " << shape.subset << "\n";
+    if (shape.weight > 0)
+        out << "[customer:large]\nweight = " << shape.weight
+            << "\nreason = the experiment gives it this part of the slots\n";
+    return out.str();
+}
+
 } // namespace lagoonquay::load
--- a/process/load/src/run_experiment.cpp
+++ b/process/load/src/run_experiment.cpp
@@ -50,7 +50,8 @@
     std::vector<agent_sample> samples_;
 };
 
-bool wait_ready(fleet_client& fleet)
+bool wait_ready(const experiment& it, const std::string& run,
+                fleet_client& fleet)
 {
     const auto until = steady_now() + ready_timeout;
     while (!fleet.ready())
@@ -59,6 +60,9 @@
             return false;
         std::this_thread::sleep_for(ready_period);
     }
+    const auto settings = make_fleet_settings(it->fleet);
+    if (!settings.empty())
+        fleet.set_fleet_settings(settings, run + "-settings");
     std::this_thread::sleep_for(settle_time);
     return true;
 }
@@ -136,7 +140,7 @@
     io_threads io(threads);
     http_client client(io.context(), {});
     fleet_client fleet(client, fleet_layout(it->fleet));
-    if (!wait_ready(fleet))
+    if (!wait_ready(it, options.run, fleet))
         return fail(process_errc::bad_listen, "the fleet does not get ready");
 
     run_observations seen;
--- a/process/load/tests/fleet_layout_test.cpp
+++ b/process/load/tests/fleet_layout_test.cpp
@@ -51,6 +51,18 @@
               std::string::npos);
 }
 
+TEST(fleet_layout, sets_only_the_fleet_settings_that_are_asked_for)
+{
+    fleet_shape it;
+    EXPECT_EQ(make_fleet_settings(it), "");
+    it.routing = "random";
+    EXPECT_EQ(make_fleet_settings(it), "[routing]\npolicy = random\n");
+    it.weight = 100;
+    EXPECT_NE(make_fleet_settings(it).find("[customer:large]\n"
+                                           "weight = 100\nreason = "),
+              std::string::npos);
+}
+
 } // namespace
 
 } // namespace lagoonquay::load
