--- a/connection/include/lagoonquay/connection/agent_slots.hpp
+++ b/connection/include/lagoonquay/connection/agent_slots.hpp
@@ -44,10 +44,20 @@
     //! Replaces slots and capacity; running tasks stay.
     void resize(std::uint32_t slots, const resources& capacity) noexcept;
 
+    //! Gives no credit any more.
+    void drain() noexcept;
+
+    //! @return whether it drains, no task is here and no credit is out: then
+    //! no link can send a dispatch any more.
+    bool drained() const noexcept;
+
     void open(link_number link);
     //! Forgets the link; its tasks stay.
     void close(link_number link);
 
+    //! Takes back unused credits, as a total since the link opened.
+    void give_back(link_number link, std::uint64_t returned_total);
+
     //! Takes a task, which uses one credit.
     //! @return false if the link has none.
     bool accept(link_number link, const dispatch_message& message);
@@ -81,7 +91,8 @@
     struct account
     {
         std::uint64_t granted = 0;
-        std::uint64_t used = 0;
+        std::uint64_t used = 0; //!< or given back
+        std::uint64_t returned = 0;
         std::uint32_t here = 0; //!< tasks that run or wait
     };
 
@@ -91,6 +102,7 @@
 
     std::uint32_t slots_ = 0;
     std::uint32_t running_ = 0;
+    bool draining_ = false;
     resources capacity_;
     resources used_;
     std::map<link_number, account> accounts_;
--- a/connection/include/lagoonquay/connection/credit_account.hpp
+++ b/connection/include/lagoonquay/connection/credit_account.hpp
@@ -21,11 +21,15 @@
     //! Undoes one take().
     void untake() noexcept;
 
+    //! Gives back every unused credit. @return the total given back so far.
+    std::uint64_t give_back() noexcept;
+
     std::uint32_t available() const noexcept;
 
 private:
     std::uint64_t granted_ = 0;
-    std::uint64_t used_ = 0;
+    std::uint64_t used_ = 0; //!< or given back
+    std::uint64_t returned_ = 0;
 };
 
 } // namespace lagoonquay
--- a/connection/src/agent_slots.cpp
+++ b/connection/src/agent_slots.cpp
@@ -22,6 +22,19 @@
     capacity_ = capacity;
 }
 
+void agent_slots::drain() noexcept
+{
+    draining_ = true;
+}
+
+bool agent_slots::drained() const noexcept
+{
+    return draining_ && busy() == 0 &&
+           std::all_of(accounts_.begin(), accounts_.end(),
+                       [](const auto& it)
+                       { return it.second.granted == it.second.used; });
+}
+
 void agent_slots::open(link_number link)
 {
     accounts_.emplace(link, account());
@@ -32,6 +45,18 @@
     accounts_.erase(link);
 }
 
+void agent_slots::give_back(link_number link, std::uint64_t returned_total)
+{
+    const auto it = accounts_.find(link);
+    if (it == accounts_.end() || returned_total <= it->second.returned)
+        return;
+    auto& target = it->second;
+    const auto more = std::min(returned_total - target.returned,
+                               target.granted - target.used);
+    target.returned += more;
+    target.used += more;
+}
+
 bool agent_slots::accept(link_number link, const dispatch_message& message)
 {
     const auto it = accounts_.find(link);
@@ -86,7 +111,7 @@
     auto& target = it->second;
     if (target.here > 0)
         --target.here;
-    const auto most = window();
+    const auto most = draining_ ? 0 : window();
     std::uint32_t given = 0;
     while (holding(target) < most && given < most_with_a_result)
     {
@@ -101,7 +126,7 @@
     std::vector<link_grant> changed;
     for (auto& [link, it] : accounts_)
     {
-        if (slots_ == 0 || holding(it) > 0)
+        if (draining_ || slots_ == 0 || holding(it) > 0)
             continue;
         it.granted += slots_;
         changed.push_back({link, it.granted});
--- a/connection/src/credit_account.cpp
+++ b/connection/src/credit_account.cpp
@@ -24,6 +24,13 @@
         --used_;
 }
 
+std::uint64_t credit_account::give_back() noexcept
+{
+    returned_ += available();
+    used_ = std::max(used_, granted_);
+    return returned_;
+}
+
 std::uint32_t credit_account::available() const noexcept
 {
     return used_ >= granted_ ? 0 : static_cast<std::uint32_t>(granted_ - used_);
--- a/connection/src/grant_pacing.cpp
+++ b/connection/src/grant_pacing.cpp
@@ -15,6 +15,7 @@
     if (!last_)
         return true;
     const bool changed = grant.accepting != last_->accepting ||
+                         grant.draining != last_->draining ||
                          grant.slots != last_->slots ||
                          grant.capacity != last_->capacity;
     return changed ||
--- a/connection/tests/agent_slots_test.cpp
+++ b/connection/tests/agent_slots_test.cpp
@@ -139,6 +139,39 @@
     EXPECT_EQ(start_all(agent), 1);
 }
 
+TEST(agent_slots, is_drained_once_no_link_can_dispatch)
+{
+    auto agent = open_slots(4);
+    credit_account idle;
+    idle.update(4);
+    ASSERT_TRUE(idle.take());
+    accept_many(agent, first, 1);
+    start_all(agent);
+    agent.drain();
+    EXPECT_FALSE(agent.drained());
+    EXPECT_EQ(agent.finish(first, {}), 0U);
+    agent.give_back(first, 3);
+    EXPECT_FALSE(agent.drained());
+    agent.give_back(second, idle.give_back());
+    EXPECT_FALSE(agent.drained());
+    EXPECT_TRUE(agent.accept(second, task_with()));
+    start_all(agent);
+    EXPECT_FALSE(agent.drained());
+    agent.finish(second, {});
+    EXPECT_TRUE(agent.drained());
+    EXPECT_TRUE(agent.refill().empty());
+}
+
+TEST(agent_slots, a_draining_agent_does_not_wait_for_a_closed_link)
+{
+    auto agent = open_slots(4);
+    agent.drain();
+    agent.give_back(first, 4);
+    EXPECT_FALSE(agent.drained());
+    agent.close(second);
+    EXPECT_TRUE(agent.drained());
+}
+
 //! An entry and its link; messages wait until they are delivered.
 struct fake_entry
 {
--- a/process/src/agent_service.cpp
+++ b/process/src/agent_service.cpp
@@ -96,6 +96,7 @@
         const std::lock_guard lock(it->mutex);
         it->guard.expire(now);
     }
+    send_changed_grants();
     send_all_grants();
 }
 
@@ -105,16 +106,41 @@
         const std::lock_guard lock(standing_mutex_);
         standing_.draining = true;
     }
+    {
+        const std::lock_guard lock(grants_mutex_);
+        slots_.drain();
+    }
     send_all_grants();
     decline_waiting();
 }
 
+// A credit that is out may stand for a dispatch on its way; it is awaited, so
+// that the dispatch is declined as not run rather than lost with the link.
+bool agent_service::drained() const
+{
+    {
+        const std::lock_guard lock(grants_mutex_);
+        if (!slots_.drained())
+            return false;
+    }
+    return finished_ == started_ && unsent() == 0;
+}
+
 std::uint32_t agent_service::running() const
 {
     const std::lock_guard lock(grants_mutex_);
     return slots_.running();
 }
 
+std::size_t agent_service::unsent() const
+{
+    const std::lock_guard lock(links_mutex_);
+    std::size_t n = 0;
+    for (const auto& [number, it] : links_)
+        n += it.link->unsent();
+    return n;
+}
+
 member agent_service::self() const
 {
     const std::lock_guard lock(standing_mutex_);
@@ -184,6 +210,11 @@
 {
     for (const auto& it : messages)
     {
+        if (const auto* returned = std::get_if<return_message>(&it))
+        {
+            const std::lock_guard lock(grants_mutex_);
+            slots_.give_back(link, returned->returned_total);
+        }
         if (const auto* dispatch = std::get_if<dispatch_message>(&it))
             on_dispatch(link, *dispatch);
         if (const auto* cancel = std::get_if<cancel_message>(&it))
@@ -315,9 +346,9 @@
         const std::lock_guard lock(shard.mutex);
         shard.guard.finish({it.submission, it.key.index}, result, hooks_.now());
     }
-    ++finished_;
     reply(link, it, result, free_slot(link, it.work->need),
           hooks_.now() - started);
+    ++finished_;
     start_waiting();
     send_changed_grants();
 }
@@ -418,7 +449,7 @@
         const auto it = links_.find(totals.link);
         if (it == links_.end())
             return;
-        if (only_if_due && !it->second.pacing.due(grant))
+        if (only_if_due && !grant.draining && !it->second.pacing.due(grant))
             return;
         it->second.pacing.sent(grant);
         target = it->second.link;
@@ -435,6 +466,7 @@
     grant.agent_time = hooks_.now();
     grant.credits_total = totals.credits_total;
     grant.accepting = accepting(standing_);
+    grant.draining = standing_.draining;
     if (standing_.upstream)
     {
         grant.slots = standing_.upstream->slots;
--- a/process/src/agent_table.cpp
+++ b/process/src/agent_table.cpp
@@ -122,6 +122,7 @@
 void agent_table::update(const agent_id& agent, const grant_message& grant,
                          instant now)
 {
+    std::optional<return_message> returned;
     agents_.with_shard(
         agent,
         [&](auto& values)
@@ -131,7 +132,13 @@
             it.last = grant;
             it.heard = now;
             it.health.set_accepting(grant.accepting, now);
+            if (!grant.draining || it.credits.available() == 0)
+                return;
+            returned = return_message{
+                change_credits(it, [&] { return it.credits.give_back(); })};
         });
+    if (returned)
+        send(agent, *returned);
 }
 
 std::vector<route_candidate> agent_table::candidates(instant now)
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -33,11 +33,21 @@
     std::uint32_t slots = 0;         //!< slots of the worker
     resources capacity;
     bool accepting = false; //!< false without permit or upstream
+    bool draining = false;  //!< asks for every unused credit
 
     friend bool operator==(const grant_message&,
                            const grant_message&) = default;
 };
 
+//! Unused credits that an entry gives back to a draining agent.
+struct return_message
+{
+    std::uint64_t returned_total = 0; //!< since the link opened
+
+    friend bool operator==(const return_message&,
+                           const return_message&) = default;
+};
+
 //! One task on its way to an agent; uses one credit.
 struct dispatch_message
 {
@@ -79,7 +89,7 @@
 };
 
 using link_message =
-    std::variant<hello_message, grant_message, dispatch_message, result_message,
-                 cancel_message>;
+    std::variant<hello_message, grant_message, return_message, dispatch_message,
+                 result_message, cancel_message>;
 
 } // namespace lagoonquay
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -32,7 +32,7 @@
 
 submission_id get_submission(json_fields& fields, const job_limits& limits)
 {
-    return submission_id(fields.text("submission", limits.id_bytes));
+    return submission_id(fields.id("submission", limits.id_bytes));
 }
 
 attempt_key get_key(json_fields& fields, const job_limits& limits)
@@ -66,7 +66,13 @@
             {"credits_total", it.credits_total},
             {"slots", it.slots},
             {"capacity", resources_to_json(it.capacity)},
-            {"accepting", it.accepting}};
+            {"accepting", it.accepting},
+            {"draining", it.draining}};
+}
+
+json::object to_json(const return_message& it)
+{
+    return {{"type", "return"}, {"returned_total", it.returned_total}};
 }
 
 json::object to_json(const dispatch_message& it)
@@ -116,9 +122,15 @@
         static_cast<std::uint32_t>(fields.number("slots", 0, count_limit));
     it.capacity = resources_from_json(fields, "capacity");
     it.accepting = fields.flag_or("accepting", false);
+    it.draining = fields.flag_or("draining", false);
     return it;
 }
 
+link_message read_return(json_fields& fields)
+{
+    return return_message{fields.number("returned_total", 0, json_exact_limit)};
+}
+
 link_message read_dispatch(json_fields& fields, const job_limits& limits)
 {
     dispatch_message it;
@@ -171,6 +183,8 @@
         message = read_hello(fields, limits);
     else if (type == "grant")
         message = read_grant(fields, limits);
+    else if (type == "return")
+        message = read_return(fields);
     else if (type == "dispatch")
         message = read_dispatch(fields, limits);
     else if (type == "result")
