Keep an agent free only for a need that fits nowhere

Cause: a task that waited because every worker was full counted as one that fits nowhere; after 250 ms an agent was kept free for it, so that workers stood idle in front of others' tasks.

Ruled out: a longer wait before the hold (the flood lasts longer than any).

Without the change tasks_that_wait_for_full_workers_keep_none_free fails: an agent is kept free.

--- a/process/include/lagoonquay/process/dispatcher.hpp
+++ b/process/include/lagoonquay/process/dispatcher.hpp
@@ -95,6 +95,9 @@
     //! @return the load that a new job of the customer would meet.
     queue_load load_of(const customer_id& customer);
 
+    //! @return whether an agent is kept free for a large task.
+    bool keeps_agent_free();
+
     agent_table& agents() noexcept;
     run_times& runs() noexcept;
     std::size_t queued() const noexcept;
--- a/process/src/dispatcher.cpp
+++ b/process/src/dispatcher.cpp
@@ -106,6 +106,11 @@
     return queue_.load_of(customer);
 }
 
+bool dispatcher::keeps_agent_free()
+{
+    return held(hooks_.now()).has_value();
+}
+
 agent_table& dispatcher::agents() noexcept
 {
     return agents_;
@@ -181,8 +186,11 @@
         }
         if (done != step::no_room && done != step::stale)
             continue;
-        keep_free_for(*next, state.now);
         state.passed_over.push_back(*std::move(next));
+        // Where not even a task without needs fits, all must wait alike.
+        if (!hooks_.route({}, state.candidates))
+            break;
+        keep_free_for(state.passed_over.back(), state.now);
     }
     emptied = emptied && state.passed_over.empty();
     for (auto& it : state.passed_over)
--- a/process/tests/dispatcher_test.cpp
+++ b/process/tests/dispatcher_test.cpp
@@ -76,11 +76,12 @@
     }
 
     //! Ends the newest dispatch of an agent.
-    void end(int agent, failure_reason reason, std::uint64_t credits)
+    void end(int agent, failure_reason reason, std::uint64_t credits,
+             std::uint32_t busy = 0)
     {
         const auto sent =
             std::get<dispatch_message>(links[agent - 1]->sent.back());
-        result_message it{sent.submission, sent.key, {}, credits, 0, second};
+        result_message it{sent.submission, sent.key, {}, credits, busy, second};
         it.result = task_result(
             {.index = sent.key.index, .reason = reason, .ran = effect::ran});
         tasks.finish(agent_id("a" + std::to_string(agent)), it);
@@ -149,6 +150,23 @@
     EXPECT_EQ(large.key.index, task_index(1));
 }
 
+// Only a need that fits nowhere keeps an agent free; full workers do not.
+TEST(dispatcher, tasks_that_wait_for_full_workers_keep_none_free)
+{
+    dispatcher_bench bench(2);
+    for (std::uint64_t n = 0; n < 4; ++n)
+        bench.add(n);
+    bench.end(1, failure_reason::none, 3, 9);
+    bench.end(2, failure_reason::none, 3, 9);
+    bench.add(4);
+    bench.add(5);
+    ASSERT_EQ(bench.tasks.queued(), 2U);
+    bench.now += second;
+    bench.tasks.tick();
+    EXPECT_FALSE(bench.tasks.keeps_agent_free());
+    EXPECT_EQ(bench.tasks.queued(), 2U);
+}
+
 TEST(dispatcher, a_doubled_result_frees_nothing_twice)
 {
     dispatcher_bench bench(1);
