--- a/process/load/src/slopes.cpp
+++ b/process/load/src/slopes.cpp
@@ -247,7 +247,7 @@
     std::vector<member> known;
     for (std::size_t n = 0; n < agents; ++n)
         known.push_back(sample_member(n, member_role::agent));
-    table.learn(known);
+    table.learn(known, steady_now());
     known.clear();
     known.shrink_to_fit();
     return allocated_bytes() - before;
