--- a/process/include/lagoonquay/process/agent_service.hpp
+++ b/process/include/lagoonquay/process/agent_service.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -113,6 +114,8 @@
 
         std::mutex mutex;
         start_guard guard;
+        //! Links that wait for the result of a running task.
+        std::map<task_key, std::set<link_number>> watchers;
     };
     //! State of the whole process, under its own lock.
     struct standing
@@ -127,7 +130,9 @@
                      const std::vector<link_message>& messages);
     void on_close(link_number link);
     void on_dispatch(link_number link, const dispatch_message& it);
+    start_verdict try_start(link_number link, const dispatch_message& it);
     void on_cancel(link_number link, const cancel_message& it);
+    void on_query(link_number link, const query_message& it);
     void run(link_number link, const dispatch_message& it,
              const endpoint& upstream);
     void on_result(link_number link, const dispatch_message& it,
@@ -135,9 +140,6 @@
     void decline(link_number link, const dispatch_message& it,
                  failure_reason reason, const std::string& detail,
                  std::uint64_t credits_total = 0);
-    void reply(link_number link, const dispatch_message& it,
-               const task_result& result, std::uint64_t credits_total,
-               duration ran_for = {});
     //! @return the link's total if its credit came back, or zero.
     std::uint64_t free_slot(link_number link, const resources& need);
     void send_grant(const link_grant& totals, bool only_if_due);
@@ -146,6 +148,7 @@
     void send_all_grants();
     grant_message grant_for(const link_grant& totals) const;
     std::optional<endpoint> permitted_upstream() const;
+    bool draining() const;
     bool accepting(const standing& it) const;
     std::size_t unsent() const;
     guard_shard& shard_of(const submission_id& submission);
--- a/process/include/lagoonquay/process/claim.hpp
+++ b/process/include/lagoonquay/process/claim.hpp
@@ -15,7 +15,9 @@
 enum class claim_status
 {
     held,          //!< by this entry, until valid_until
-    held_by_other, //!< see holder_address
+    held_by_other, //!< by a quorum's word; see holder_address
+    contested,     //!< nobody has a quorum
+    closed,        //!< the submission ended with a failure
     mismatch,      //!< the submission has other content
     fenced,        //!< older than the quorum's memory
     unavailable,   //!< no quorum answered
@@ -27,6 +29,9 @@
     instant valid_until{};
     std::string holder_address;
     claim_round round;
+    //! Whether a quorum has recorded this very round. Only then is the round
+    //! no other holder's; otherwise renew with it before using it.
+    bool confirmed = false;
     duration first_claim_age{}; //!< more than zero for an adoption
     std::vector<agent_run_id> reach;
 
@@ -59,6 +64,8 @@
     std::optional<claim_outcome> decide();
     claim_outcome granted() const;
     claim_outcome refused() const;
+    std::optional<std::string> quorum_holder() const;
+    std::size_t quorum() const noexcept;
 
     std::size_t replicas_;
     duration lease_;
--- a/process/include/lagoonquay/process/entry_service.hpp
+++ b/process/include/lagoonquay/process/entry_service.hpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -25,9 +26,15 @@
 //! Gets the answer to a job once, from any thread.
 using answer_hook = std::function<void(const job_answer&)>;
 
+//! Gets the holder's answer once, or nothing if it could not be asked.
+using forwarded_hook = std::function<void(const std::optional<job_answer>&)>;
+
 //! Hands a job to the entry that holds its claim. Thread-safe.
 using forward_hook =
-    std::function<void(const std::string& address, const job&, answer_hook)>;
+    std::function<void(const std::string& address, const job&, forwarded_hook)>;
+
+//! Asks the retry budget for one more run of an idempotent task. Thread-safe.
+using retry_hook = std::function<bool(const customer_id&)>;
 
 struct entry_options
 {
@@ -40,6 +47,14 @@
     duration answer_retention = std::chrono::minutes(1);
     duration oldest_submission = std::chrono::minutes(5);
     duration clock_skew = std::chrono::milliseconds(500);
+    //! How long a lost agent is waited for with its tasks.
+    duration link_grace = std::chrono::seconds(2);
+    //! Least time between two tries to claim what another entry holds.
+    duration claim_retry = std::chrono::milliseconds(250);
+    std::size_t reach = 64; //!< most agents that a first claim names
+    //! Whether readiness waits for a quorum of ledger replicas past its fence.
+    bool probe_ledger = false;
+    duration probe_period = std::chrono::seconds(1);
 
     friend bool operator==(const entry_options&,
                            const entry_options&) = default;
@@ -53,6 +68,7 @@
     claim_hook claim;
     forward_hook forward;
     random_hook draw;
+    retry_hook retry = {}; //!< absent: one more run for each task of a job
 };
 
 //! Counts since the entry started.
@@ -66,6 +82,9 @@
     std::uint64_t dispatched = 0;
     std::uint64_t requeued = 0;
     std::uint64_t dropped_results = 0; //!< late, doubled or crossed
+    std::uint64_t retried = 0;         //!< runs of idempotent tasks again
+    std::uint64_t adopted = 0;         //!< jobs taken over from other claims
+    std::uint64_t recovered = 0;       //!< tasks settled by an agent's status
 
     friend bool operator==(const entry_counts&, const entry_counts&) = default;
 };
@@ -129,28 +148,78 @@
 
 private:
     struct job_state;
+    using job_pointer = std::shared_ptr<job_state>;
+    using linked_runs = std::map<agent_id, incarnation>;
 
+    // entry_service.cpp: acceptance and links
     std::optional<job_answer> refuse_early(const job& submitted) const;
-    std::optional<job_answer> refuse_claimed(const submission_id& submission,
-                                             const claim_outcome& outcome);
-    bool is_waiting(const task_key& key);
-    bool join_or_add(const job& submitted, content_digest digest,
-                     answer_hook& done);
-    void start_claim(const job& submitted, content_digest digest);
-    void on_claim(const submission_id& submission,
+    bool join(const job& submitted, content_digest digest, answer_hook& done);
+    job_pointer add(const job& submitted, content_digest digest,
+                    answer_hook& done);
+    job_pointer find(const submission_id& submission);
+    //! Calls `use` with the job under its shard's lock.
+    //! @return false if the job is no longer here; `use` is not called then.
+    template <typename Use>
+    bool with_job(const job_pointer& state, Use use);
+    //! @return the jobs without an answer.
+    std::vector<job_pointer> open_jobs();
+    void on_messages(const agent_id& agent,
+                     const std::vector<link_message>& messages);
+    void on_grant(const agent_id& agent, const grant_message& grant);
+    void on_close(const agent_id& agent);
+    linked_runs linked();
+    void probe_ledger(instant now);
+
+    // entry_claims.cpp: claims, renewals and forwarding
+    void ask_claim(const job_pointer& state, claim_round confirm);
+    void on_claim(const job_pointer& state, claim_round asked,
                   const claim_outcome& outcome);
-    void enqueue_waiting(const submission_id& submission);
-    void fail_job(const submission_id& submission, const job_answer& answer);
+    void on_held(const job_pointer& state, const claim_outcome& outcome);
+    std::optional<job_answer> refuse_admission(const job_pointer& state);
+    void on_not_held(const job_pointer& state, const claim_outcome& outcome);
+    void release_claim(const job_pointer& state);
+    void forward(const job_pointer& state, const std::string& address);
+    void on_forwarded(const job_pointer& state,
+                      const std::optional<job_answer>& answer);
+    void renew(const job_pointer& state);
+    void on_renewed(const job_pointer& state, const claim_request& asked,
+                    const claim_outcome& outcome);
+    void tend_claims(instant now);
+    claim_request_options request_for(const job_state& state) const;
+
+    // entry_dispatch.cpp: from the queue to an agent and back
+    void enqueue_waiting(const job_pointer& state);
+    bool is_waiting(const task_key& key);
+    void enqueue(const job_state& state, task_index index);
+    void enqueue_again(const job_state& state, const attempt_key& key);
     std::optional<dispatch_message> begin_dispatch(const task_key& key,
                                                    const agent_id& agent,
                                                    const taken_credit& credit);
-    void on_messages(const agent_id& agent,
-                     const std::vector<link_message>& messages);
-    void on_close(const agent_id& agent);
     void on_result(const agent_id& agent, const result_message& it);
-    void finish_if_complete(const submission_id& submission);
+    bool settle(const job_pointer& state, const attempt_key& key,
+                const task_result& result);
+    bool grant_retry(const job_pointer& state, const task_result& result) const;
+
+    // entry_recovery.cpp: lost links and adoption
+    void ask_agent(const agent_run_id& agent);
+    void ask_reach(const job_pointer& state);
+    void on_status(const agent_id& agent, const status_message& it);
+    bool apply(job_state& state, const agent_run_id& agent,
+               const status_item& it);
+    void finish_adoption(const job_pointer& state);
+    void check_lost(instant now);
+    std::vector<attempt_key> lost_attempts(job_state& state,
+                                           const linked_runs& links,
+                                           instant now) const;
+
+    // entry_answers.cpp: answers and deadlines
+    void finish_if_complete(const job_pointer& state);
+    void close_claim(const job_pointer& state, const claim_request& asked,
+                     const job_answer& answer);
+    void publish(const job_pointer& state, const job_answer& answer);
+    void refuse(const job_pointer& state, const job_answer& answer);
     void expire_jobs(instant now);
-    void renew_claims(instant now);
+    effect waiting_effect(const job_state& state, instant now) const;
 
     const entry_options options_;
     const entry_hooks hooks_;
@@ -161,7 +230,14 @@
     live_settings settings_;
     dispatcher dispatcher_;
     job_admission admission_;
-    sharded_map<submission_id, std::shared_ptr<job_state>> jobs_;
+    sharded_map<submission_id, job_pointer> jobs_;
+    //! Agents that have told their incarnation on an open link.
+    sharded_map<agent_id, incarnation> linked_;
+
+    std::mutex probe_mutex_;
+    std::optional<instant> probe_sent_;
+    std::atomic<bool> ledger_ready_{false};
+    std::atomic<std::uint64_t> asks_{0};
 
     std::atomic<bool> draining_{false};
     std::atomic<std::uint64_t> accepted_{0};
@@ -171,6 +247,9 @@
     std::atomic<std::uint64_t> failed_{0};
     std::atomic<std::uint64_t> requeued_{0};
     std::atomic<std::uint64_t> dropped_{0};
+    std::atomic<std::uint64_t> retried_{0};
+    std::atomic<std::uint64_t> adopted_{0};
+    std::atomic<std::uint64_t> recovered_{0};
 };
 
 } // namespace lagoonquay
--- a/process/include/lagoonquay/process/ledger_replica.hpp
+++ b/process/include/lagoonquay/process/ledger_replica.hpp
@@ -15,8 +15,11 @@
 class ledger_replica
 {
 public:
-    ledger_replica(ledger_options options, clock_hook now);
+    ledger_replica(ledger_options options, clock_hook now,
+                   wall_clock_hook wall);
 
+    //! Decides on a claim. One without a submission only asks whether this
+    //! replica votes on submissions created now: granted or fenced.
     claim_vote claim(const claim_request& asked);
     void expire();
     std::size_t size();
@@ -33,7 +36,9 @@
         ledger_shard shard;
     };
 
+    ledger_options options_;
     clock_hook now_;
+    wall_clock_hook wall_;
     std::array<std::unique_ptr<guarded_shard>, shard_count> shards_;
 };
 
--- a/process/include/lagoonquay/process/ledger_shard.hpp
+++ b/process/include/lagoonquay/process/ledger_shard.hpp
@@ -26,6 +26,9 @@
 //! Counts the claims of a submission; a later holder has a larger one.
 using claim_round = number_id<struct claim_round_tag>;
 
+//! Position of a new claim among all of one entry incarnation.
+using claim_ask = number_id<struct claim_ask_tag>;
+
 struct claim_request_options
 {
     submission_id submission;
@@ -34,7 +37,12 @@
     entry_id holder;
     incarnation holder_run;
     std::string holder_address; //!< where others forward resubmissions
-    claim_round round;          //!< of the claim being renewed, or zero
+    claim_round round;          //!< of the claim to renew; zero asks anew
+    //! Counts the holder's new claims, so that late messages do no harm.
+    claim_ask ask;
+    //! Ends the submission with a failure; nobody may claim it again.
+    bool close = false;
+    bool release = false; //!< gives up a claim that was never used
     duration lease{};
     std::vector<agent_run_id> reach; //!< agents that the job may use
 
@@ -48,9 +56,10 @@
 enum class claim_verdict
 {
     granted,  //!< the sender holds the claim for the lease
-    held,     //!< another entry holds it
+    held,     //!< another entry holds it, or the renewed claim is lost
+    closed,   //!< the submission ended with a failure
     mismatch, //!< the submission has other content
-    fenced,   //!< created before this replica's memory begins
+    fenced,   //!< created before this replica's memory, or out of bounds
 };
 
 struct claim_vote_options
@@ -72,12 +81,17 @@
 {
     wall_time memory_since{}; //!< start of this process
     duration clock_skew = std::chrono::milliseconds(500);
+    //! Longer than oldest_submission, so that no record is missed.
     duration retention = std::chrono::minutes(10);
+    duration oldest_submission = std::chrono::minutes(5);
 
     friend bool operator==(const ledger_options&,
                            const ledger_options&) = default;
 };
 
+//! @return whether a replica votes on submissions that are created now.
+bool past_fence(const ledger_options& options, wall_time wall) noexcept;
+
 //! The records of one shard. Not thread-safe; the shard's lock guards it.
 class ledger_shard
 {
@@ -85,7 +99,7 @@
     explicit ledger_shard(ledger_options options) noexcept;
 
     //! Decides on a claim and records it.
-    claim_vote claim(const claim_request& asked, instant now);
+    claim_vote claim(const claim_request& asked, instant now, wall_time wall);
 
     //! Drops records past the retention.
     void expire(instant now);
@@ -99,14 +113,20 @@
         entry_id holder;
         incarnation holder_run;
         std::string holder_address;
+        claim_ask ask;
         claim_round round;
         instant first_claim{};
         instant lease_end{};
+        bool closed = false;
         std::vector<agent_run_id> reach;
     };
 
-    bool remembers(wall_time created) const noexcept;
-    claim_vote add(const claim_request& asked, instant now);
+    static claim_vote claim_again(record& held, const claim_request& asked,
+                                  instant now);
+    bool remembers(wall_time created, wall_time wall) const noexcept;
+    claim_vote add(const claim_request& asked, instant now, wall_time wall);
+    static claim_vote release(record& held, const claim_request& asked,
+                              instant now);
     static claim_vote renew(record& held, const claim_request& asked,
                             instant now);
     static claim_vote adopt(record& held, const claim_request& asked,
--- a/process/load/src/slopes.cpp
+++ b/process/load/src/slopes.cpp
@@ -126,7 +126,7 @@
 double ledger_memory(std::size_t records)
 {
     const auto before = allocated_bytes();
-    ledger_replica ledger(open_ledger(), steady_now);
+    ledger_replica ledger(open_ledger(), steady_now, wall_now);
     fill(ledger, records);
     return allocated_bytes() - before;
 }
@@ -134,7 +134,7 @@
 // What a replica does for a claim: decode, decide, encode.
 double claim_time(std::size_t claims)
 {
-    ledger_replica ledger(open_ledger(), steady_now);
+    ledger_replica ledger(open_ledger(), steady_now, wall_now);
     std::vector<std::string> requests;
     for (std::size_t n = 0; n < claims; ++n)
         requests.push_back(encode_claim_request(sample_claim(n)));
@@ -157,7 +157,8 @@
     {
         const auto it = sample_result(n);
         guard.try_start(sample_dispatch(n), steady_now());
-        guard.finish({it.submission, task_index(0)}, it.result, steady_now());
+        guard.finish({it.submission, task_index(0)}, it.key.attempt, it.result,
+                     steady_now());
     }
     return allocated_bytes() - before;
 }
--- a/process/programs/entry_main.cpp
+++ b/process/programs/entry_main.cpp
@@ -74,6 +74,7 @@
     options.answer_retention = settings.answer_retention;
     options.oldest_submission = settings.oldest_submission;
     options.clock_skew = settings.clock_skew;
+    options.probe_ledger = true;
     return options;
 }
 
@@ -133,8 +134,9 @@
     http_client client(io.context(), {});
     ledger_replica ledger({.memory_since = wall_now(),
                            .clock_skew = settings.clock_skew,
-                           .retention = settings.claim_retention},
-                          steady_now);
+                           .retention = settings.claim_retention,
+                           .oldest_submission = settings.oldest_submission},
+                          steady_now, wall_now);
     latency_statistics answers;
     entry_service service(
         to_options(settings, run),
--- a/process/src/agent_service.cpp
+++ b/process/src/agent_service.cpp
@@ -215,6 +215,8 @@
             on_dispatch(link, *dispatch);
         if (const auto* cancel = std::get_if<cancel_message>(&it))
             on_cancel(link, *cancel);
+        if (const auto* query = std::get_if<query_message>(&it))
+            on_query(link, *query);
         if (const auto* demand = std::get_if<demand_message>(&it))
         {
             const std::lock_guard lock(grants_mutex_);
@@ -260,20 +262,51 @@
     const auto upstream = permitted_upstream();
     auto verdict = start_verdict::fenced;
     if (upstream)
-    {
-        auto& shard = shard_of(it.submission);
-        const std::lock_guard lock(shard.mutex);
-        verdict = shard.guard.try_start(it, hooks_.now());
-    }
+        verdict = try_start(link, it);
     if (upstream && verdict == start_verdict::start)
         return run(link, it, *upstream);
     credits = free_slot(link, it.work->need);
+    if (!upstream && draining())
+        return decline(link, it, failure_reason::draining, "shutting down",
+                       credits);
     if (!upstream)
         return decline(link, it, failure_reason::no_permit,
                        "no permit to start", credits);
     decline(link, it, failure_reason::not_startable, explain(verdict), credits);
 }
 
+// The link is noted under the same lock as the start, so that a result that
+// comes at once finds it.
+start_verdict agent_service::try_start(link_number link,
+                                       const dispatch_message& it)
+{
+    auto& shard = shard_of(it.submission);
+    const std::lock_guard lock(shard.mutex);
+    const auto verdict = shard.guard.try_start(it, hooks_.now());
+    if (verdict == start_verdict::start)
+        shard.watchers[{it.submission, it.key.index}].insert(link);
+    return verdict;
+}
+
+void agent_service::on_query(link_number link, const query_message& it)
+{
+    status_message status{it.submission, options_.id, options_.run, {}};
+    if (it.agent_run == options_.run)
+    {
+        auto& shard = shard_of(it.submission);
+        const std::lock_guard lock(shard.mutex);
+        for (const auto& item : it.items)
+        {
+            const task_key key{it.submission, item.index};
+            const auto found = shard.guard.query(key, item.last, hooks_.now());
+            if (found.state == start_state::running)
+                shard.watchers[key].insert(link);
+            status.items.push_back(found);
+        }
+    }
+    send(link, std::move(status));
+}
+
 void agent_service::on_cancel(link_number link, const cancel_message& it)
 {
     const task_key key{it.submission, it.key.index};
@@ -306,22 +339,34 @@
                          { on_result(link, it, result, started); });
 }
 
+// A result whose links are all closed stays with the guard and is sent when an
+// entry asks for it. The credit goes back to the link that spent it.
 void agent_service::on_result(link_number link, const dispatch_message& it,
                               const task_result& result, instant started)
 {
+    std::set<link_number> watchers;
     {
+        const task_key key{it.submission, it.key.index};
         auto& shard = shard_of(it.submission);
         const std::lock_guard lock(shard.mutex);
-        shard.guard.finish({it.submission, it.key.index}, result, hooks_.now());
+        const bool last =
+            shard.guard.finish(key, it.key.attempt, result, hooks_.now());
+        watchers = shard.watchers[key];
+        if (last)
+            shard.watchers.erase(key);
     }
-    reply(link, it, result, free_slot(link, it.work->need),
-          hooks_.now() - started);
+    const auto credits = free_slot(link, it.work->need);
+    const auto ran_for = hooks_.now() - started;
+    for (const auto& watcher : watchers)
+        send(watcher, result_message{it.submission, it.key, result,
+                                     watcher == link ? credits : 0, ran_for});
     ++finished_;
     send_changed_grants();
 }
 
 // The tombstone goes first: once the entry hears "not run", this attempt can
-// never start here.
+// never start here. What was addressed to another run of the agent may have
+// started there. Of a task that has started, the entry is told how it stands.
 void agent_service::decline(link_number link, const dispatch_message& it,
                             failure_reason reason, const std::string& detail,
                             std::uint64_t credits_total)
@@ -334,23 +379,20 @@
         forbidden = shard.guard.forbid({it.submission, it.key.index},
                                        it.key.attempt, hooks_.now());
     }
+    if (!forbidden)
+        return on_query(
+            link,
+            {it.submission, options_.run, {{it.key.index, it.key.attempt}}});
     write_log(log_level::info, part, it.submission,
               "Dispatch declined: " + detail + ".");
-    reply(link, it,
-          task_result({.index = it.key.index,
-                       .reason = reason,
-                       .ran = forbidden ? effect::not_run : effect::unknown,
-                       .body = {},
-                       .detail = detail}),
-          credits_total);
-}
-
-void agent_service::reply(link_number link, const dispatch_message& it,
-                          const task_result& result,
-                          std::uint64_t credits_total, duration ran_for)
-{
+    const bool never = it.key.agent_run == options_.run;
+    const task_result result({.index = it.key.index,
+                              .reason = reason,
+                              .ran = never ? effect::not_run : effect::unknown,
+                              .body = {},
+                              .detail = detail});
     send(link,
-         result_message{it.submission, it.key, result, credits_total, ran_for});
+         result_message{it.submission, it.key, result, credits_total, {}});
 }
 
 std::uint64_t agent_service::free_slot(link_number link, const resources& need)
@@ -446,6 +488,12 @@
     return standing_.upstream->address;
 }
 
+bool agent_service::draining() const
+{
+    const std::lock_guard lock(standing_mutex_);
+    return standing_.draining;
+}
+
 bool agent_service::accepting(const standing& it) const
 {
     const auto now = hooks_.now();
--- a/process/src/claim.cpp
+++ b/process/src/claim.cpp
@@ -39,11 +39,22 @@
 
 std::optional<claim_outcome> claim_tally::decide()
 {
-    const auto quorum = replicas_ / 2 + 1;
     if (count(votes_, claim_verdict::mismatch) > 0)
         return claim_outcome({.status = claim_status::mismatch});
-    if (count(votes_, claim_verdict::granted) >= quorum)
-        return granted();
+    if (count(votes_, claim_verdict::closed) > 0)
+        return claim_outcome({.status = claim_status::closed});
+    // Unequal rounds cost another trip; a slower replica may spare it.
+    if (count(votes_, claim_verdict::granted) >= quorum())
+    {
+        const auto outcome = granted();
+        if (outcome->confirmed || answered_ == replicas_)
+            return outcome;
+        return std::nullopt;
+    }
+    if (const auto holder = quorum_holder())
+        return claim_outcome({.status = claim_status::held_by_other,
+                              .valid_until = {},
+                              .holder_address = *holder});
     if (answered_ < replicas_)
         return std::nullopt;
     return refused();
@@ -64,6 +75,13 @@
         merged.reach.insert(merged.reach.end(), it->reach.begin(),
                             it->reach.end());
     }
+    const auto same =
+        std::count_if(votes_.begin(), votes_.end(),
+                      [&](const claim_vote& it) {
+                          return it->verdict == claim_verdict::granted &&
+                                 it->round == merged.round;
+                      });
+    merged.confirmed = static_cast<std::size_t>(same) >= quorum();
     std::sort(merged.reach.begin(), merged.reach.end());
     merged.reach.erase(std::unique(merged.reach.begin(), merged.reach.end()),
                        merged.reach.end());
@@ -71,18 +89,36 @@
 }
 
 claim_outcome claim_tally::refused() const
+{
+    if (count(votes_, claim_verdict::held) > 0)
+        return claim_outcome({.status = claim_status::contested});
+    const bool fenced = count(votes_, claim_verdict::fenced) > 0;
+    return claim_outcome(
+        {.status = fenced ? claim_status::fenced : claim_status::unavailable});
+}
+
+std::optional<std::string> claim_tally::quorum_holder() const
 {
     for (const auto& it : votes_)
     {
         if (it->verdict != claim_verdict::held)
             continue;
-        return claim_outcome({.status = claim_status::held_by_other,
-                              .valid_until = {},
-                              .holder_address = it->holder_address});
+        const auto n = std::count_if(
+            votes_.begin(), votes_.end(),
+            [&](const claim_vote& other)
+            {
+                return other->verdict == claim_verdict::held &&
+                       other->holder_address == it->holder_address;
+            });
+        if (static_cast<std::size_t>(n) >= quorum())
+            return it->holder_address;
     }
-    const bool fenced = count(votes_, claim_verdict::fenced) > 0;
-    return claim_outcome(
-        {.status = fenced ? claim_status::fenced : claim_status::unavailable});
+    return std::nullopt;
+}
+
+std::size_t claim_tally::quorum() const noexcept
+{
+    return replicas_ / 2 + 1;
 }
 
 } // namespace lagoonquay
--- /dev/null
+++ b/process/src/entry_answers.cpp
@@ -0,0 +1,173 @@
+// Answers of an entry's jobs.
+#include "entry_job.hpp"
+#include "lagoonquay/process/log.hpp"
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "entry";
+
+bool says_not_run(const job_answer& answer)
+{
+    const auto not_run = [](const task_result& it)
+    {
+        return it->ran == effect::not_run;
+    };
+    return !succeeded(answer) && std::any_of(answer->failures.begin(),
+                                             answer->failures.end(), not_run);
+}
+
+// Without the record, an adopter may still run what did not run here.
+job_answer without_proof(const job_answer& answer)
+{
+    return answer.with(
+        [](job_answer_options& it)
+        {
+            it.ran = std::max(it.ran, effect::unknown);
+            for (auto& failure : it.failures)
+            {
+                failure = failure.with(
+                    [](task_result_options& task)
+                    { task.ran = std::max(task.ran, effect::unknown); });
+            }
+        });
+}
+
+} // namespace
+
+// A task that waits here has not run under this claim, and an adoption has
+// proved the same of earlier ones. Without a claim in force, another entry may
+// have started it.
+effect entry_service::waiting_effect(const job_state& state, instant now) const
+{
+    const bool proved = state.stage == job_stage::running &&
+                        now + options_.claim_margin < state.claim_end;
+    return proved ? effect::not_run : effect::unknown;
+}
+
+// A failure that calls a task "not run" is first recorded at a quorum of the
+// ledger, so that no resubmission through another entry can run it later.
+void entry_service::finish_if_complete(const job_pointer& state)
+{
+    std::optional<job_answer> answer;
+    std::optional<claim_request> close;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 if (it.answer || it.closing || !it.run.finished())
+                     return;
+                 answer = it.run.answer();
+                 if (!says_not_run(*answer))
+                     return;
+                 it.closing = true;
+                 auto options = request_for(it);
+                 options.close = true;
+                 close = claim_request(std::move(options));
+             });
+    if (close)
+        return close_claim(state, *close, *answer);
+    if (answer)
+        publish(state, *answer);
+}
+
+void entry_service::close_claim(const job_pointer& state,
+                                const claim_request& asked,
+                                const job_answer& answer)
+{
+    hooks_.claim(asked,
+                 [this, state, round = asked->round,
+                  answer](const claim_outcome& outcome)
+                 {
+                     const bool closed =
+                         outcome->status == claim_status::held &&
+                         outcome->confirmed && outcome->round == round;
+                     publish(state, closed ? answer : without_proof(answer));
+                 });
+}
+
+void entry_service::publish(const job_pointer& state, const job_answer& answer)
+{
+    std::vector<answer_hook> waiters;
+    bool fresh = false;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 if (it.answer)
+                     return;
+                 fresh = true;
+                 it.answer = answer;
+                 it.answered_at = hooks_.now();
+                 waiters = std::move(it.waiters);
+             });
+    if (!fresh)
+        return;
+    ++(succeeded(answer) ? completed_ : failed_);
+    if (!succeeded(answer))
+        write_log(log_level::info, part, state->id,
+                  "Job failed: " + answer->detail + ".");
+    for (const auto& it : waiters)
+        it(answer);
+}
+
+// Answers a job that this entry does not hold, with its holder's answer or a
+// refusal. It is forgotten, so that a resubmission is looked into afresh.
+void entry_service::refuse(const job_pointer& state, const job_answer& answer)
+{
+    std::vector<answer_hook> waiters;
+    bool known = false;
+    jobs_.with_shard(state->id,
+                     [&](auto& values)
+                     {
+                         const auto it = values.find(state->id);
+                         if (it == values.end() || it->second != state ||
+                             state->answer)
+                             return;
+                         known = true;
+                         state->answer = answer;
+                         waiters = std::move(state->waiters);
+                         values.erase(it);
+                     });
+    if (!known)
+        return;
+    ++(succeeded(answer) ? completed_ : failed_);
+    for (const auto& it : waiters)
+        it(answer);
+}
+
+void entry_service::expire_jobs(instant now)
+{
+    std::vector<job_pointer> late;
+    jobs_.for_each_shard(
+        [&](auto& values)
+        {
+            for (auto& [id, it] : values)
+            {
+                if (it->answer || now < it->deadline)
+                    continue;
+                const bool lapsed =
+                    it->stage == job_stage::running && now >= it->claim_end;
+                it->run.abandon(lapsed ? failure_reason::ledger_unavailable
+                                       : failure_reason::deadline,
+                                lapsed ? "the claim ran out and could not be "
+                                         "renewed before the deadline"
+                                       : "the deadline passed",
+                                waiting_effect(*it, now));
+                late.push_back(it);
+            }
+            std::erase_if(values,
+                          [&](const auto& it)
+                          {
+                              const auto& found = *it.second;
+                              return found.answer &&
+                                     now - found.answered_at >
+                                         options_.answer_retention;
+                          });
+        });
+    for (const auto& it : late)
+        finish_if_complete(it);
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/src/entry_claims.cpp
@@ -0,0 +1,328 @@
+// Claims of an entry's jobs: asked, confirmed, renewed, forwarded.
+#include "entry_job.hpp"
+#include "lagoonquay/process/log.hpp"
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "entry";
+
+job_answer claim_refusal(const submission_id& submission, claim_status status)
+{
+    switch (status)
+    {
+    case claim_status::mismatch:
+        return refusal(submission, failure_reason::content_mismatch,
+                       effect::unknown,
+                       "the submission id was used with other content");
+    case claim_status::closed:
+        return refusal(submission, failure_reason::already_failed,
+                       effect::unknown,
+                       "the submission has failed before; its tasks stay as "
+                       "they were");
+    case claim_status::fenced:
+        return refusal(submission, failure_reason::fenced, effect::unknown,
+                       "the submission is older than the ledger's memory");
+    default:
+        return refusal(submission, failure_reason::ledger_unavailable,
+                       effect::unknown, "no quorum of ledger replicas");
+    }
+}
+
+} // namespace
+
+// Call under the lock of the job's shard.
+claim_request_options entry_service::request_for(const job_state& state) const
+{
+    return {.submission = state.id,
+            .digest = state.digest,
+            .created = state.submitted->created,
+            .holder = options_.id,
+            .holder_run = options_.run,
+            .holder_address = options_.address,
+            .round = state.round,
+            .ask = state.ask,
+            .lease = options_.claim_lease,
+            .reach = {state.asked.begin(), state.asked.end()}};
+}
+
+//! @param confirm  the round to confirm, or zero to claim anew.
+void entry_service::ask_claim(const job_pointer& state, claim_round confirm)
+{
+    const auto links = linked();
+    const claim_ask ask(++asks_);
+    std::optional<claim_request> request;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 if (it.answer)
+                     return;
+                 it.asking = true;
+                 it.ask_again.reset();
+                 if (confirm == claim_round())
+                 {
+                     it.ask = ask;
+                     it.asked.clear();
+                     for (const auto& [agent, run] : links)
+                     {
+                         if (it.asked.size() >= options_.reach)
+                             break;
+                         it.asked.insert({agent, run});
+                     }
+                 }
+                 auto options = request_for(it);
+                 options.round = confirm;
+                 request = claim_request(std::move(options));
+             });
+    if (!request)
+        return;
+    hooks_.claim(*request, [this, state, confirm](const claim_outcome& outcome)
+                 { on_claim(state, confirm, outcome); });
+}
+
+// Two adopters can both be granted the same highest round when the replicas'
+// rounds differ. A round is used only once a quorum has recorded it: any two
+// quorums share a replica, and there each new holder gets a higher round.
+void entry_service::on_claim(const job_pointer& state, claim_round asked,
+                             const claim_outcome& outcome)
+{
+    bool open = false;
+    bool confirm = false;
+    with_job(
+        state,
+        [&](job_state& it)
+        {
+            it.asking = false;
+            open = !it.answer;
+            if (!open || outcome->status != claim_status::held)
+                return;
+            const bool first = asked == claim_round();
+            it.adoption = it.adoption || outcome->first_claim_age.count() > 0 ||
+                          (!first && outcome->round != asked);
+            it.earlier.insert(outcome->reach.begin(), outcome->reach.end());
+            confirm =
+                !outcome->confirmed || (!first && outcome->round != asked);
+        });
+    if (!open)
+        return release_claim(state);
+    if (outcome->status != claim_status::held)
+        return on_not_held(state, outcome);
+    if (confirm)
+        return ask_claim(state, outcome->round);
+    on_held(state, outcome);
+}
+
+void entry_service::on_held(const job_pointer& state,
+                            const claim_outcome& outcome)
+{
+    bool adopting = false;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 it.round = outcome->round;
+                 it.claim_end = outcome->valid_until;
+                 it.reach = it.asked;
+                 it.run.set_base(attempt_base(outcome->round));
+                 adopting = it.adoption;
+                 it.stage = adopting ? job_stage::adopting : job_stage::running;
+                 it.unheard = it.earlier;
+                 it.recovery_end = hooks_.now() + options_.link_grace;
+             });
+    if (!adopting)
+    {
+        if (const auto refused = refuse_admission(state))
+        {
+            release_claim(state);
+            return refuse(state, *refused);
+        }
+        return enqueue_waiting(state);
+    }
+    ++adopted_;
+    write_log(log_level::info, part, state->id, "Job adopted.");
+    ask_reach(state);
+}
+
+// Asked only of a job that no entry has begun; so the refusal's "not run" is
+// true. The same submission may be sent again.
+std::optional<job_answer>
+entry_service::refuse_admission(const job_pointer& state)
+{
+    auto refused = admission_.refuse(state->submitted, effect::not_run);
+    if (refused)
+        ++refused_;
+    return refused;
+}
+
+void entry_service::on_not_held(const job_pointer& state,
+                                const claim_outcome& outcome)
+{
+    release_claim(state);
+    const bool other = outcome->status == claim_status::held_by_other ||
+                       outcome->status == claim_status::contested;
+    bool forwarded = false;
+    const auto most = static_cast<std::uint64_t>(options_.claim_retry.count());
+    const duration jitter(
+        hooks_.draw ? static_cast<duration::rep>(hooks_.draw(most)) : 0);
+    with_job(state,
+             [&](job_state& it)
+             {
+                 it.adoption = false;
+                 it.earlier.clear();
+                 forwarded = it.stage == job_stage::forwarded;
+                 if (other || forwarded)
+                     it.ask_again =
+                         hooks_.now() + options_.claim_retry + jitter;
+             });
+    if (!other && !forwarded)
+        return refuse(state, claim_refusal(state->id, outcome->status));
+    // An earlier incarnation of this entry has to run out.
+    if (outcome->status == claim_status::held_by_other &&
+        outcome->holder_address != options_.address)
+        forward(state, outcome->holder_address);
+}
+
+// Replicas that voted for a claim without a quorum are free for others at once.
+void entry_service::release_claim(const job_pointer& state)
+{
+    std::optional<claim_request> request;
+    with_job(state,
+             [&](const job_state& it)
+             {
+                 auto options = request_for(it);
+                 options.release = true;
+                 options.reach.clear();
+                 request = claim_request(std::move(options));
+             });
+    if (request)
+        hooks_.claim(*request, [](const claim_outcome&) {});
+}
+
+void entry_service::forward(const job_pointer& state,
+                            const std::string& address)
+{
+    bool send = false;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 send = !it.forward_pending && !it.answer;
+                 it.forward_pending = true;
+                 it.stage = job_stage::forwarded;
+                 it.ask_again = hooks_.now() + options_.claim_lease / 2;
+             });
+    if (!send)
+        return;
+    hooks_.forward(address, state->submitted,
+                   [this, state](const std::optional<job_answer>& answer)
+                   { on_forwarded(state, answer); });
+}
+
+// A holder that can't be asked, or no longer knows the job, is waited out; its
+// lease ends if it is gone, and this entry then adopts the job.
+void entry_service::on_forwarded(const job_pointer& state,
+                                 const std::optional<job_answer>& answer)
+{
+    const bool refused =
+        answer && ((*answer)->reason == failure_reason::no_permit ||
+                   (*answer)->reason == failure_reason::draining);
+    bool use = false;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 it.forward_pending = false;
+                 use = answer && !refused && !it.answer &&
+                       it.stage == job_stage::forwarded;
+                 if (!use && it.stage == job_stage::forwarded && !it.asking)
+                     it.ask_again = hooks_.now() + options_.claim_retry;
+             });
+    if (use)
+        refuse(state, *answer);
+}
+
+void entry_service::renew(const job_pointer& state)
+{
+    std::optional<claim_request> request;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 if (it.answer || it.asking || it.round == claim_round())
+                     return;
+                 it.asking = true;
+                 it.asked = it.reach;
+                 it.asked.insert(it.wanted.begin(), it.wanted.end());
+                 it.wanted.clear();
+                 request = claim_request(request_for(it));
+             });
+    if (!request)
+        return;
+    hooks_.claim(*request,
+                 [this, state, it = *request](const claim_outcome& outcome)
+                 { on_renewed(state, it, outcome); });
+}
+
+// A quorum that recorded another round than ours has had another holder.
+void entry_service::on_renewed(const job_pointer& state,
+                               const claim_request& asked,
+                               const claim_outcome& outcome)
+{
+    const bool held = outcome->status == claim_status::held &&
+                      outcome->confirmed && outcome->round == asked->round;
+    const bool lost = outcome->status == claim_status::held_by_other ||
+                      (outcome->status == claim_status::held && !held);
+    bool unpark = false;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 it.asking = false;
+                 if (it.answer)
+                     return;
+                 if (held)
+                 {
+                     it.claim_end =
+                         std::max(it.claim_end, outcome->valid_until);
+                     it.reach.insert(asked->reach.begin(), asked->reach.end());
+                     unpark = it.parked && it.stage == job_stage::running;
+                     it.parked = false;
+                 }
+                 if (lost)
+                     it.run.abandon(failure_reason::claim_lost,
+                                    "another entry took over the job",
+                                    effect::unknown);
+             });
+    if (lost)
+        return finish_if_complete(state);
+    if (unpark)
+        enqueue_waiting(state);
+}
+
+// Renewed when less than half of the lease is left, or when a task waits for an
+// agent that the claim does not name yet.
+void entry_service::tend_claims(instant now)
+{
+    std::vector<job_pointer> renewals;
+    std::vector<job_pointer> claims;
+    for (const auto& state : open_jobs())
+    {
+        with_job(state,
+                 [&](const job_state& it)
+                 {
+                     const bool claimed = it.stage == job_stage::running ||
+                                          it.stage == job_stage::adopting;
+                     const bool soon =
+                         it.claim_end - now < options_.claim_lease / 2;
+                     if (claimed && !it.asking && (soon || !it.wanted.empty()))
+                         renewals.push_back(state);
+                     if (!claimed && !it.asking && it.ask_again &&
+                         now >= *it.ask_again)
+                         claims.push_back(state);
+                 });
+    }
+    for (const auto& it : renewals)
+        renew(it);
+    for (const auto& it : claims)
+        ask_claim(it, claim_round());
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/src/entry_dispatch.cpp
@@ -0,0 +1,194 @@
+// Tasks of an entry on their way to an agent and back.
+#include "entry_job.hpp"
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+// Only a proof that the attempt never starts lets a task move.
+bool may_move(const task_result& result) noexcept
+{
+    const bool declined = result->reason == failure_reason::no_permit ||
+                          result->reason == failure_reason::not_startable ||
+                          result->reason == failure_reason::draining;
+    return declined && result->ran == effect::not_run;
+}
+
+task_to_queue describe_task(const job& submitted, task_index index,
+                            instant deadline)
+{
+    const auto& work = submitted->tasks[index.number()];
+    return {.customer = submitted->customer,
+            .key = {submitted->submission, index},
+            .kind = work->kind,
+            .need = work->need,
+            .declared_run = work->declared_run,
+            .deadline = deadline};
+}
+
+task_result cancelled_result(task_index index)
+{
+    return task_result({.index = index,
+                        .reason = failure_reason::cancelled,
+                        .ran = effect::not_run,
+                        .body = {},
+                        .detail = "cancelled before its start"});
+}
+
+} // namespace
+
+void entry_service::enqueue_waiting(const job_pointer& state)
+{
+    std::vector<task_index> tasks;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 for (const auto& index : it.run.waiting())
+                 {
+                     if (it.cancelled)
+                         it.run.finish_waiting(index, failure_reason::cancelled,
+                                               "cancelled by the caller");
+                     else
+                         tasks.push_back(index);
+                 }
+             });
+    for (const auto& it : tasks)
+        enqueue(*state, it);
+    finish_if_complete(state);
+    dispatcher_.pump();
+}
+
+void entry_service::enqueue(const job_state& state, task_index index)
+{
+    dispatcher_.enqueue(describe_task(state.submitted, index, state.deadline));
+}
+
+// The task prefers another agent than the one that it comes from.
+void entry_service::enqueue_again(const job_state& state,
+                                  const attempt_key& key)
+{
+    const auto moves = key.attempt.number() % attempts_per_round;
+    dispatcher_.enqueue_again(
+        describe_task(state.submitted, key.index, state.deadline), key.agent,
+        static_cast<std::uint32_t>(moves));
+}
+
+bool entry_service::is_waiting(const task_key& key)
+{
+    return jobs_.with(
+        key.submission, [&](auto* it)
+        { return it != nullptr && (*it)->run.is_waiting(key.index); });
+}
+
+// The agent's clock was at least `agent_time` when it was heard, so the sum
+// below is never later than the claim's end. An agent that the claim does not
+// name could not be asked by an adopter: the task waits for a renewal that
+// names it. Tasks that wait for a renewal leave the queue.
+std::optional<dispatch_message>
+entry_service::begin_dispatch(const task_key& key, const agent_id& agent,
+                              const taken_credit& credit)
+{
+    const auto now = hooks_.now();
+    const agent_run_id target{agent, credit.agent_run};
+    job_pointer widen;
+    const auto message =
+        jobs_.with(key.submission,
+                   [&](auto* found) -> std::optional<dispatch_message>
+                   {
+                       if (found == nullptr)
+                           return std::nullopt;
+                       auto& it = **found;
+                       if (!it.run.is_waiting(key.index) ||
+                           it.stage != job_stage::running || now >= it.deadline)
+                           return std::nullopt;
+                       if (!it.reach.contains(target))
+                       {
+                           it.wanted.insert(target);
+                           it.parked = true;
+                           widen = *found;
+                           return std::nullopt;
+                       }
+                       if (now + options_.claim_margin >= it.claim_end)
+                       {
+                           it.parked = true;
+                           return std::nullopt;
+                       }
+                       dispatch_message result;
+                       result.submission = key.submission;
+                       result.key =
+                           it.run.dispatch(key.index, agent, credit.agent_run);
+                       result.start_before = credit.agent_time +
+                                             (it.claim_end - credit.heard) -
+                                             options_.claim_margin;
+                       result.run_limit = it.deadline - now;
+                       result.repeatable = it.submitted->idempotent;
+                       result.work = it.submitted->tasks[key.index.number()];
+                       return result;
+                   });
+    if (widen)
+        renew(widen);
+    return message;
+}
+
+void entry_service::on_result(const agent_id& agent, const result_message& it)
+{
+    const auto state = find(it.submission);
+    const bool counted = state && settle(state, it.key, it.result);
+    dispatcher_.finish(agent, it);
+    if (!counted)
+        ++dropped_;
+}
+
+// An idempotent task whose run came to an unknown end may run again.
+bool entry_service::grant_retry(const job_pointer& state,
+                                const task_result& result) const
+{
+    const bool wanted = state->submitted->idempotent &&
+                        result->ran == effect::unknown &&
+                        hooks_.now() < state->deadline;
+    if (!wanted)
+        return false;
+    return !hooks_.retry || hooks_.retry(state->submitted->customer);
+}
+
+// @return false if the key is not a current attempt of the job.
+bool entry_service::settle(const job_pointer& state, const attempt_key& key,
+                           const task_result& result)
+{
+    const bool retry = grant_retry(state, result);
+    bool counted = false;
+    bool again = false;
+    bool retried = false;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 if (it.answer)
+                     return;
+                 const bool within =
+                     hooks_.retry || it.retries < it.submitted->tasks.size();
+                 retried = retry && within && !it.cancelled;
+                 const bool move = may_move(result);
+                 if (move && it.cancelled)
+                     counted = it.run.record(key, cancelled_result(key.index));
+                 else if (move)
+                     again = counted = it.run.requeue(key);
+                 else if (retried)
+                     again = counted = it.run.retry(key);
+                 else
+                     counted = it.run.record(key, result);
+                 retried = retried && counted && !move;
+                 it.retries += retried ? 1 : 0;
+                 again = again && it.stage == job_stage::running;
+             });
+    if (again)
+    {
+        ++(retried ? retried_ : requeued_);
+        enqueue_again(*state, key);
+    }
+    finish_if_complete(state);
+    return counted;
+}
+
+} // namespace lagoonquay
--- a/process/src/entry_http.cpp
+++ b/process/src/entry_http.cpp
@@ -231,12 +231,6 @@
     return {.body = encode_claim_vote(ledger.claim(asked.value()))};
 }
 
-job_answer forward_failure(const job& work, const std::string& detail)
-{
-    return refusal(work->submission, failure_reason::link_lost, effect::unknown,
-                   "the holding entry: " + detail);
-}
-
 } // namespace
 
 http_handler caller_routes(entry_service& service, const job_limits& limits,
@@ -283,12 +277,12 @@
 
 forward_hook forward_over_http(http_client& client)
 {
-    return
-        [&client](const std::string& address, const job& work, answer_hook done)
+    return [&client](const std::string& address, const job& work,
+                     forwarded_hook done)
     {
         const auto target = parse_endpoint(address);
         if (!target)
-            return done(forward_failure(work, target.error().detail));
+            return done(std::nullopt);
         const http_request request{.method = http_method::post,
                                    .path = std::string(jobs_path),
                                    .query = {},
@@ -296,14 +290,13 @@
                                    .bearer = {}};
         client.send(
             target.value(), request, work->time_limit,
-            [work,
-             it = std::move(done)](connection_result<http_response> answer)
+            [it = std::move(done)](connection_result<http_response> answer)
             {
                 if (!answer)
-                    return it(forward_failure(work, answer.error().detail));
+                    return it(std::nullopt);
                 auto decoded = decode_answer(answer.value().body);
                 if (!decoded)
-                    return it(forward_failure(work, decoded.error().detail));
+                    return it(std::nullopt);
                 it(decoded.value());
             });
     };
--- /dev/null
+++ b/process/src/entry_recovery.cpp
@@ -0,0 +1,259 @@
+// Tasks whose link was lost, and jobs taken over from another claim.
+#include "entry_job.hpp"
+#include "lagoonquay/process/log.hpp"
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "entry";
+
+//! A query and the agent it goes to, once no lock is held.
+struct outgoing_query
+{
+    agent_id agent;
+    query_message message;
+};
+
+task_result lost_result(const attempt_key& key)
+{
+    return task_result(
+        {.index = key.index,
+         .reason = failure_reason::link_lost,
+         .ran = effect::unknown,
+         .body = {},
+         .detail = "agent " + key.agent.text() + " was lost with the task"});
+}
+
+// A status counts for an adoption if it speaks of every task and comes after
+// the agent forbade every attempt up to `base`.
+bool fences(const status_message& it, std::size_t tasks, attempt_number base)
+{
+    const bool all =
+        std::all_of(it.items.begin(), it.items.end(),
+                    [&](const status_item& item) {
+                        return item.attempt >= base ||
+                               item.state != start_state::not_started;
+                    });
+    return all && it.items.size() == tasks;
+}
+
+} // namespace
+
+// Asks an agent that has just been linked about every task it may have.
+void entry_service::ask_agent(const agent_run_id& agent)
+{
+    std::vector<job_pointer> adopting;
+    std::vector<outgoing_query> queries;
+    for (const auto& state : open_jobs())
+    {
+        with_job(state,
+                 [&](const job_state& it)
+                 {
+                     if (it.unheard.contains(agent))
+                     {
+                         adopting.push_back(state);
+                         return;
+                     }
+                     query_message query{it.id, agent.run, {}};
+                     for (const auto& key : it.run.dispatched())
+                     {
+                         if (key.agent != agent.agent ||
+                             key.agent_run != agent.run)
+                             continue;
+                         query.items.push_back({key.index, key.attempt});
+                     }
+                     if (!query.items.empty())
+                         queries.push_back({agent.agent, std::move(query)});
+                 });
+    }
+    for (const auto& it : queries)
+        dispatcher_.agents().send(it.agent, it.message);
+    for (const auto& it : adopting)
+        ask_reach(it);
+}
+
+// The question forbids every attempt of earlier claims, so that whatever is
+// still on its way from an earlier holder never starts.
+void entry_service::ask_reach(const job_pointer& state)
+{
+    const auto links = linked();
+    std::vector<outgoing_query> queries;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 if (it.answer || it.stage != job_stage::adopting)
+                     return;
+                 for (const auto& [agent, run] : links)
+                 {
+                     if (!it.unheard.contains({agent, run}))
+                         continue;
+                     query_message query{it.id, run, {}};
+                     for (std::uint64_t n = 0; n < it.submitted->tasks.size();
+                          ++n)
+                         query.items.push_back(
+                             {task_index(n), attempt_base(it.round)});
+                     queries.push_back({agent, std::move(query)});
+                 }
+             });
+    for (const auto& it : queries)
+        dispatcher_.agents().send(it.agent, it.message);
+    finish_adoption(state);
+}
+
+void entry_service::on_status(const agent_id& agent, const status_message& it)
+{
+    const auto state = find(it.submission);
+    if (!state)
+        return;
+    std::vector<task_index> moved;
+    with_job(state,
+             [&](job_state& found)
+             {
+                 const agent_run_id source{agent, it.agent_run};
+                 if (found.answer)
+                     return;
+                 for (const auto& item : it.items)
+                 {
+                     if (apply(found, source, item))
+                         moved.push_back(item.index);
+                 }
+                 if (fences(it, found.submitted->tasks.size(),
+                            attempt_base(found.round)))
+                     found.unheard.erase(source);
+             });
+    for (const auto& index : moved)
+    {
+        ++requeued_;
+        enqueue(*state, index);
+    }
+    finish_adoption(state);
+    finish_if_complete(state);
+}
+
+// @return whether the task waits again.
+bool entry_service::apply(job_state& state, const agent_run_id& agent,
+                          const status_item& it)
+{
+    const attempt_key key{it.index, it.attempt, agent.agent, agent.run};
+    if (it.state == start_state::not_started)
+    {
+        if (!state.run.requeue(key))
+            return false;
+        if (state.cancelled)
+            state.run.finish_waiting(it.index, failure_reason::cancelled,
+                                     "cancelled by the caller");
+        return !state.cancelled && state.stage == job_stage::running;
+    }
+    if (!state.run.adopt(key))
+        return false;
+    ++recovered_;
+    if (it.state == start_state::finished)
+        state.run.record(key, it.result);
+    return false;
+}
+
+// Tasks that no agent has started run once every agent of the reach has said
+// so. If one can't answer any more, they may have run there.
+void entry_service::finish_adoption(const job_pointer& state)
+{
+    const auto now = hooks_.now();
+    const auto links = linked();
+    bool done = false;
+    bool untouched = false;
+    with_job(
+        state,
+        [&](job_state& it)
+        {
+            if (it.answer || it.stage != job_stage::adopting)
+                return;
+            const bool late = now >= it.recovery_end;
+            const auto gone =
+                std::erase_if(it.unheard,
+                              [&](const agent_run_id& agent)
+                              {
+                                  const auto link = links.find(agent.agent);
+                                  if (link == links.end())
+                                      return late;
+                                  return link->second != agent.run;
+                              });
+            it.reach_lost = it.reach_lost || gone > 0;
+            if (!it.unheard.empty())
+                return;
+            it.stage = job_stage::running;
+            done = true;
+            untouched = !it.reach_lost &&
+                        it.run.waiting().size() == it.submitted->tasks.size();
+            if (!it.reach_lost)
+                return;
+            for (const auto& index : it.run.waiting())
+            {
+                it.run.doubt(index);
+                if (it.submitted->idempotent)
+                    continue;
+                it.run.finish_waiting(index, failure_reason::link_lost,
+                                      "an agent of an earlier claim was lost");
+            }
+        });
+    if (!done)
+        return;
+    if (untouched)
+    {
+        if (const auto refused = refuse_admission(state))
+        {
+            release_claim(state);
+            return refuse(state, *refused);
+        }
+    }
+    write_log(log_level::info, part, state->id, "Adoption settled.");
+    enqueue_waiting(state);
+}
+
+void entry_service::check_lost(instant now)
+{
+    const auto links = linked();
+    for (const auto& state : open_jobs())
+    {
+        std::vector<attempt_key> lost;
+        bool adopting = false;
+        with_job(state,
+                 [&](job_state& it)
+                 {
+                     adopting = it.stage == job_stage::adopting;
+                     lost = lost_attempts(it, links, now);
+                 });
+        for (const auto& key : lost)
+            settle(state, key, lost_result(key));
+        if (adopting)
+            finish_adoption(state);
+    }
+}
+
+// @return the attempts whose agent is given up: it came back as another
+// incarnation, or did not come back within the grace period.
+std::vector<attempt_key> entry_service::lost_attempts(job_state& state,
+                                                      const linked_runs& links,
+                                                      instant now) const
+{
+    std::vector<attempt_key> lost;
+    for (const auto& key : state.run.dispatched())
+    {
+        const agent_run_id agent{key.agent, key.agent_run};
+        const auto link = links.find(key.agent);
+        if (link != links.end() && link->second == key.agent_run)
+        {
+            state.lost.erase(agent);
+            continue;
+        }
+        const auto until =
+            state.lost.try_emplace(agent, now + options_.link_grace)
+                .first->second;
+        if (link != links.end() || now >= until)
+            lost.push_back(key);
+    }
+    return lost;
+}
+
+} // namespace lagoonquay
--- a/process/src/ledger_codec.cpp
+++ b/process/src/ledger_codec.cpp
@@ -14,8 +14,8 @@
 {
 
 constexpr std::size_t id_bytes = 128;
-constexpr std::array<std::string_view, 4> verdict_names{"granted", "held",
-                                                        "mismatch", "fenced"};
+constexpr std::array<std::string_view, 5> verdict_names{
+    "granted", "held", "closed", "mismatch", "fenced"};
 
 json::array reach_to_json(const std::vector<agent_run_id>& reach)
 {
@@ -71,6 +71,9 @@
         {"holder_run", std::to_string(asked->holder_run.number())},
         {"holder_address", asked->holder_address},
         {"round", asked->round.number()},
+        {"ask", asked->ask.number()},
+        {"close", asked->close},
+        {"release", asked->release},
         {"lease_us", asked->lease.count()},
         {"reach", reach_to_json(asked->reach)}};
     return json::serialize(object);
@@ -89,6 +92,9 @@
     options.holder_run = incarnation(fields.wide_number("holder_run"));
     options.holder_address = fields.text("holder_address", id_bytes);
     options.round = claim_round(fields.number("round", 0, json_exact_limit));
+    options.ask = claim_ask(fields.number_or("ask", 0, 0, json_exact_limit));
+    options.close = fields.flag_or("close", false);
+    options.release = fields.flag_or("release", false);
     options.lease = get_duration(fields, "lease_us");
     options.reach = reach_from_json(fields);
     if (fields.failed())
--- a/process/src/ledger_replica.cpp
+++ b/process/src/ledger_replica.cpp
@@ -3,8 +3,9 @@
 namespace lagoonquay
 {
 
-ledger_replica::ledger_replica(ledger_options options, clock_hook now)
-    : now_(std::move(now))
+ledger_replica::ledger_replica(ledger_options options, clock_hook now,
+                               wall_clock_hook wall)
+    : options_(options), now_(std::move(now)), wall_(std::move(wall))
 {
     for (auto& it : shards_)
         it = std::make_unique<guarded_shard>(options);
@@ -12,10 +13,16 @@
 
 claim_vote ledger_replica::claim(const claim_request& asked)
 {
+    if (asked->submission.empty())
+    {
+        const bool past = past_fence(options_, wall_());
+        return claim_vote(
+            {.verdict = past ? claim_verdict::granted : claim_verdict::fenced});
+    }
     const auto hash = std::hash<submission_id>()(asked->submission);
     auto& target = *shards_[hash % shard_count];
     const std::lock_guard lock(target.mutex);
-    return target.shard.claim(asked, now_());
+    return target.shard.claim(asked, now_(), wall_());
 }
 
 void ledger_replica::expire()
--- a/process/src/ledger_shard.cpp
+++ b/process/src/ledger_shard.cpp
@@ -19,25 +19,50 @@
     }
 }
 
+bool same_holder(const entry_id& holder, incarnation run,
+                 const claim_request& asked) noexcept
+{
+    return holder == asked->holder && run == asked->holder_run;
+}
+
+claim_vote held_by(const std::string& address)
+{
+    return claim_vote(
+        {.verdict = claim_verdict::held, .holder_address = address});
+}
+
 } // namespace
 
+// Two skews: the clock that stamped the creation and this one may be off in
+// opposite directions.
+bool past_fence(const ledger_options& options, wall_time wall) noexcept
+{
+    return wall > options.memory_since + 2 * options.clock_skew;
+}
+
 ledger_shard::ledger_shard(ledger_options options) noexcept : options_(options)
 {
 }
 
-claim_vote ledger_shard::claim(const claim_request& asked, instant now)
+claim_vote ledger_shard::claim(const claim_request& asked, instant now,
+                               wall_time wall)
 {
     const auto it = records_.find(asked->submission);
     if (it == records_.end())
-        return add(asked, now);
+        return add(asked, now, wall);
     auto& held = it->second;
     if (held.digest != asked->digest)
         return claim_vote({.verdict = claim_verdict::mismatch});
-    if (held.holder == asked->holder && held.holder_run == asked->holder_run)
+    if (asked->release)
+        return release(held, asked, now);
+    if (asked->round != claim_round())
         return renew(held, asked, now);
+    if (held.closed)
+        return claim_vote({.verdict = claim_verdict::closed});
+    if (same_holder(held.holder, held.holder_run, asked))
+        return claim_again(held, asked, now);
     if (now < held.lease_end)
-        return claim_vote({.verdict = claim_verdict::held,
-                           .holder_address = held.holder_address});
+        return held_by(held.holder_address);
     return adopt(held, asked, now);
 }
 
@@ -52,22 +77,30 @@
     return records_.size();
 }
 
-// Two skews: the clock that stamped the creation and this one may be off in
-// opposite directions.
-bool ledger_shard::remembers(wall_time created) const noexcept
+// A replica never votes on what its own clock calls the future, so whatever it
+// voted on before a restart lies before its new memory and is fenced. It never
+// votes on what is older than its records are kept.
+bool ledger_shard::remembers(wall_time created, wall_time wall) const noexcept
 {
-    return created > options_.memory_since + 2 * options_.clock_skew;
+    return past_fence(options_, created) &&
+           created <= wall + options_.clock_skew &&
+           created + options_.oldest_submission >= wall;
 }
 
-claim_vote ledger_shard::add(const claim_request& asked, instant now)
+claim_vote ledger_shard::add(const claim_request& asked, instant now,
+                             wall_time wall)
 {
-    if (!remembers(asked->created))
+    if (!remembers(asked->created, wall))
         return claim_vote({.verdict = claim_verdict::fenced});
+    if (asked->release)
+        return claim_vote({.verdict = claim_verdict::granted});
     record fresh;
     fresh.digest = asked->digest;
     fresh.holder = asked->holder;
     fresh.holder_run = asked->holder_run;
     fresh.holder_address = asked->holder_address;
+    fresh.ask = asked->ask;
+    fresh.closed = asked->close;
     fresh.round = std::max(asked->round, claim_round(1));
     fresh.first_claim = now;
     fresh.lease_end = now + asked->lease;
@@ -77,9 +110,42 @@
     return claim_vote({.verdict = claim_verdict::granted, .round = round});
 }
 
+// A holder that asks anew has forgotten what it did under its claim: it adopts
+// the submission like any other entry, but need not wait for itself. A message
+// that came twice or late changes nothing.
+claim_vote ledger_shard::claim_again(record& held, const claim_request& asked,
+                                     instant now)
+{
+    if (asked->ask < held.ask)
+        return held_by(held.holder_address);
+    if (asked->ask > held.ask)
+        return adopt(held, asked, now);
+    return claim_vote(
+        {.verdict = claim_verdict::granted,
+         .holder_address = {},
+         .round = held.round,
+         .first_claim_age = std::max(now - held.first_claim, duration(1)),
+         .reach = held.reach});
+}
+
+claim_vote ledger_shard::release(record& held, const claim_request& asked,
+                                 instant now)
+{
+    if (!same_holder(held.holder, held.holder_run, asked) ||
+        held.ask != asked->ask)
+        return held_by(held.holder_address);
+    held.lease_end = now;
+    return claim_vote({.verdict = claim_verdict::granted, .round = held.round});
+}
+
+// A renewal never adopts, even after the other's lease: that holder may have
+// used its claim, and only an adoption asks for its reach.
 claim_vote ledger_shard::renew(record& held, const claim_request& asked,
                                instant now)
 {
+    if (!same_holder(held.holder, held.holder_run, asked))
+        return held_by(held.holder_address);
+    held.closed = held.closed || asked->close;
     held.round = std::max(held.round, asked->round);
     held.lease_end = std::max(held.lease_end, now + asked->lease);
     add_reach(held.reach, asked->reach);
@@ -97,6 +163,7 @@
     held.holder = asked->holder;
     held.holder_run = asked->holder_run;
     held.holder_address = asked->holder_address;
+    held.ask = asked->ask;
     held.round = std::max(claim_round(held.round.number() + 1), asked->round);
     held.lease_end = now + asked->lease;
     add_reach(held.reach, asked->reach);
--- /dev/null
+++ b/process/tests/fake_fleet.hpp
@@ -0,0 +1,137 @@
+//! Entries, agents and ledger replicas on virtual time, joined by fake links.
+#pragma once
+
+#include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/process/agent_service.hpp"
+#include "lagoonquay/process/entry_service.hpp"
+#include "lagoonquay/process/ledger_replica.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lagoonquay
+{
+
+//! Runs events in the order of their virtual time.
+class virtual_time
+{
+public:
+    using event = std::function<void()>;
+
+    instant now() const noexcept;
+    void after(duration delay, event run);
+    //! Runs every event up to `until`.
+    void run_until(instant until);
+
+private:
+    instant now_{std::chrono::seconds(1000)};
+    std::multimap<instant, event> events_;
+};
+
+//! A process that can be frozen or killed; its pending events go with it.
+struct fake_process
+{
+    bool alive = true;
+    bool frozen = false;
+    std::vector<virtual_time::event> backlog;
+};
+
+using process_pointer = std::shared_ptr<fake_process>;
+
+//! Settings of a fake fleet.
+struct fake_fleet_options
+{
+    std::size_t entries = 3;
+    std::size_t agents = 3;
+    std::uint32_t slots = 2;
+    std::uint64_t seed = 1;
+    duration latency = std::chrono::microseconds(1500);
+    duration lease = std::chrono::seconds(1);
+    std::uint64_t claim_loss_percent = 0; //!< of claim messages and votes
+};
+
+//! What the callers and the upstreams saw.
+struct fleet_record
+{
+    std::map<task_key, std::uint64_t> starts;
+    std::vector<job_answer> answers;
+    std::vector<std::string> violations;
+    std::uint64_t lost_calls = 0; //!< submitted to an entry that died
+};
+
+//! The fleet and the faults that a test can cause. Single-threaded.
+class fake_fleet
+{
+public:
+    explicit fake_fleet(fake_fleet_options options);
+    ~fake_fleet();
+
+    //! Submits a job through an entry; the record gets its answer.
+    void submit(std::size_t entry, const job& work);
+    void run_for(duration span);
+
+    void kill_entry(std::size_t entry);
+    void start_entry(std::size_t entry);
+    void kill_agent(std::size_t agent);
+    void start_agent(std::size_t agent);
+    void freeze_entry(std::size_t entry, bool frozen);
+    void freeze_agent(std::size_t agent, bool frozen);
+    //! Cuts the link; what is under way on it is lost.
+    void cut(std::size_t entry, std::size_t agent);
+    //! Keeps the entry from linking the agent.
+    void separate(std::size_t entry, std::size_t agent, bool apart);
+
+    entry_service& entry(std::size_t n);
+    agent_service& agent(std::size_t n);
+    bool entry_alive(std::size_t n) const;
+    bool agent_alive(std::size_t n) const;
+
+    //! Changes what a run takes or gives.
+    std::function<duration(const upstream_call&)> run_time;
+    std::function<void(const upstream_call&)> on_start;
+
+    const fleet_record& record() const noexcept;
+    virtual_time& time() noexcept;
+    wall_time wall() const;
+    std::uint64_t draw(std::uint64_t bound);
+
+private:
+    class fake_link;
+    struct entry_host;
+    struct agent_host;
+    void deliver(const process_pointer& to, virtual_time::event run);
+    void send(const process_pointer& to, virtual_time::event run);
+    void thaw(const process_pointer& it);
+    void link(std::size_t entry, std::size_t agent);
+    void tick_entry(std::size_t n);
+    void tick_agent(std::size_t n);
+    void claim(std::size_t from, const claim_request& asked,
+               claim_callback done);
+    void forward(std::size_t from, const std::string& address, const job& work,
+                 const forwarded_hook& done);
+    void call_upstream(std::size_t agent, const upstream_call& call,
+                       const upstream_callback& done);
+    void check_answer(const job& work, const job_answer& answer);
+    void complain(const submission_id& submission, const std::string& what);
+    permit endless_permit() const;
+
+    fake_fleet_options options_;
+    std::mt19937_64 random_;
+    virtual_time time_;
+    std::vector<std::unique_ptr<entry_host>> entries_;
+    std::vector<std::unique_ptr<agent_host>> agents_;
+    std::vector<std::weak_ptr<fake_link>> links_;
+    std::set<std::pair<std::size_t, std::size_t>> apart_;
+    //! Tasks that a refusal said not to have run.
+    std::map<submission_id, std::set<std::uint64_t>> denied_;
+    std::map<submission_id, bool> idempotent_;
+    std::uint64_t runs_ = 1;
+    fleet_record record_;
+};
+
+} // namespace lagoonquay
--- a/process/tests/ledger_test.cpp
+++ b/process/tests/ledger_test.cpp
@@ -11,6 +11,7 @@
 
 const wall_time began(std::chrono::seconds(1000));
 const instant now(std::chrono::seconds(50));
+const wall_time wall(std::chrono::seconds(1010));
 const duration lease = std::chrono::seconds(5);
 
 claim_request asked_by(const std::string& holder)
@@ -27,8 +28,9 @@
 TEST(ledger_shard, grants_a_claim_to_one_entry_at_a_time)
 {
     ledger_shard shard({.memory_since = began});
-    EXPECT_EQ(shard.claim(asked_by("a"), now)->verdict, claim_verdict::granted);
-    const auto refused = shard.claim(asked_by("b"), now);
+    EXPECT_EQ(shard.claim(asked_by("a"), now, wall)->verdict,
+              claim_verdict::granted);
+    const auto refused = shard.claim(asked_by("b"), now, wall);
     EXPECT_EQ(refused->verdict, claim_verdict::held);
     EXPECT_EQ(refused->holder_address, "a");
 }
@@ -36,8 +38,8 @@
 TEST(ledger_shard, lets_another_entry_adopt_after_the_lease)
 {
     ledger_shard shard({.memory_since = began});
-    shard.claim(asked_by("a"), now);
-    const auto adopted = shard.claim(asked_by("b"), now + lease);
+    shard.claim(asked_by("a"), now, wall);
+    const auto adopted = shard.claim(asked_by("b"), now + lease, wall);
     EXPECT_EQ(adopted->verdict, claim_verdict::granted);
     EXPECT_EQ(adopted->round, claim_round(2));
     EXPECT_EQ(adopted->first_claim_age, lease);
@@ -49,16 +51,16 @@
     const auto old = asked_by("a").with(
         [](claim_request_options& it)
         { it.created = began + std::chrono::milliseconds(1000); });
-    EXPECT_EQ(shard.claim(old, now)->verdict, claim_verdict::fenced);
+    EXPECT_EQ(shard.claim(old, now, wall)->verdict, claim_verdict::fenced);
 }
 
 TEST(ledger_shard, refuses_other_content)
 {
     ledger_shard shard({.memory_since = began});
-    shard.claim(asked_by("a"), now);
+    shard.claim(asked_by("a"), now, wall);
     const auto other = asked_by("a").with([](claim_request_options& it)
                                           { it.digest = content_digest(2); });
-    EXPECT_EQ(shard.claim(other, now)->verdict, claim_verdict::mismatch);
+    EXPECT_EQ(shard.claim(other, now, wall)->verdict, claim_verdict::mismatch);
 }
 
 TEST(claim_tally, holds_with_a_quorum_counted_from_the_request)
--- /dev/null
+++ b/process/tests/recovery_test.cpp
@@ -0,0 +1,407 @@
+// Deaths, cuts and freezes at chosen moments, on virtual time.
+#include "fake_fleet.hpp"
+#include "lagoonquay/process/log.hpp"
+
+#include <gtest/gtest.h>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+job job_of(const fake_fleet& fleet, std::size_t tasks, bool idempotent = false)
+{
+    return job({.submission = submission_id("s"),
+                .customer = customer_id("c"),
+                .created = fleet.wall(),
+                .time_limit = seconds(10),
+                .idempotent = idempotent,
+                .tasks = std::vector<task>(tasks)});
+}
+
+class recovery : public testing::Test
+{
+protected:
+    static void SetUpTestSuite()
+    {
+        open_log({.level = log_level::error});
+    }
+
+    void TearDown() override
+    {
+        for (const auto& it : fleet.record().violations)
+            ADD_FAILURE() << it;
+    }
+
+    std::uint64_t starts() const
+    {
+        std::uint64_t total = 0;
+        for (const auto& [key, n] : fleet.record().starts)
+            total += n;
+        return total;
+    }
+
+    void run_takes(duration span)
+    {
+        fleet.run_time = [span](const upstream_call&)
+        {
+            return span;
+        };
+    }
+
+    job_answer only_answer() const
+    {
+        EXPECT_EQ(fleet.record().answers.size(), 1U);
+        return fleet.record().answers.empty() ? job_answer()
+                                              : fleet.record().answers.front();
+    }
+
+    //! @return the agent that runs the only task.
+    std::size_t busy_agent()
+    {
+        for (std::size_t n = 0; n < 3; ++n)
+        {
+            if (fleet.agent(n).running() > 0)
+                return n;
+        }
+        ADD_FAILURE() << "no agent runs a task";
+        return 0;
+    }
+
+    fake_fleet fleet{{}};
+};
+
+TEST_F(recovery, answers_a_job_whole)
+{
+    fleet.submit(0, job_of(fleet, 4));
+    fleet.run_for(seconds(1));
+    EXPECT_TRUE(succeeded(only_answer()));
+    EXPECT_EQ(starts(), 4U);
+}
+
+TEST_F(recovery, a_cancel_before_the_claim_is_kept)
+{
+    fleet.submit(0, job_of(fleet, 2));
+    EXPECT_TRUE(fleet.entry(0).cancel(submission_id("s")));
+    fleet.run_for(seconds(1));
+    EXPECT_EQ(only_answer()->reason, failure_reason::cancelled);
+    EXPECT_EQ(only_answer()->ran, effect::not_run);
+    EXPECT_EQ(starts(), 0U);
+}
+
+TEST_F(recovery, the_deadline_before_the_claim_answers)
+{
+    auto work = job_of(fleet, 1).with([](job_options& it)
+                                      { it.time_limit = milliseconds(60); });
+    fleet.kill_entry(1);
+    fleet.kill_entry(2);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(150));
+    EXPECT_EQ(only_answer()->reason, failure_reason::deadline);
+    EXPECT_EQ(only_answer()->ran, effect::unknown);
+}
+
+TEST_F(recovery, a_result_that_met_a_closed_link_is_fetched)
+{
+    run_takes(milliseconds(100));
+    fleet.submit(0, job_of(fleet, 1));
+    fleet.run_for(milliseconds(50));
+    const auto n = busy_agent();
+    fleet.separate(0, n, true);
+    fleet.run_for(milliseconds(200));
+    fleet.separate(0, n, false);
+    fleet.run_for(seconds(1));
+    EXPECT_TRUE(succeeded(only_answer()));
+    EXPECT_EQ(starts(), 1U);
+    EXPECT_EQ(fleet.entry(0).counts().recovered, 1U);
+}
+
+TEST_F(recovery, a_task_that_still_runs_after_a_cut_is_awaited)
+{
+    run_takes(milliseconds(600));
+    fleet.submit(0, job_of(fleet, 1));
+    fleet.run_for(milliseconds(50));
+    fleet.cut(0, busy_agent());
+    fleet.run_for(seconds(2));
+    EXPECT_TRUE(succeeded(only_answer()));
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST_F(recovery, a_dispatch_lost_with_its_link_moves)
+{
+    fleet.submit(0, job_of(fleet, 1));
+    while (fleet.entry(0).counts().dispatched == 0)
+        fleet.run_for(duration(100));
+    for (std::size_t n = 0; n < 3; ++n)
+        fleet.cut(0, n);
+    fleet.run_for(seconds(2));
+    EXPECT_TRUE(succeeded(only_answer()));
+    EXPECT_EQ(starts(), 1U);
+    EXPECT_EQ(fleet.entry(0).counts().requeued, 1U);
+}
+
+TEST_F(recovery, a_new_incarnation_of_the_agent_fails_the_job_clearly)
+{
+    run_takes(milliseconds(500));
+    fleet.submit(0, job_of(fleet, 1));
+    fleet.run_for(milliseconds(50));
+    const auto n = busy_agent();
+    fleet.kill_agent(n);
+    fleet.start_agent(n);
+    fleet.run_for(milliseconds(500));
+    EXPECT_EQ(only_answer()->reason, failure_reason::link_lost);
+    EXPECT_EQ(only_answer()->ran, effect::unknown);
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST_F(recovery, an_agent_that_stays_away_fails_the_job_after_the_grace)
+{
+    run_takes(milliseconds(500));
+    fleet.submit(0, job_of(fleet, 1));
+    fleet.run_for(milliseconds(50));
+    fleet.kill_agent(busy_agent());
+    fleet.run_for(milliseconds(800));
+    EXPECT_TRUE(fleet.record().answers.empty());
+    fleet.run_for(milliseconds(500));
+    EXPECT_EQ(only_answer()->reason, failure_reason::link_lost);
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST_F(recovery, an_idempotent_task_runs_again)
+{
+    run_takes(milliseconds(500));
+    fleet.submit(0, job_of(fleet, 1, true));
+    fleet.run_for(milliseconds(50));
+    fleet.kill_agent(busy_agent());
+    fleet.run_for(seconds(4));
+    EXPECT_TRUE(succeeded(only_answer()));
+    EXPECT_EQ(starts(), 2U);
+    EXPECT_EQ(fleet.entry(0).counts().retried, 1U);
+}
+
+TEST_F(recovery, the_result_of_a_running_task_is_taken_after_a_cancel)
+{
+    run_takes(milliseconds(300));
+    fleet.submit(0, job_of(fleet, 1));
+    fleet.run_for(milliseconds(50));
+    EXPECT_TRUE(fleet.entry(0).cancel(submission_id("s")));
+    fleet.run_for(seconds(1));
+    EXPECT_TRUE(succeeded(only_answer()));
+}
+
+TEST_F(recovery, nothing_is_dispatched_once_the_claim_ran_out)
+{
+    run_takes(milliseconds(3000));
+    fleet.submit(0, job_of(fleet, 8));
+    fleet.run_for(milliseconds(50));
+    EXPECT_EQ(starts(), 6U);
+    fleet.kill_entry(1);
+    fleet.kill_entry(2);
+    fleet.run_for(seconds(11));
+    EXPECT_EQ(starts(), 6U);
+    EXPECT_EQ(only_answer()->reason, failure_reason::ledger_unavailable);
+    EXPECT_NE(only_answer()->detail.find("could not be renewed"),
+              std::string::npos);
+    EXPECT_EQ(only_answer()->ran, effect::ran);
+    const auto answer = only_answer();
+    for (const auto& it : answer->failures)
+        EXPECT_EQ(it->ran, effect::unknown);
+}
+
+TEST_F(recovery, another_entry_adopts_the_job_of_a_dead_one)
+{
+    fleet.run_time = [](const upstream_call& it)
+    {
+        return milliseconds(it.index.number() < 2 ? 100 : 2500);
+    };
+    const auto work = job_of(fleet, 8);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(200));
+    fleet.kill_entry(0);
+    const auto before = starts();
+    fleet.submit(1, work);
+    fleet.run_for(seconds(8));
+    EXPECT_LT(before, 9U);
+    EXPECT_TRUE(succeeded(only_answer()));
+    EXPECT_EQ(starts(), 8U);
+    EXPECT_EQ(fleet.entry(1).counts().adopted, 1U);
+    EXPECT_GE(fleet.entry(1).counts().recovered, 4U);
+}
+
+TEST_F(recovery, an_adopter_gathers_the_answer_of_a_finished_job)
+{
+    const auto work = job_of(fleet, 4);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(500));
+    fleet.kill_entry(0);
+    fleet.submit(2, work);
+    fleet.run_for(seconds(4));
+    ASSERT_EQ(fleet.record().answers.size(), 2U);
+    EXPECT_EQ(fleet.record().answers[0], fleet.record().answers[1]);
+    EXPECT_EQ(starts(), 4U);
+}
+
+TEST_F(recovery, a_lost_agent_of_the_reach_fails_the_adopted_job)
+{
+    run_takes(milliseconds(1500));
+    const auto work = job_of(fleet, 8);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(50));
+    fleet.kill_entry(0);
+    fleet.kill_agent(0);
+    fleet.start_agent(0);
+    fleet.submit(1, work);
+    fleet.run_for(seconds(8));
+    EXPECT_EQ(only_answer()->reason, failure_reason::link_lost);
+    EXPECT_NE(only_answer()->ran, effect::not_run);
+    EXPECT_EQ(starts(), 6U);
+}
+
+TEST_F(recovery, a_frozen_entry_starts_nothing_after_it_lost_its_job)
+{
+    run_takes(milliseconds(300));
+    const auto work = job_of(fleet, 20);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(100));
+    fleet.freeze_entry(0, true);
+    fleet.submit(1, work);
+    fleet.run_for(milliseconds(2500));
+    fleet.freeze_entry(0, false);
+    fleet.run_for(seconds(8));
+    EXPECT_EQ(starts(), 20U);
+    EXPECT_EQ(fleet.entry(1).counts().adopted, 1U);
+    EXPECT_EQ(fleet.entry(1).counts().completed, 1U);
+}
+
+TEST_F(recovery, a_resubmission_is_forwarded_to_the_living_holder)
+{
+    run_takes(milliseconds(400));
+    const auto work = job_of(fleet, 2);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(100));
+    fleet.submit(1, work);
+    fleet.run_for(seconds(1));
+    ASSERT_EQ(fleet.record().answers.size(), 2U);
+    EXPECT_TRUE(succeeded(fleet.record().answers[1]));
+    EXPECT_EQ(starts(), 2U);
+    EXPECT_EQ(fleet.entry(1).counts().adopted, 0U);
+}
+
+TEST_F(recovery, an_entry_waits_out_its_own_earlier_incarnation)
+{
+    run_takes(milliseconds(1500));
+    const auto work = job_of(fleet, 2);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(100));
+    fleet.kill_entry(0);
+    fleet.start_entry(0);
+    fleet.run_for(milliseconds(400));
+    fleet.submit(0, work);
+    fleet.run_for(seconds(5));
+    EXPECT_TRUE(succeeded(only_answer()));
+    EXPECT_EQ(starts(), 2U);
+}
+
+TEST_F(recovery, a_submission_is_refused_when_every_replica_forgot_it)
+{
+    const auto work = job_of(fleet, 2);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(500));
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        fleet.kill_entry(n);
+        fleet.start_entry(n);
+    }
+    fleet.run_for(seconds(2));
+    EXPECT_TRUE(fleet.entry(1).ready());
+    fleet.submit(1, work);
+    fleet.run_for(seconds(2));
+    ASSERT_EQ(fleet.record().answers.size(), 2U);
+    EXPECT_EQ(fleet.record().answers[1]->reason, failure_reason::fenced);
+    EXPECT_EQ(fleet.record().answers[1]->ran, effect::unknown);
+    EXPECT_EQ(starts(), 2U);
+}
+
+TEST_F(recovery, one_replica_that_forgot_costs_nothing)
+{
+    const auto work = job_of(fleet, 2);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(500));
+    fleet.kill_entry(0);
+    fleet.start_entry(0);
+    fleet.run_for(seconds(1));
+    fleet.submit(0, work);
+    fleet.run_for(seconds(4));
+    ASSERT_EQ(fleet.record().answers.size(), 2U);
+    EXPECT_TRUE(succeeded(fleet.record().answers[1]));
+    EXPECT_EQ(starts(), 2U);
+}
+
+TEST_F(recovery, two_replicas_that_forgot_in_turn_start_nothing_twice)
+{
+    const auto work = job_of(fleet, 2);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(500));
+    for (std::size_t n = 1; n < 3; ++n)
+    {
+        fleet.kill_entry(n);
+        fleet.start_entry(n);
+        fleet.run_for(seconds(1));
+    }
+    fleet.submit(1, work);
+    fleet.run_for(seconds(4));
+    ASSERT_EQ(fleet.record().answers.size(), 2U);
+    EXPECT_EQ(fleet.record().answers[1]->ran, effect::unknown);
+    EXPECT_EQ(starts(), 2U);
+}
+
+TEST_F(recovery, an_entry_is_ready_once_a_quorum_is_past_its_fence)
+{
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        fleet.kill_entry(n);
+        fleet.start_entry(n);
+    }
+    fleet.run_for(milliseconds(150));
+    EXPECT_FALSE(fleet.entry(0).ready());
+    fleet.run_for(milliseconds(500));
+    EXPECT_TRUE(fleet.entry(0).ready());
+}
+
+TEST_F(recovery, a_leaving_agent_ends_what_runs_and_the_rest_moves)
+{
+    run_takes(milliseconds(200));
+    fleet.submit(0, job_of(fleet, 12));
+    fleet.run_for(milliseconds(50));
+    fleet.agent(0).drain();
+    fleet.run_for(milliseconds(300));
+    EXPECT_EQ(fleet.agent(0).running(), 0U);
+    const auto ended = fleet.agent(0).counts().started;
+    fleet.run_for(seconds(2));
+    EXPECT_TRUE(succeeded(only_answer()));
+    EXPECT_EQ(fleet.agent(0).counts().started, ended);
+    EXPECT_EQ(starts(), 12U);
+}
+
+TEST_F(recovery, a_leaving_entry_answers_what_it_accepted)
+{
+    run_takes(milliseconds(200));
+    const auto work = job_of(fleet, 12);
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(50));
+    fleet.entry(0).drain();
+    EXPECT_FALSE(fleet.entry(0).ready());
+    fleet.submit(0, work);
+    fleet.run_for(seconds(2));
+    EXPECT_EQ(fleet.entry(0).unanswered(), 0U);
+    ASSERT_EQ(fleet.record().answers.size(), 2U);
+    EXPECT_TRUE(succeeded(fleet.record().answers[1]));
+}
+
+} // namespace
+
+} // namespace lagoonquay
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -89,8 +89,60 @@
                            const cancel_message&) = default;
 };
 
+//! One task that an entry asks about.
+struct query_item
+{
+    task_index index;
+    attempt_number last; //!< never start an attempt up to this one
+
+    friend bool operator==(const query_item&, const query_item&) = default;
+};
+
+//! Asks what became of tasks. The agent forbids every start up to `last` of
+//! those that it has not started, and then answers.
+struct query_message
+{
+    submission_id submission;
+    incarnation agent_run;
+    std::vector<query_item> items;
+
+    friend bool operator==(const query_message&,
+                           const query_message&) = default;
+};
+
+//! What an agent knows of a task.
+enum class start_state
+{
+    not_started, //!< and never will start up to the attempt asked for
+    running,     //!< the result follows on this link
+    finished,    //!< the result is kept
+};
+
+//! What became of one task.
+struct status_item
+{
+    task_index index;
+    attempt_number attempt; //!< that started, or the last one forbidden
+    start_state state = start_state::not_started;
+    task_result result; //!< of a finished task
+
+    friend bool operator==(const status_item&, const status_item&) = default;
+};
+
+//! Answers a query.
+struct status_message
+{
+    submission_id submission;
+    agent_id agent;
+    incarnation agent_run;
+    std::vector<status_item> items;
+
+    friend bool operator==(const status_message&,
+                           const status_message&) = default;
+};
+
 using link_message =
     std::variant<hello_message, grant_message, demand_message, dispatch_message,
-                 result_message, cancel_message>;
+                 result_message, cancel_message, query_message, status_message>;
 
 } // namespace lagoonquay
--- a/request/include/lagoonquay/request/job_run.hpp
+++ b/request/include/lagoonquay/request/job_run.hpp
@@ -37,6 +37,9 @@
     //! @param base  attempts are numbered from the one after it.
     explicit job_run(job submitted, attempt_number base = {});
 
+    //! Numbers later attempts from the one after `base`.
+    void set_base(attempt_number base) noexcept;
+
     const job& submitted() const noexcept;
 
     //! Records that a waiting task goes to an agent.
@@ -52,14 +55,28 @@
     //! @return false if the key is not the current attempt.
     bool requeue(const attempt_key& key);
 
-    //! Finishes every unfinished task: waiting ones as not run, dispatched
-    //! ones as unknown.
-    void abandon(failure_reason reason, const std::string& detail);
+    //! Returns a dispatched task to waiting although it may have run; it is
+    //! never again said not to have run.
+    //! @return false if the key is not the current attempt.
+    bool retry(const attempt_key& key);
+
+    //! Notes that some earlier attempt of the task may have run.
+    void doubt(task_index index);
+
+    //! Takes over an attempt that an agent has started already.
+    //! @return false if the task is finished or with another agent.
+    bool adopt(const attempt_key& started);
+
+    //! Finishes every unfinished task: dispatched ones as unknown.
+    //! @param waiting_effect  what is known of those that are with no agent.
+    void abandon(failure_reason reason, const std::string& detail,
+                 effect waiting_effect = effect::not_run);
 
     //! Finishes one waiting task without a dispatch.
     //! @return false if the task is not waiting.
     bool finish_waiting(task_index index, failure_reason reason,
-                        const std::string& detail);
+                        const std::string& detail,
+                        effect known = effect::not_run);
 
     //! @return the attempts that are with an agent.
     std::vector<attempt_key> dispatched() const;
@@ -82,12 +99,14 @@
         task_phase phase = task_phase::waiting;
         attempt_key key;
         task_result result;
+        bool may_have_run = false; //!< in an earlier attempt
     };
 
     const slot* find(const attempt_key& key) const noexcept;
     void finish(slot& target, task_result result);
 
     job job_;
+    attempt_number base_;
     std::vector<slot> slots_;
     std::size_t finished_ = 0;
 };
--- a/request/include/lagoonquay/request/start_guard.hpp
+++ b/request/include/lagoonquay/request/start_guard.hpp
@@ -49,8 +49,13 @@
     //! @return false if the task has started already.
     bool forbid(const task_key& key, attempt_number last, instant now);
 
-    //! Keeps the result of a started task for an adopting entry.
-    void finish(const task_key& key, const task_result& result, instant now);
+    //! Forbids as forbid() does. @return what became of the task.
+    status_item query(const task_key& key, attempt_number last, instant now);
+
+    //! Keeps the result of a started attempt for an entry that asks later.
+    //! @return false if it is not the last attempt that started.
+    bool finish(const task_key& key, attempt_number attempt,
+                const task_result& result, instant now);
 
     //! @return the kept result of a finished task.
     std::optional<task_result> result_of(const task_key& key) const;
@@ -67,7 +72,8 @@
     struct record
     {
         bool started = false;
-        attempt_number attempt; //!< started, or the last one forbidden
+        attempt_number attempt;   //!< the last one started
+        attempt_number forbidden; //!< the last one forbidden
         instant touched{};
         std::optional<task_result> result;
     };
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -3,6 +3,8 @@
 #include "lagoonquay/request/json_fields.hpp"
 #include "task_json.hpp"
 
+#include <algorithm>
+#include <array>
 #include <limits>
 
 namespace json = boost::json;
@@ -15,6 +17,9 @@
 
 constexpr std::uint64_t count_limit = std::numeric_limits<std::uint32_t>::max();
 
+constexpr std::array<std::string_view, 3> state_names{"not_started", "running",
+                                                      "finished"};
+
 std::string wide(std::uint64_t number)
 {
     return std::to_string(number);
@@ -39,7 +44,7 @@
 {
     attempt_key key;
     key.index = task_index(fields.number("index", 0, count_limit));
-    key.attempt = attempt_number(fields.number("attempt", 1, count_limit));
+    key.attempt = attempt_number(fields.number("attempt", 1, json_exact_limit));
     key.agent = agent_id(fields.text("agent", limits.id_bytes));
     key.agent_run = incarnation(fields.wide_number("agent_run"));
     return key;
@@ -107,6 +112,41 @@
     return object;
 }
 
+json::object to_json(const query_message& it)
+{
+    json::array items;
+    for (const auto& item : it.items)
+        items.push_back(json::object{{"index", item.index.number()},
+                                     {"last", item.last.number()}});
+    return {{"type", "query"},
+            {"submission", it.submission.text()},
+            {"agent_run", wide(it.agent_run.number())},
+            {"items", std::move(items)}};
+}
+
+json::object to_json(const status_item& it)
+{
+    const auto state = static_cast<std::size_t>(it.state);
+    json::object object{{"index", it.index.number()},
+                        {"attempt", it.attempt.number()},
+                        {"state", state_names.at(state)}};
+    if (it.state == start_state::finished)
+        object["result"] = result_to_json(it.result);
+    return object;
+}
+
+json::object to_json(const status_message& it)
+{
+    json::array items;
+    for (const auto& item : it.items)
+        items.push_back(to_json(item));
+    return {{"type", "status"},
+            {"submission", it.submission.text()},
+            {"agent", it.agent.text()},
+            {"agent_run", wide(it.agent_run.number())},
+            {"items", std::move(items)}};
+}
+
 link_message read_hello(json_fields& fields, const job_limits& limits)
 {
     return hello_message{entry_id(fields.text("entry", limits.id_bytes)),
@@ -180,6 +220,74 @@
     return cancel_message{submission, get_key(fields, limits)};
 }
 
+query_item read_query_item(const json::value& source, json_fields& parent)
+{
+    json_fields fields(source, "items");
+    const query_item item{
+        task_index(fields.number("index", 0, count_limit)),
+        attempt_number(fields.number("last", 0, json_exact_limit))};
+    parent.absorb(fields);
+    return item;
+}
+
+start_state get_state(json_fields& fields, const job_limits& limits)
+{
+    const auto name = fields.text("state", limits.id_bytes);
+    const auto* const it =
+        std::find(state_names.begin(), state_names.end(), name);
+    if (it == state_names.end())
+    {
+        fields.reject(request_errc::malformed, "unknown state '" + name + "'");
+        return start_state::running;
+    }
+    return static_cast<start_state>(it - state_names.begin());
+}
+
+status_item read_status_item(const json::value& source,
+                             const job_limits& limits, json_fields& parent)
+{
+    json_fields fields(source, "items");
+    status_item item;
+    item.index = task_index(fields.number("index", 0, count_limit));
+    item.attempt =
+        attempt_number(fields.number("attempt", 0, json_exact_limit));
+    item.state = get_state(fields, limits);
+    const auto* result = fields.member("result");
+    if (result != nullptr)
+        item.result = result_from_json(*result, "result", fields);
+    else if (item.state == start_state::finished)
+        fields.reject(request_errc::malformed, "'result' is missing");
+    parent.absorb(fields);
+    return item;
+}
+
+link_message read_query(json_fields& fields, const job_limits& limits)
+{
+    query_message it;
+    it.submission = get_submission(fields, limits);
+    it.agent_run = incarnation(fields.wide_number("agent_run"));
+    const auto* items = fields.array("items");
+    if (items == nullptr)
+        return it;
+    for (const auto& item : *items)
+        it.items.push_back(read_query_item(item, fields));
+    return it;
+}
+
+link_message read_status(json_fields& fields, const job_limits& limits)
+{
+    status_message it;
+    it.submission = get_submission(fields, limits);
+    it.agent = agent_id(fields.text("agent", limits.id_bytes));
+    it.agent_run = incarnation(fields.wide_number("agent_run"));
+    const auto* items = fields.array("items");
+    if (items == nullptr)
+        return it;
+    for (const auto& item : *items)
+        it.items.push_back(read_status_item(item, limits, fields));
+    return it;
+}
+
 request_result<link_message> read_message(const json::value& source)
 {
     const job_limits limits;
@@ -198,6 +306,10 @@
         message = read_result(fields, limits);
     else if (type == "cancel")
         message = read_cancel(fields, limits);
+    else if (type == "query")
+        message = read_query(fields, limits);
+    else if (type == "status")
+        message = read_status(fields, limits);
     else
         fields.reject(request_errc::unknown_message,
                       "unknown type '" + type + "'");
--- a/request/src/job_run.cpp
+++ b/request/src/job_run.cpp
@@ -31,10 +31,13 @@
 } // namespace
 
 job_run::job_run(job submitted, attempt_number base)
-    : job_(std::move(submitted)), slots_(job_->tasks.size())
+    : job_(std::move(submitted)), base_(base), slots_(job_->tasks.size())
 {
-    for (auto& it : slots_)
-        it.key.attempt = base;
+}
+
+void job_run::set_base(attempt_number base) noexcept
+{
+    base_ = base;
 }
 
 const job& job_run::submitted() const noexcept
@@ -46,9 +49,10 @@
                               incarnation agent_run)
 {
     auto& target = slots_.at(index.number());
+    const auto earlier = std::max(base_, target.key.attempt);
     target.phase = task_phase::dispatched;
     target.key = {.index = index,
-                  .attempt = attempt_number(target.key.attempt.number() + 1),
+                  .attempt = attempt_number(earlier.number() + 1),
                   .agent = agent,
                   .agent_run = agent_run};
     return target.key;
@@ -70,7 +74,38 @@
     return true;
 }
 
-void job_run::abandon(failure_reason reason, const std::string& detail)
+bool job_run::retry(const attempt_key& key)
+{
+    if (!requeue(key))
+        return false;
+    doubt(key.index);
+    return true;
+}
+
+void job_run::doubt(task_index index)
+{
+    slots_.at(index.number()).may_have_run = true;
+}
+
+// An agent may name another attempt than the current one: of an idempotent
+// task, an earlier attempt may be the one that started there.
+bool job_run::adopt(const attempt_key& started)
+{
+    if (started.index.number() >= slots_.size())
+        return false;
+    auto& target = slots_[started.index.number()];
+    const bool same_agent = target.key.agent == started.agent &&
+                            target.key.agent_run == started.agent_run;
+    if (target.phase == task_phase::finished ||
+        (target.phase == task_phase::dispatched && !same_agent))
+        return false;
+    target.phase = task_phase::dispatched;
+    target.key = started;
+    return true;
+}
+
+void job_run::abandon(failure_reason reason, const std::string& detail,
+                      effect waiting_effect)
 {
     std::uint64_t n = 0;
     for (auto& it : slots_)
@@ -82,21 +117,21 @@
         finish(it,
                task_result({.index = index,
                             .reason = reason,
-                            .ran = waiting ? effect::not_run : effect::unknown,
+                            .ran = waiting ? waiting_effect : effect::unknown,
                             .body = {},
                             .detail = detail}));
     }
 }
 
 bool job_run::finish_waiting(task_index index, failure_reason reason,
-                             const std::string& detail)
+                             const std::string& detail, effect known)
 {
     auto& target = slots_.at(index.number());
     if (target.phase != task_phase::waiting)
         return false;
     finish(target, task_result({.index = index,
                                 .reason = reason,
-                                .ran = effect::not_run,
+                                .ran = known,
                                 .body = {},
                                 .detail = detail}));
     return true;
@@ -183,6 +218,9 @@
 {
     target.phase = task_phase::finished;
     target.result = std::move(result);
+    if (target.may_have_run && target.result->ran == effect::not_run)
+        target.result = target.result.with([](task_result_options& it)
+                                           { it.ran = effect::unknown; });
     ++finished_;
 }
 
--- a/request/src/start_guard.cpp
+++ b/request/src/start_guard.cpp
@@ -25,32 +25,48 @@
         if (const auto refused = refuse(it->second, dispatch))
             return *refused;
     }
-    record fresh;
+    auto& fresh = records_[key];
     fresh.started = true;
     fresh.attempt = dispatch.key.attempt;
     fresh.touched = now;
-    records_.insert_or_assign(key, fresh);
+    fresh.result.reset();
     return start_verdict::start;
 }
 
 bool start_guard::forbid(const task_key& key, attempt_number last, instant now)
 {
     auto& it = records_[key];
-    if (it.started)
-        return false;
-    it.attempt = std::max(it.attempt, last);
+    it.forbidden = std::max(it.forbidden, last);
     it.touched = now;
-    return true;
+    return !it.started;
+}
+
+status_item start_guard::query(const task_key& key, attempt_number last,
+                               instant now)
+{
+    status_item found;
+    found.index = key.index;
+    found.attempt = last;
+    if (forbid(key, last, now))
+        return found;
+    const auto& it = records_.at(key);
+    found.attempt = it.attempt;
+    found.state = it.result ? start_state::finished : start_state::running;
+    if (it.result)
+        found.result = *it.result;
+    return found;
 }
 
-void start_guard::finish(const task_key& key, const task_result& result,
-                         instant now)
+// A late result of an earlier attempt must not stand for the one that runs.
+bool start_guard::finish(const task_key& key, attempt_number attempt,
+                         const task_result& result, instant now)
 {
     const auto it = records_.find(key);
-    if (it == records_.end())
-        return;
+    if (it == records_.end() || it->second.attempt != attempt)
+        return false;
     it->second.result = result;
     it->second.touched = now;
+    return true;
 }
 
 std::optional<task_result> start_guard::result_of(const task_key& key) const
@@ -79,9 +95,9 @@
 start_guard::refuse(const record& earlier,
                     const dispatch_message& dispatch) noexcept
 {
-    const bool later = earlier.attempt < dispatch.key.attempt;
-    if (!earlier.started && !later)
+    if (dispatch.key.attempt <= earlier.forbidden)
         return start_verdict::fenced;
+    const bool later = earlier.attempt < dispatch.key.attempt;
     if (earlier.started && !(later && dispatch.repeatable))
         return start_verdict::duplicate;
     return std::nullopt;
--- a/request/src/task_json.cpp
+++ b/request/src/task_json.cpp
@@ -104,7 +104,7 @@
 failure_reason reason_from_json(json_fields& fields, std::string_view key)
 {
     return named_value(fields.text_or(key, "none", name_bytes),
-                       failure_reason::not_startable, fields);
+                       failure_reason::already_failed, fields);
 }
 
 json::object result_to_json(const task_result& result)
--- a/tests/scenarios/runner/fake_fleet.cpp
+++ b/tests/scenarios/runner/fake_fleet.cpp
@@ -239,7 +239,7 @@
         retired_.push_back(it.ledger);
     it.ledger = std::make_shared<ledger_replica>(
         ledger_options{.memory_since = time_.wall()},
-        [this] { return time_.now(); });
+        [this] { return time_.now(); }, [this] { return time_.wall(); });
     entry_options options;
     options.id = entry_id(it.name);
     options.run = incarnation(next_run_++);
@@ -435,10 +435,11 @@
 forward_hook fake_fleet::forward_from(const std::string& entry)
 {
     return [this, entry](const std::string& address, const job& work,
-                         const answer_hook& done)
+                         const forwarded_hook& done)
     {
         const auto answered = std::make_shared<bool>(false);
-        const auto once = [answered, done](const job_answer& answer)
+        const auto once =
+            [answered, done](const std::optional<job_answer>& answer)
         {
             if (!std::exchange(*answered, true))
                 done(answer);
@@ -454,13 +455,8 @@
                                       [once, answer] { once(answer); });
                     });
             });
-        network_.at_node(
-            entry, work->time_limit,
-            [once, work]
-            {
-                once(refusal(work->submission, failure_reason::link_lost,
-                             effect::unknown, "the holding entry is silent"));
-            });
+        network_.at_node(entry, work->time_limit,
+                         [once] { once(std::nullopt); });
     };
 }
 
