Let no new run of an agent confirm a cancel

Cause: a cancel that met a new run of the agent was answered "not run", though the earlier run may have started the task.

Ruled out: comparing at the entry, which may not know the new run yet.

Change: an agent ignores a cancel that is addressed to another run; the entry then finds the task lost.

Seen: with the check off the new test printed "s: task 0 ran but is 'not run'"; with it the test passes.

Conclusion: mended.

--- a/process/src/agent_service.cpp
+++ b/process/src/agent_service.cpp
@@ -307,8 +307,11 @@
     send(link, std::move(status));
 }
 
+// What was sent to an earlier run of this agent may have started there.
 void agent_service::on_cancel(link_number link, const cancel_message& it)
 {
+    if (it.key.agent_run != options_.run)
+        return;
     const task_key key{it.submission, it.key.index};
     bool forbidden = false;
     {
@@ -351,7 +354,9 @@
         const std::lock_guard lock(shard.mutex);
         const bool last =
             shard.guard.finish(key, it.key.attempt, result, hooks_.now());
-        watchers = shard.watchers[key];
+        const auto waiting = shard.watchers.find(key);
+        if (waiting != shard.watchers.end())
+            watchers = waiting->second;
         if (last)
             shard.watchers.erase(key);
     }
--- a/process/tests/recovery_test.cpp
+++ b/process/tests/recovery_test.cpp
@@ -158,6 +158,24 @@
     EXPECT_EQ(starts(), 1U);
 }
 
+// The new run can't know what the earlier one started.
+TEST_F(recovery, a_new_incarnation_of_the_agent_confirms_no_cancel)
+{
+    run_takes(milliseconds(500));
+    fleet.submit(0, job_of(fleet, 1));
+    fleet.run_for(milliseconds(50));
+    const auto n = busy_agent();
+    fleet.kill_agent(n);
+    fleet.start_agent(n);
+    for (int tries = 0; tries < 100; ++tries)
+    {
+        fleet.entry(0).cancel(submission_id("s"));
+        fleet.run_for(milliseconds(1));
+    }
+    fleet.run_for(seconds(1));
+    EXPECT_EQ(only_answer()->ran, effect::unknown);
+}
+
 TEST_F(recovery, an_agent_that_stays_away_fails_the_job_after_the_grace)
 {
     run_takes(milliseconds(500));
