--- a/connection/tests/http_server_test.cpp
+++ b/connection/tests/http_server_test.cpp
@@ -2,6 +2,7 @@
 
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/connection/http_routes.hpp"
+#include "lagoonquay/connection/message_link.hpp"
 #include "lagoonquay/connection/upstream.hpp"
 #include "raw_connection.hpp"
 
@@ -254,6 +255,49 @@
     EXPECT_EQ(server.requests_in_progress(), 0U);
 }
 
+//! @return a masked WebSocket frame as a client sends it; the mask is zero.
+std::string frame(const std::string& text)
+{
+    return std::string("\x81") + static_cast<char>(0x80U | text.size()) +
+           std::string(4, '\0') + text;
+}
+
+TEST_F(http_server_test, closes_a_link_that_sends_what_is_no_frame)
+{
+    const std::string open =
+        "GET /v1/link HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
+        "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
+        "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n";
+    const std::string bad[] = {
+        frame("{}"), frame("[1]"), frame("[{\"type\":\"none\"}]"),
+        frame("\xff\xfe"), frame("[{\"type\":\"grant\"}]"),
+        // A frame of 2^62 bytes, and one with reserved bits.
+        std::string("\x81\xff\x40\0\0\0\0\0\0\0\0\0\0\0", 14),
+        std::string("\xff\x80\0\0\0\0", 6)};
+    for (const auto& it : bad)
+    {
+        std::promise<void> closed;
+        auto options = limited([](auto& to) { to.link_path = "/v1/link"; });
+        options.listen = {"127.0.0.1", 0};
+        const auto server =
+            http_server::listen(thread_.io(), options, echo_routes(),
+                                [&](const std::shared_ptr<message_link>& link)
+                                {
+                                    link->start({.on_messages = {},
+                                                 .on_close = [&]
+                                                 {
+                                                     closed.set_value();
+                                                 }});
+                                });
+        ASSERT_TRUE(server);
+        const raw_connection peer(server.value().port());
+        peer.send(open);
+        EXPECT_TRUE(has_status(peer.read_until("\r\n\r\n"), "101"));
+        peer.send(it);
+        closed.get_future().wait();
+    }
+}
+
 TEST_F(http_server_test, fails_a_task_whose_answer_can_not_be_delivered)
 {
     EXPECT_TRUE(succeeded(call_upstream("fine")));
