Catch slips in addresses, ids and targets before they do harm

Ruled out: refusing to bring back an unknown domain (its members may all be down, and the change takes nothing out of service).

Seen first: settings with the peer "host:2" and the id "a b" were valid.

--- a/connection/include/lagoonquay/connection/endpoint.hpp
+++ b/connection/include/lagoonquay/connection/endpoint.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lagoonquay
 {
@@ -23,8 +24,12 @@
 //! @return "address:port", with brackets around an IPv6 number.
 std::string to_text(const endpoint& target);
 
-//! Reads "address:port".
+//! Reads "address:port"; the address must be an IP number.
 //! @return the endpoint, or bad_address.
 connection_result<endpoint> parse_endpoint(std::string_view text);
 
+//! Reads endpoints with commas between them; empty places are left out.
+//! @return the endpoints, or bad_address for the first that is none.
+connection_result<std::vector<endpoint>> parse_endpoints(std::string_view text);
+
 } // namespace lagoonquay
--- a/process/include/lagoonquay/process/operator_arguments.hpp
+++ b/process/include/lagoonquay/process/operator_arguments.hpp
@@ -72,6 +72,7 @@
     std::optional<version_number> expected;
     bool json = false;
     bool wait = true;
+    bool force = false; //!< also where no replica knows the target
     operator_action action;
 
     friend bool operator==(const operator_arguments&,
--- a/process/include/lagoonquay/process/operator_client.hpp
+++ b/process/include/lagoonquay/process/operator_client.hpp
@@ -70,6 +70,11 @@
     friend bool operator==(const fleet_status&, const fleet_status&) = default;
 };
 
+//! Finds a slip of the pen in a command that takes something out of service.
+//! @return a sentence if no member that the replicas know of is meant.
+std::optional<std::string> unknown_target(const fleet_status& status,
+                                          const change& what);
+
 //! Asks the control replicas. Not thread-safe.
 class operator_client
 {
--- a/process/include/lagoonquay/process/process_settings.hpp
+++ b/process/include/lagoonquay/process/process_settings.hpp
@@ -87,6 +87,9 @@
                            const control_settings&) = default;
 };
 
+//! @return the bearer token in the first line of a file, or bad_settings.
+process_result<std::string> read_token_file(const std::string& path);
+
 //! Each reads and checks a whole file.
 //! @return the settings, or bad_settings with file, section and key.
 process_result<entry_settings> load_entry_settings(const std::string& path);
--- a/process/programs/ctl_main.cpp
+++ b/process/programs/ctl_main.cpp
@@ -85,6 +85,12 @@
 
     exit_code operator()(const send_change& it) const
     {
+        if (const auto slip = find_slip(it.what))
+        {
+            std::cerr << "lagoonquayctl: " << *slip
+                      << "; nothing was sent; --force sends it\n";
+            return exit_code::failed;
+        }
         command_options options;
         options.id = arguments.id;
         options.author = arguments.author;
@@ -149,6 +155,17 @@
     }
 
 private:
+    // Where no replica answers, the command itself tells.
+    std::optional<std::string> find_slip(const change& what) const
+    {
+        if (arguments.force)
+            return std::nullopt;
+        const auto status = client.status();
+        if (!status || !status.value().has_quorum())
+            return std::nullopt;
+        return unknown_target(status.value(), what);
+    }
+
     template <typename Print>
     exit_code with_status(Print print) const
     {
--- a/process/src/operator_arguments.cpp
+++ b/process/src/operator_arguments.cpp
@@ -1,14 +1,12 @@
 #include "lagoonquay/process/operator_arguments.hpp"
 
+#include "lagoonquay/process/process_settings.hpp"
 #include "lagoonquay/process/program.hpp"
 
 #include <algorithm>
 #include <array>
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
 #include <cstdlib>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <functional>
 #include <iostream>
 
@@ -156,6 +154,7 @@
     add("json", "print JSON");
     add("no-wait", "do not wait until the change is in force");
     add("wait", "wait until the change is in force (default)");
+    add("force", "take out or drain what no replica has heard of");
     add("version", "print the version and exit");
     add("help", "print this help and exit");
     add("words", "command and operands",
@@ -211,17 +210,11 @@
 
 std::vector<endpoint> read_control(const cxxopts::ParseResult& parsed)
 {
-    const auto text =
-        option_or(parsed, "control", environment("LAGOONQUAY_CONTROL"));
-    std::vector<endpoint> found;
-    words parts;
-    boost::algorithm::split(parts, text, boost::is_any_of(","));
-    for (const auto& it : parts)
-    {
-        if (!it.empty())
-            found.push_back(read_endpoint(it));
-    }
-    return found;
+    auto found = parse_endpoints(
+        option_or(parsed, "control", environment("LAGOONQUAY_CONTROL")));
+    if (!found)
+        throw usage_error{found.error().detail};
+    return std::move(found).value();
 }
 
 std::string read_token(const cxxopts::ParseResult& parsed)
@@ -229,12 +222,10 @@
     const auto path = option_or(parsed, "token-file", "");
     if (path.empty())
         return {};
-    std::ifstream in(path);
-    std::string token;
-    std::getline(in, token);
-    if (token.empty())
-        throw usage_error{path + " holds no token or cannot be read"};
-    return token;
+    auto token = read_token_file(path);
+    if (!token)
+        throw usage_error{token.error().detail};
+    return std::move(token).value();
 }
 
 command_id draw_command_id()
@@ -267,6 +258,7 @@
         it.expected = version_number(parsed["expect"].as<std::uint64_t>());
     it.json = parsed.count("json") > 0;
     it.wait = parsed.count("no-wait") == 0;
+    it.force = parsed.count("force") > 0;
     const bool needs_control = !std::holds_alternative<dump_process>(it.action);
     if (needs_control && it.control.empty())
         throw usage_error{"--control or $LAGOONQUAY_CONTROL is required"};
--- a/process/src/operator_client.cpp
+++ b/process/src/operator_client.cpp
@@ -50,8 +50,52 @@
     }
 }
 
+//! @return whether a member stands for the target of a change. A change that
+//! puts something back into service is always in place.
+struct target_finder
+{
+    const std::vector<member_status>& members;
+
+    bool operator()(const set_domain& it) const
+    {
+        return it.in_service ||
+               std::any_of(members.begin(), members.end(),
+                           [&](const auto& known)
+                           { return known.domain == it.domain.text(); });
+    }
+    bool operator()(const set_agent_drain& it) const
+    {
+        return !it.drained || has("agent", it.agent.text());
+    }
+    bool operator()(const set_entry_drain& it) const
+    {
+        return !it.drained || has("entry", it.entry.text());
+    }
+    bool operator()(const set_settings&) const
+    {
+        return true;
+    }
+
+private:
+    bool has(std::string_view role, const std::string& id) const
+    {
+        return std::any_of(members.begin(), members.end(),
+                           [&](const auto& known)
+                           { return known.role == role && known.id == id; });
+    }
+};
+
 } // namespace
 
+std::optional<std::string> unknown_target(const fleet_status& status,
+                                          const change& what)
+{
+    const auto members = status.members();
+    if (std::visit(target_finder{members}, what))
+        return std::nullopt;
+    return "no replica has heard of such a failure domain, agent or entry";
+}
+
 fleet_view fleet_status::view() const
 {
     fleet_view newest;
--- a/process/src/process_settings.cpp
+++ b/process/src/process_settings.cpp
@@ -1,8 +1,7 @@
 #include "lagoonquay/process/process_settings.hpp"
 
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
-#include <boost/algorithm/string/trim.hpp>
+#include "lagoonquay/request/text.hpp"
+
 #include <fstream>
 
 namespace lagoonquay
@@ -37,24 +36,11 @@
 std::vector<endpoint> read_endpoints(ini_file& file, std::string_view section,
                                      std::string_view key)
 {
-    std::vector<endpoint> found;
-    const auto text = file.text_or(section, key, "");
-    std::vector<std::string> parts;
-    boost::algorithm::split(parts, text, boost::is_any_of(","));
-    for (auto& it : parts)
-    {
-        boost::algorithm::trim(it);
-        if (it.empty())
-            continue;
-        auto parsed = parse_endpoint(it);
-        if (!parsed)
-        {
-            file.reject(section, key, parsed.error().detail);
-            return found;
-        }
-        found.push_back(std::move(parsed).value());
-    }
-    return found;
+    auto parsed = parse_endpoints(file.text_or(section, key, ""));
+    if (parsed)
+        return std::move(parsed).value();
+    file.reject(section, key, parsed.error().detail);
+    return {};
 }
 
 log_options read_log(ini_file& file, const std::string& id)
@@ -84,13 +70,10 @@
     const auto path = file.text_or("operators", "token_file", "");
     if (path.empty())
         return {};
-    std::ifstream in(path);
-    std::string token;
-    std::getline(in, token);
-    if (token.empty())
-        file.reject("operators", "token_file",
-                    path + " holds no token or cannot be read");
-    return token;
+    auto token = read_token_file(path);
+    if (!token)
+        file.reject("operators", "token_file", token.error().detail);
+    return token ? std::move(token).value() : std::string();
 }
 
 listener_limits read_limits(ini_file& file)
@@ -154,11 +137,22 @@
                     "is shorter than oldest_submission and twice clock_skew");
 }
 
+std::string read_id(ini_file& file, std::string_view key)
+{
+    auto id = file.text("process", key);
+    if (!id.empty() && !is_valid_id(id))
+        file.reject("process", key,
+                    "'" + id +
+                        "' is not letters, digits, '.', '_', ':' or '-'"
+                        " after a letter or a digit");
+    return id;
+}
+
 process_settings read_common(ini_file& file)
 {
     process_settings common;
-    common.id = file.text("process", "id");
-    common.domain = domain_id(file.text("process", "domain"));
+    common.id = read_id(file, "id");
+    common.domain = domain_id(read_id(file, "domain"));
     common.threads =
         file.number_or("process", "threads", common.threads, 1, most_threads);
     common.log = read_log(file, common.id);
@@ -189,6 +183,17 @@
 
 } // namespace
 
+process_result<std::string> read_token_file(const std::string& path)
+{
+    std::ifstream in(path);
+    std::string token;
+    std::getline(in, token);
+    if (token.empty())
+        return fail(process_errc::bad_settings,
+                    path + " holds no token or cannot be read");
+    return token;
+}
+
 process_result<entry_settings> load_entry_settings(const std::string& path)
 {
     BOOST_OUTCOME_TRY(auto file, open_settings(path));
--- a/process/tests/operator_client_test.cpp
+++ b/process/tests/operator_client_test.cpp
@@ -181,6 +181,17 @@
     .body = R"({"id":"r","members":[{"role":"agent","id":"a","domain":"d",)"
             R"("address":"127.0.0.1:9","slots":8,"serving":true}]})"};
 
+TEST(operator_client, finds_a_domain_that_nobody_knows)
+{
+    fleet_status status;
+    status.answered.push_back({first, "r", {}, {{"agent", "a", "d"}}});
+    EXPECT_FALSE(unknown_target(status, set_domain{domain_id("d"), false}));
+    EXPECT_TRUE(unknown_target(status, set_domain{domain_id("D"), false}));
+    EXPECT_FALSE(unknown_target(status, set_domain{domain_id("D"), true}));
+    EXPECT_FALSE(unknown_target(status, set_agent_drain{agent_id("a"), true}));
+    EXPECT_TRUE(unknown_target(status, set_entry_drain{entry_id("a"), true}));
+}
+
 TEST(operator_client, takes_the_newest_of_the_views)
 {
     fake_replicas replicas;
--- a/tests/process/product_test.cpp
+++ b/tests/process/product_test.cpp
@@ -155,12 +155,26 @@
               http_status::ok);
     EXPECT_EQ(ctl({"bring-back", shared_->domain(0)}), 0);
     EXPECT_EQ(ctl({"--expect", "0", "take-out", shared_->domain(0)}), 4);
+    EXPECT_EQ(ctl({"take-out", "no-such-domain"}), 1);
     EXPECT_EQ(ctl({"no-such-command"}), 2);
     EXPECT_EQ(ctl({"set-settings", "/nowhere"}), 3);
     EXPECT_EQ(ctl({"dump", "127.0.0.1:1"}), 5);
     EXPECT_EQ(ctl({"dump", to_text(shared_->agent_operators(0))}), 0);
 }
 
+TEST(settings_check, does_only_that_and_tells_by_its_exit_code)
+{
+    for (const auto* it :
+         {"lagoonquay-entry", "lagoonquay-agent", "lagoonquay-control"})
+    {
+        child_process missing(it, {"--config", "/nowhere.ini", "--check"},
+                              "/dev/null");
+        EXPECT_EQ(missing.wait(), 3) << it;
+        child_process unnamed(it, {"--check"}, "/dev/null");
+        EXPECT_EQ(unnamed.wait(), 2) << it;
+    }
+}
+
 TEST(graceful_stop, an_agent_that_leaves_under_load_costs_no_job)
 {
     fleet it;
