Check the fleet's settings before they are sent and before they are taken

Cause: the tool only looked whether the file was INI, and a control replica took any text as settings.

Ruled out: a check in the tool alone (another client would get around it).

Change: both use parse_fleet_settings(); a replica answers 422 with section and key; exceptions are the sections [customer:NAME].

Conclusion: settings that are not valid reach no replica's log.

--- a/process/programs/ctl_main.cpp
+++ b/process/programs/ctl_main.cpp
@@ -4,7 +4,7 @@
 #include "lagoonquay/process/operator_arguments.hpp"
 #include "lagoonquay/process/operator_client.hpp"
 #include "lagoonquay/process/operator_output.hpp"
-#include "lagoonquay/version/ini_file.hpp"
+#include "lagoonquay/version/fleet_settings.hpp"
 
 #include <algorithm>
 #include <fstream>
@@ -61,6 +61,12 @@
     return code_of(error.code);
 }
 
+exit_code report_settings(const std::string& path, const std::string& detail)
+{
+    std::cerr << path << ": " << detail << "\n";
+    return exit_code::bad_settings;
+}
+
 // A change is in force once every permit from older state has run out.
 void wait_in_force(duration span)
 {
@@ -104,14 +110,11 @@
         std::ifstream in(it.path);
         std::ostringstream text;
         text << in.rdbuf();
-        const auto checked = ini_file::parse(text.str(), it.path);
-        if (!in || !checked)
-        {
-            std::cerr << (in ? checked.error().detail
-                             : it.path + ": cannot be read")
-                      << "\n";
-            return exit_code::bad_settings;
-        }
+        if (!in)
+            return report_settings(it.path, "cannot be read");
+        const auto checked = parse_fleet_settings(text.str());
+        if (!checked)
+            return report_settings(it.path, checked.error().detail);
         return (*this)(send_change{set_settings{text.str()}});
     }
 
--- a/process/src/control_http.cpp
+++ b/process/src/control_http.cpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/process/control_service.hpp"
 #include "lagoonquay/process/operator_codec.hpp"
 #include "lagoonquay/process/operator_http.hpp"
+#include "lagoonquay/version/fleet_settings.hpp"
 #include "lagoonquay/version/version_codec.hpp"
 
 namespace lagoonquay
@@ -39,6 +40,15 @@
     if (!asked)
         return respond(error_response(http_status::bad_request, "malformed",
                                       asked.error().detail));
+    const auto* settings = std::get_if<set_settings>(&asked.value()->what);
+    if (settings != nullptr)
+    {
+        const auto checked = parse_fleet_settings(settings->settings);
+        if (!checked)
+            return respond(error_response(http_status::unprocessable,
+                                          "bad_settings",
+                                          checked.error().detail));
+    }
     service.propose(asked.value(),
                     [respond](const version_result<command_outcome>& outcome)
                     { respond(outcome_response(outcome)); });
--- a/process/src/operator_output.cpp
+++ b/process/src/operator_output.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::string_view exception_prefix = "exception";
+constexpr std::string_view exception_prefix = "customer:";
 
 template <typename Ids>
 std::string joined(const Ids& ids)
