--- a/process/load/include/lagoonquay/load/job_runner.hpp
+++ b/process/load/include/lagoonquay/load/job_runner.hpp
@@ -36,6 +36,8 @@
     bool claims_not_run = false;         //!< some answer said "not run"
     std::optional<verdict> resubmission; //!< its verdict, if it was sent
     bool contradictory = false;          //!< both answered, not the same
+    std::string failure;                 //!< what the last answer said, if not
+                                         //!< complete
 
     friend bool operator==(const job_outcome&, const job_outcome&) = default;
 };
--- a/process/load/include/lagoonquay/load/run_result.hpp
+++ b/process/load/include/lagoonquay/load/run_result.hpp
@@ -28,8 +28,9 @@
     std::string experiment;
     std::uint64_t seed = 0;
     std::vector<figure> figures;
-    std::vector<point> slowdowns; //!< s of arrival, response over ideal
-    std::vector<point> running;   //!< s since the start, tasks that run
+    std::vector<point> slowdowns;   //!< s of arrival, response over ideal
+    std::vector<point> running;     //!< s since the start, tasks that run
+    std::vector<std::string> notes; //!< a line for each unplanned outcome
 
     friend bool operator==(const run_result_options&,
                            const run_result_options&) = default;
--- a/process/load/src/job_runner.cpp
+++ b/process/load/src/job_runner.cpp
@@ -13,6 +13,16 @@
     return answer && !succeeded(*answer) && (*answer)->ran == effect::not_run;
 }
 
+std::string describe(const std::optional<job_answer>& answer)
+{
+    if (!answer)
+        return "no answer";
+    if (succeeded(*answer))
+        return {};
+    return std::string(to_text((*answer)->reason)) + ", " +
+           std::string(to_text((*answer)->ran)) + ": " + (*answer)->detail;
+}
+
 std::size_t requests_of(const std::vector<planned_job>& plan)
 {
     std::size_t n = 0;
@@ -123,6 +133,7 @@
     if (verdicts.empty())
         return outcome;
     outcome.judged = *std::min_element(verdicts.begin(), verdicts.end());
+    outcome.failure = describe(found.answers.back());
     outcome.claims_not_run =
         std::any_of(found.answers.begin(), found.answers.end(), says_not_run);
     if (std::count(verdicts.begin(), verdicts.end(), verdict::wrong) > 0)
--- a/process/load/src/run_figures.cpp
+++ b/process/load/src/run_figures.cpp
@@ -69,6 +69,29 @@
     return share(to_ms(outcome.response), to_ms(ideal));
 }
 
+bool is_planned(const job_outcome& it)
+{
+    return !it.contradictory && (it.judged == verdict::complete ||
+                                 it.judged == verdict::failed_as_planned);
+}
+
+std::vector<std::string> make_notes(const std::vector<job_outcome>& outcomes)
+{
+    std::vector<std::string> notes;
+    for (const auto& it : outcomes)
+    {
+        if (is_planned(it))
+            continue;
+        const auto at = static_cast<int>(to_ms(it.planned->at));
+        const auto took = static_cast<int>(to_ms(it.response));
+        notes.push_back(it.planned->work->submission.text() + " at " +
+                        std::to_string(at) + " ms, after " +
+                        std::to_string(took) + " ms " +
+                        std::string(to_text(it.judged)) + ": " + it.failure);
+    }
+    return notes;
+}
+
 void add_verdicts(figure_list& list, const run_observations& seen)
 {
     const auto& all = seen.outcomes;
@@ -188,6 +211,7 @@
             options.slowdowns.push_back(
                 {to_seconds(one.planned->at), slowdown(it, one)});
     }
+    options.notes = make_notes(seen.outcomes);
     figure_list list;
     list.add("length", to_seconds(seen.length), "s");
     add_verdicts(list, seen);
--- a/process/load/src/run_result.cpp
+++ b/process/load/src/run_result.cpp
@@ -58,6 +58,8 @@
         add_value(out, it.value);
         out << "  " << it.unit << "\n";
     }
+    for (const auto& it : result->notes)
+        out << it << "\n";
     return out.str();
 }
 
--- a/process/load/src/run_result_codec.cpp
+++ b/process/load/src/run_result_codec.cpp
@@ -42,6 +42,24 @@
     return points;
 }
 
+std::vector<std::string> texts_from_json(json_fields& fields,
+                                         std::string_view key)
+{
+    std::vector<std::string> texts;
+    if (fields.member(key) == nullptr)
+        return texts;
+    const auto* source = fields.array(key);
+    if (source == nullptr)
+        return texts;
+    for (const auto& it : *source)
+    {
+        const auto* text = it.if_string();
+        if (text != nullptr)
+            texts.emplace_back(text->data(), text->size());
+    }
+    return texts;
+}
+
 } // namespace
 
 std::string encode_result(const run_result& result)
@@ -50,12 +68,16 @@
     for (const auto& it : result->figures)
         figures.push_back(json::object{
             {"name", it.name}, {"value", it.value}, {"unit", it.unit}});
+    json::array notes;
+    for (const auto& it : result->notes)
+        notes.push_back(json::value(it));
     const json::object document{
         {"experiment", result->experiment},
         {"seed", result->seed},
         {"figures", std::move(figures)},
         {"slowdowns", points_to_json(result->slowdowns)},
-        {"running", points_to_json(result->running)}};
+        {"running", points_to_json(result->running)},
+        {"notes", std::move(notes)}};
     return json::serialize(document);
 }
 
@@ -81,6 +103,7 @@
     }
     options.slowdowns = points_from_json(fields, "slowdowns");
     options.running = points_from_json(fields, "running");
+    options.notes = texts_from_json(fields, "notes");
     if (fields.failed())
         return fail(process_errc::bad_settings, fields.error().detail);
     return run_result(std::move(options));
--- a/process/load/src/run_result_html.cpp
+++ b/process/load/src/run_result_html.cpp
@@ -106,7 +106,10 @@
     for (const auto& it : result->figures)
         out << "<tr><td>" << escape(it.name) << "<td>" << it.value << "<td>"
             << escape(it.unit);
-    out << "</table>";
+    out << "</table><ul>";
+    for (const auto& it : result->notes)
+        out << "<li>" << escape(it);
+    out << "</ul>";
     add_dots(out, result->slowdowns);
     add_curve(out, result->running);
     out << "</html>\n";
--- a/process/load/tests/run_figures_test.cpp
+++ b/process/load/tests/run_figures_test.cpp
@@ -80,6 +80,18 @@
     EXPECT_DOUBLE_EQ(value_of(result, "false_not_run"), 1);
 }
 
+TEST(run_figures, notes_only_outcomes_that_were_not_planned)
+{
+    run_observations seen;
+    seen.outcomes = {outcome("r-0", milliseconds(1)),
+                     outcome("r-1", milliseconds(20))};
+    seen.outcomes[1].judged = verdict::lost;
+    seen.outcomes[1].failure = "no answer";
+    const auto result = make_result(experiment({.name = "n"}), seen);
+    EXPECT_EQ(result->notes, (std::vector<std::string>{
+                                 "r-1 at 0 ms, after 20 ms lost: no answer"}));
+}
+
 TEST(run_figures, sets_the_work_of_a_domain_change_against_the_slots_left)
 {
     run_observations seen;
@@ -113,7 +125,8 @@
                              .seed = 3,
                              .figures = {{"f", 1.5, "ms"}},
                              .slowdowns = {{0.5, 2}},
-                             .running = {{1, 7}}});
+                             .running = {{1, 7}},
+                             .notes = {"n"}});
     const auto decoded = decode_result(encode_result(result));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded.value(), result);
