--- a/connection/include/lagoonquay/connection/agent_slots.hpp
+++ b/connection/include/lagoonquay/connection/agent_slots.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -35,6 +36,9 @@
                            const waiting_start&) = default;
 };
 
+//! Chooses among the tasks that wait.
+using waiting_filter = std::function<bool(const waiting_start&)>;
+
 //! Never runs more tasks than slots, nor more than the capacity holds. Each
 //! link has credits for at most as many tasks as there are slots; while tasks
 //! wait, each falls back to its fair share. Not thread-safe.
@@ -52,7 +56,7 @@
     bool drained() const noexcept;
 
     void open(link_number link);
-    //! Forgets the link; its tasks stay.
+    //! Forgets the link; its tasks stay until they end or are taken out.
     void close(link_number link);
 
     //! Takes back unused credits, as a total since the link opened.
@@ -65,8 +69,11 @@
     //! Takes a slot for a task that waits and fits, the oldest first.
     std::optional<waiting_start> next();
 
-    //! Takes out every task that waits; each must be given to drop().
-    std::vector<waiting_start> take_waiting();
+    //! @return whether this very dispatch waits already.
+    bool is_waiting(link_number link, const dispatch_message& message) const;
+
+    //! Takes out the chosen tasks that wait; each must be given to drop().
+    std::vector<waiting_start> take_waiting(const waiting_filter& chosen);
 
     //! Frees the slot of a task.
     //! @return the link's total if a credit came back, or zero.
--- a/connection/src/agent_slots.cpp
+++ b/connection/src/agent_slots.cpp
@@ -86,10 +86,32 @@
     return found;
 }
 
-std::vector<waiting_start> agent_slots::take_waiting()
+bool agent_slots::is_waiting(link_number link,
+                             const dispatch_message& message) const
 {
-    const auto taken = std::exchange(waiting_, {});
-    return {taken.begin(), taken.end()};
+    return std::any_of(waiting_.begin(), waiting_.end(),
+                       [&](const auto& it)
+                       {
+                           return it.link == link &&
+                                  it.message.submission == message.submission &&
+                                  it.message.key == message.key;
+                       });
+}
+
+std::vector<waiting_start>
+agent_slots::take_waiting(const waiting_filter& chosen)
+{
+    std::vector<waiting_start> taken;
+    std::deque<waiting_start> staying;
+    for (auto& it : waiting_)
+    {
+        if (chosen(it))
+            taken.push_back(std::move(it));
+        else
+            staying.push_back(std::move(it));
+    }
+    waiting_ = std::move(staying);
+    return taken;
 }
 
 std::uint64_t agent_slots::finish(link_number link, const resources& need)
--- a/connection/tests/agent_slots_test.cpp
+++ b/connection/tests/agent_slots_test.cpp
@@ -121,12 +121,25 @@
     accept_many(agent, first, 1);
     accept_many(agent, second, 1);
     start_all(agent);
-    const auto waiting = agent.take_waiting();
+    const auto waiting = agent.take_waiting([](const auto&) { return true; });
     ASSERT_EQ(waiting.size(), 1U);
     EXPECT_EQ(agent.drop(waiting[0].link), 2U);
     EXPECT_EQ(agent.running(), 1U);
 }
 
+TEST(agent_slots, only_the_chosen_tasks_stop_waiting)
+{
+    auto agent = open_slots(2);
+    accept_many(agent, first, 2);
+    accept_many(agent, second, 2);
+    const auto taken =
+        agent.take_waiting([](const auto& it) { return it.link == first; });
+    EXPECT_EQ(taken.size(), 2U);
+    EXPECT_FALSE(agent.is_waiting(first, task_with()));
+    EXPECT_TRUE(agent.is_waiting(second, task_with()));
+    EXPECT_EQ(start_all(agent), 2);
+}
+
 TEST(agent_slots, a_closed_link_keeps_its_running_tasks_in_their_slots)
 {
     auto agent = open_slots(1);
--- a/process/include/lagoonquay/process/agent_service.hpp
+++ b/process/include/lagoonquay/process/agent_service.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -112,6 +113,8 @@
 
         std::mutex mutex;
         start_guard guard;
+        //! Links that wait for the result of a running task.
+        std::map<task_key, std::set<link_number>> watchers;
     };
     //! State of the whole process, under its own lock.
     struct standing
@@ -126,7 +129,9 @@
                      const std::vector<link_message>& messages);
     void on_close(link_number link);
     void on_dispatch(link_number link, const dispatch_message& it);
+    start_verdict try_start(link_number link, const dispatch_message& it);
     void on_cancel(link_number link, const cancel_message& it);
+    void on_query(link_number link, const query_message& it);
     void run(link_number link, const dispatch_message& it,
              const endpoint& upstream);
     void on_result(link_number link, const dispatch_message& it,
@@ -134,12 +139,16 @@
     void decline(link_number link, const dispatch_message& it,
                  failure_reason reason, const std::string& detail,
                  std::uint64_t credits_total = 0);
-    void reply(link_number link, const dispatch_message& it,
-               const task_result& result, std::uint64_t credits_total,
-               duration ran_for = {});
+    void send_not_run(link_number link, const dispatch_message& it,
+                      failure_reason reason, const std::string& detail,
+                      std::uint64_t credits_total);
     void start_waiting();
     void start_one(const waiting_start& next);
+    std::vector<waiting_start> take_waiting(const waiting_filter& chosen);
+    void give_up(const std::vector<waiting_start>& waiting,
+                 failure_reason reason, const std::string& detail);
     void decline_waiting();
+    bool has_started(const dispatch_message& it);
     //! @return the link's total if its credit came back, or zero.
     std::uint64_t free_slot(link_number link, const resources& need);
     void send_grant(const link_grant& totals, bool only_if_due);
@@ -148,6 +157,8 @@
     void send_all_grants();
     grant_message grant_for(const link_grant& totals) const;
     std::optional<endpoint> permitted_upstream() const;
+    bool draining() const;
+    std::uint32_t busy() const;
     bool accepting(const standing& it) const;
     std::size_t unsent() const;
     guard_shard& shard_of(const submission_id& submission);
--- a/process/src/agent_service.cpp
+++ b/process/src/agent_service.cpp
@@ -1,7 +1,6 @@
 #include "lagoonquay/process/agent_service.hpp"
 
 #include "lagoonquay/connection/message_link.hpp"
-#include "lagoonquay/process/log.hpp"
 
 #include <boost/json.hpp>
 
@@ -10,31 +9,6 @@
 namespace lagoonquay
 {
 
-namespace
-{
-
-constexpr std::string_view part = "agent";
-
-std::string explain(start_verdict verdict)
-{
-    switch (verdict)
-    {
-    case start_verdict::start:
-        return "started";
-    case start_verdict::duplicate:
-        return "the task has started before";
-    case start_verdict::fenced:
-        return "the start is forbidden";
-    case start_verdict::claim_expired:
-        return "the claim ran out";
-    case start_verdict::wrong_agent_run:
-        return "addressed to another run of the agent";
-    }
-    return {};
-}
-
-} // namespace
-
 agent_service::agent_service(agent_options options, agent_hooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks))
 {
@@ -219,178 +193,31 @@
             on_dispatch(link, *dispatch);
         if (const auto* cancel = std::get_if<cancel_message>(&it))
             on_cancel(link, *cancel);
+        if (const auto* query = std::get_if<query_message>(&it))
+            on_query(link, *query);
     }
     send_changed_grants();
 }
 
+// What waits was never started, and the tombstones say so to a later query. A
+// task that runs stays; its result is kept for whoever asks.
 void agent_service::on_close(link_number link)
 {
     {
         const std::lock_guard lock(links_mutex_);
         links_.erase(link);
     }
-    {
-        const std::lock_guard lock(grants_mutex_);
-        slots_.close(link);
-    }
-    send_changed_grants();
-}
-
-void agent_service::on_dispatch(link_number link, const dispatch_message& it)
-{
-    bool accepted = false;
-    {
-        const std::lock_guard lock(grants_mutex_);
-        accepted = slots_.accept(link, it);
-    }
-    if (!accepted)
-        return decline(link, it, failure_reason::not_startable, "no credit", 0);
-    start_waiting();
-}
-
-void agent_service::start_waiting()
-{
-    for (;;)
-    {
-        std::optional<waiting_start> next;
-        {
-            const std::lock_guard lock(grants_mutex_);
-            next = slots_.next();
-        }
-        if (!next)
-            return;
-        start_one(*next);
-    }
-}
-
-// The slot is taken first and the permit is read last, so that as little as
-// possible lies between the permit check and the upstream call.
-void agent_service::start_one(const waiting_start& next)
-{
-    const auto& it = next.message;
-    const auto upstream = permitted_upstream();
-    auto verdict = start_verdict::fenced;
-    if (upstream)
-    {
-        auto& shard = shard_of(it.submission);
-        const std::lock_guard lock(shard.mutex);
-        verdict = shard.guard.try_start(it, hooks_.now());
-    }
-    if (upstream && verdict == start_verdict::start)
-        return run(next.link, it, *upstream);
-    const auto credits = free_slot(next.link, it.work->need);
-    if (!upstream)
-        return decline(next.link, it, failure_reason::no_permit,
-                       "no permit to start", credits);
-    decline(next.link, it, failure_reason::not_startable, explain(verdict),
-            credits);
-}
-
-// What waits goes back as "not run", so that its entry moves it at once.
-void agent_service::decline_waiting()
-{
     std::vector<waiting_start> waiting;
     {
         const std::lock_guard lock(grants_mutex_);
-        waiting = slots_.take_waiting();
-    }
-    for (const auto& it : waiting)
-    {
-        std::uint64_t credits = 0;
-        {
-            const std::lock_guard lock(grants_mutex_);
-            credits = slots_.drop(it.link);
-        }
-        decline(it.link, it.message, failure_reason::draining,
-                "the agent is draining", credits);
-    }
-}
-
-void agent_service::on_cancel(link_number link, const cancel_message& it)
-{
-    const task_key key{it.submission, it.key.index};
-    bool forbidden = false;
-    {
-        auto& shard = shard_of(it.submission);
-        const std::lock_guard lock(shard.mutex);
-        forbidden = shard.guard.forbid(key, it.key.attempt, hooks_.now());
-    }
-    if (!forbidden)
-        return;
-    ++cancelled_;
-    const task_result result({.index = it.key.index,
-                              .reason = failure_reason::cancelled,
-                              .ran = effect::not_run,
-                              .body = {},
-                              .detail = "cancelled before its start"});
-    send(link, result_message{it.submission, it.key, result, 0, 0, {}});
-}
-
-void agent_service::run(link_number link, const dispatch_message& it,
-                        const endpoint& upstream)
-{
-    ++started_;
-    const upstream_call call{upstream,       it.submission, it.key.index,
-                             it.key.attempt, options_.run,  it.work->payload,
-                             it.run_limit};
-    hooks_.call_upstream(call, [this, link, it, started = hooks_.now()](
-                                   const task_result& result)
-                         { on_result(link, it, result, started); });
-}
-
-void agent_service::on_result(link_number link, const dispatch_message& it,
-                              const task_result& result, instant started)
-{
-    {
-        auto& shard = shard_of(it.submission);
-        const std::lock_guard lock(shard.mutex);
-        shard.guard.finish({it.submission, it.key.index}, result, hooks_.now());
+        slots_.close(link);
+        waiting = slots_.take_waiting([link](const waiting_start& it)
+                                      { return it.link == link; });
     }
-    reply(link, it, result, free_slot(link, it.work->need),
-          hooks_.now() - started);
-    ++finished_;
-    start_waiting();
+    give_up(waiting, failure_reason::not_startable, "the link closed");
     send_changed_grants();
 }
 
-// The tombstone goes first: once the entry hears "not run", this attempt can
-// never start here.
-void agent_service::decline(link_number link, const dispatch_message& it,
-                            failure_reason reason, const std::string& detail,
-                            std::uint64_t credits_total)
-{
-    ++declined_;
-    bool forbidden = false;
-    {
-        auto& shard = shard_of(it.submission);
-        const std::lock_guard lock(shard.mutex);
-        forbidden = shard.guard.forbid({it.submission, it.key.index},
-                                       it.key.attempt, hooks_.now());
-    }
-    write_log(log_level::info, part, it.submission,
-              "Dispatch declined: " + detail + ".");
-    reply(link, it,
-          task_result({.index = it.key.index,
-                       .reason = reason,
-                       .ran = forbidden ? effect::not_run : effect::unknown,
-                       .body = {},
-                       .detail = detail}),
-          credits_total);
-}
-
-void agent_service::reply(link_number link, const dispatch_message& it,
-                          const task_result& result,
-                          std::uint64_t credits_total, duration ran_for)
-{
-    std::uint32_t busy = 0;
-    {
-        const std::lock_guard lock(grants_mutex_);
-        busy = slots_.busy();
-    }
-    send(link, result_message{it.submission, it.key, result, credits_total,
-                              busy, ran_for});
-}
-
 std::uint64_t agent_service::free_slot(link_number link, const resources& need)
 {
     const std::lock_guard lock(grants_mutex_);
@@ -483,6 +310,18 @@
     return standing_.upstream->address;
 }
 
+bool agent_service::draining() const
+{
+    const std::lock_guard lock(standing_mutex_);
+    return standing_.draining;
+}
+
+std::uint32_t agent_service::busy() const
+{
+    const std::lock_guard lock(grants_mutex_);
+    return slots_.busy();
+}
+
 bool agent_service::accepting(const standing& it) const
 {
     const auto now = hooks_.now();
--- /dev/null
+++ b/process/src/agent_starts.cpp
@@ -0,0 +1,302 @@
+// Starts at an agent: what waits, what starts, and what is never started.
+#include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/process/agent_service.hpp"
+#include "lagoonquay/process/log.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "agent";
+
+std::string explain(start_verdict verdict)
+{
+    switch (verdict)
+    {
+    case start_verdict::start:
+        return "started";
+    case start_verdict::duplicate:
+        return "the task has started before";
+    case start_verdict::fenced:
+        return "the start is forbidden";
+    case start_verdict::claim_expired:
+        return "the claim ran out";
+    case start_verdict::wrong_agent_run:
+        return "addressed to another run of the agent";
+    }
+    return {};
+}
+
+//! @return whether the task is asked for by one of the items.
+bool names(const query_message& asked, const dispatch_message& it)
+{
+    return it.submission == asked.submission &&
+           std::any_of(asked.items.begin(), asked.items.end(),
+                       [&](const query_item& item) {
+                           return item.index == it.key.index &&
+                                  it.key.attempt <= item.last;
+                       });
+}
+
+} // namespace
+
+// A doubled dispatch uses no second credit: the one that waits is answered at
+// its end, and one that has started is told how it stands. Nothing waits at an
+// agent that drains; the flag is read after the task is on the list, so that
+// drain() or this call finds it.
+void agent_service::on_dispatch(link_number link, const dispatch_message& it)
+{
+    if (has_started(it))
+        return on_query(
+            link,
+            {it.submission, options_.run, {{it.key.index, it.key.attempt}}});
+    bool accepted = false;
+    {
+        const std::lock_guard lock(grants_mutex_);
+        if (slots_.is_waiting(link, it))
+            return;
+        accepted = slots_.accept(link, it);
+    }
+    if (!accepted)
+        return decline(link, it, failure_reason::not_startable, "no credit");
+    if (draining())
+        decline_waiting();
+    start_waiting();
+}
+
+bool agent_service::has_started(const dispatch_message& it)
+{
+    auto& shard = shard_of(it.submission);
+    const std::lock_guard lock(shard.mutex);
+    return shard.guard.started_attempt({it.submission, it.key.index}) ==
+           it.key.attempt;
+}
+
+void agent_service::start_waiting()
+{
+    for (;;)
+    {
+        std::optional<waiting_start> next;
+        {
+            const std::lock_guard lock(grants_mutex_);
+            next = slots_.next();
+        }
+        if (!next)
+            return;
+        start_one(*next);
+    }
+}
+
+// The slot is taken first and the permit is read last, so that as little as
+// possible lies between the permit check and the upstream call.
+void agent_service::start_one(const waiting_start& next)
+{
+    const auto& it = next.message;
+    const auto upstream = permitted_upstream();
+    auto verdict = start_verdict::fenced;
+    if (upstream)
+        verdict = try_start(next.link, it);
+    if (upstream && verdict == start_verdict::start)
+        return run(next.link, it, *upstream);
+    const auto credits = free_slot(next.link, it.work->need);
+    if (!upstream && draining())
+        return decline(next.link, it, failure_reason::draining, "shutting down",
+                       credits);
+    if (!upstream)
+        return decline(next.link, it, failure_reason::no_permit,
+                       "no permit to start", credits);
+    decline(next.link, it, failure_reason::not_startable, explain(verdict),
+            credits);
+}
+
+std::vector<waiting_start>
+agent_service::take_waiting(const waiting_filter& chosen)
+{
+    const std::lock_guard lock(grants_mutex_);
+    return slots_.take_waiting(chosen);
+}
+
+// Their credits go back with the answers.
+void agent_service::give_up(const std::vector<waiting_start>& waiting,
+                            failure_reason reason, const std::string& detail)
+{
+    for (const auto& it : waiting)
+    {
+        std::uint64_t credits = 0;
+        {
+            const std::lock_guard lock(grants_mutex_);
+            credits = slots_.drop(it.link);
+        }
+        decline(it.link, it.message, reason, detail, credits);
+    }
+}
+
+// What waits goes back as "not run", so that its entry moves it at once.
+void agent_service::decline_waiting()
+{
+    give_up(take_waiting([](const waiting_start&) { return true; }),
+            failure_reason::draining, "the agent is draining");
+}
+
+// The link is noted under the same lock as the start, so that a result that
+// comes at once finds it.
+start_verdict agent_service::try_start(link_number link,
+                                       const dispatch_message& it)
+{
+    auto& shard = shard_of(it.submission);
+    const std::lock_guard lock(shard.mutex);
+    const auto verdict = shard.guard.try_start(it, hooks_.now());
+    if (verdict == start_verdict::start)
+        shard.watchers[{it.submission, it.key.index}].insert(link);
+    return verdict;
+}
+
+// The tombstone is set before the list is read: what is taken from the list in
+// between meets the tombstone at its start.
+void agent_service::on_query(link_number link, const query_message& it)
+{
+    status_message status{it.submission, options_.id, options_.run, {}};
+    if (it.agent_run == options_.run)
+    {
+        auto& shard = shard_of(it.submission);
+        const std::lock_guard lock(shard.mutex);
+        for (const auto& item : it.items)
+        {
+            const task_key key{it.submission, item.index};
+            const auto found = shard.guard.query(key, item.last, hooks_.now());
+            if (found.state == start_state::running)
+                shard.watchers[key].insert(link);
+            status.items.push_back(found);
+        }
+    }
+    if (it.agent_run == options_.run)
+        give_up(take_waiting([&](const waiting_start& waiting)
+                             { return names(it, waiting.message); }),
+                failure_reason::not_startable, "a query forbade the start");
+    send(link, std::move(status));
+}
+
+// What was sent to an earlier run of this agent may have started there.
+void agent_service::on_cancel(link_number link, const cancel_message& it)
+{
+    if (it.key.agent_run != options_.run)
+        return;
+    const task_key key{it.submission, it.key.index};
+    bool forbidden = false;
+    {
+        auto& shard = shard_of(it.submission);
+        const std::lock_guard lock(shard.mutex);
+        forbidden = shard.guard.forbid(key, it.key.attempt, hooks_.now());
+    }
+    const query_message asked{
+        it.submission, options_.run, {{it.key.index, it.key.attempt}}};
+    const auto waiting = take_waiting([&](const waiting_start& each)
+                                      { return names(asked, each.message); });
+    const bool answered =
+        std::any_of(waiting.begin(), waiting.end(),
+                    [&](const waiting_start& each) {
+                        return each.link == link && each.message.key == it.key;
+                    });
+    give_up(waiting, failure_reason::cancelled, "cancelled before its start");
+    if (!forbidden)
+        return;
+    ++cancelled_;
+    if (answered)
+        return;
+    dispatch_message unseen;
+    unseen.submission = it.submission;
+    unseen.key = it.key;
+    send_not_run(link, unseen, failure_reason::cancelled,
+                 "cancelled before its start", 0);
+}
+
+void agent_service::run(link_number link, const dispatch_message& it,
+                        const endpoint& upstream)
+{
+    ++started_;
+    const upstream_call call{upstream,       it.submission, it.key.index,
+                             it.key.attempt, options_.run,  it.work->payload,
+                             it.run_limit};
+    hooks_.call_upstream(call, [this, link, it, started = hooks_.now()](
+                                   const task_result& result)
+                         { on_result(link, it, result, started); });
+}
+
+// A result whose links are all closed stays with the guard and is sent when an
+// entry asks for it. The credit goes back to the link that spent it.
+void agent_service::on_result(link_number link, const dispatch_message& it,
+                              const task_result& result, instant started)
+{
+    std::set<link_number> watchers;
+    {
+        const task_key key{it.submission, it.key.index};
+        auto& shard = shard_of(it.submission);
+        const std::lock_guard lock(shard.mutex);
+        const bool last =
+            shard.guard.finish(key, it.key.attempt, result, hooks_.now());
+        const auto waiting = shard.watchers.find(key);
+        if (waiting != shard.watchers.end())
+            watchers = waiting->second;
+        if (last)
+            shard.watchers.erase(key);
+    }
+    const auto credits = free_slot(link, it.work->need);
+    const auto ran_for = hooks_.now() - started;
+    const auto tasks_here = busy();
+    for (const auto& watcher : watchers)
+        send(watcher, result_message{it.submission, it.key, result,
+                                     watcher == link ? credits : 0, tasks_here,
+                                     ran_for});
+    ++finished_;
+    start_waiting();
+    send_changed_grants();
+}
+
+// The tombstone goes first: once the entry hears "not run", this attempt can
+// never start here. Of a task that has started, the entry is told how it
+// stands; if that was an earlier attempt, this one still gives its credit back.
+void agent_service::decline(link_number link, const dispatch_message& it,
+                            failure_reason reason, const std::string& detail,
+                            std::uint64_t credits_total)
+{
+    ++declined_;
+    const task_key key{it.submission, it.key.index};
+    std::optional<attempt_number> started;
+    {
+        auto& shard = shard_of(it.submission);
+        const std::lock_guard lock(shard.mutex);
+        shard.guard.forbid(key, it.key.attempt, hooks_.now());
+        started = shard.guard.started_attempt(key);
+    }
+    if (started)
+        on_query(
+            link,
+            {it.submission, options_.run, {{it.key.index, it.key.attempt}}});
+    if (started && *started >= it.key.attempt)
+        return;
+    write_log(log_level::info, part, it.submission,
+              "Dispatch declined: " + detail + ".");
+    send_not_run(link, it, reason, detail, credits_total);
+}
+
+// What was addressed to another run of the agent may have started there.
+void agent_service::send_not_run(link_number link, const dispatch_message& it,
+                                 failure_reason reason,
+                                 const std::string& detail,
+                                 std::uint64_t credits_total)
+{
+    const bool never = it.key.agent_run == options_.run;
+    const task_result result({.index = it.key.index,
+                              .reason = reason,
+                              .ran = never ? effect::not_run : effect::unknown,
+                              .body = {},
+                              .detail = detail});
+    send(link, result_message{
+                   it.submission, it.key, result, credits_total, busy(), {}});
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/tests/agent_service_test.cpp
@@ -0,0 +1,247 @@
+// What an agent does with tasks that wait in its window.
+#include "lagoonquay/process/agent_service.hpp"
+
+#include "fake_link.hpp"
+
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr duration second = std::chrono::seconds(1);
+const agent_id agent("a");
+const incarnation agent_run(7);
+const submission_id submission("s");
+
+//! One agent with one slot, and two links.
+class waiting_tasks : public testing::Test
+{
+protected:
+    waiting_tasks()
+    {
+        service.hold(permit({.valid_until = instant::max()}));
+        service.announce({.slots = 1});
+        service.on_link(first);
+        service.on_link(second_link);
+        dispatch(*first, 0);
+    }
+
+    static attempt_key key(std::uint64_t index, std::uint64_t attempt = 1)
+    {
+        return {task_index(index), attempt_number(attempt), agent, agent_run};
+    }
+
+    void dispatch(fake_link& link, std::uint64_t index,
+                  std::uint64_t attempt = 1)
+    {
+        dispatch_message it;
+        it.submission = submission;
+        it.key = key(index, attempt);
+        it.start_before = now + 10 * second;
+        link.deliver(it);
+    }
+
+    static void query(fake_link& link, std::uint64_t index, std::uint64_t last)
+    {
+        link.deliver(
+            query_message{submission,
+                          agent_run,
+                          {{task_index(index), attempt_number(last)}}});
+    }
+
+    //! Ends the oldest call.
+    void end_call()
+    {
+        ASSERT_FALSE(calls.empty());
+        const auto done = calls.front();
+        calls.erase(calls.begin());
+        done(task_result({.index = task_index(started.back()),
+                          .reason = failure_reason::none,
+                          .ran = effect::ran}));
+    }
+
+    static std::vector<result_message> results(const fake_link& link)
+    {
+        std::vector<result_message> found;
+        for (const auto& it : link.sent)
+        {
+            if (const auto* result = std::get_if<result_message>(&it))
+                found.push_back(*result);
+        }
+        return found;
+    }
+
+    static std::vector<status_item> statuses(const fake_link& link)
+    {
+        std::vector<status_item> found;
+        for (const auto& it : link.sent)
+        {
+            if (const auto* status = std::get_if<status_message>(&it))
+                found.insert(found.end(), status->items.begin(),
+                             status->items.end());
+        }
+        return found;
+    }
+
+    instant now{100 * second};
+    std::vector<std::uint64_t> started;
+    std::vector<upstream_callback> calls;
+    std::shared_ptr<fake_link> first = std::make_shared<fake_link>();
+    std::shared_ptr<fake_link> second_link = std::make_shared<fake_link>();
+    agent_service service{
+        {.id = agent, .run = agent_run, .upstream_silence = 1000 * second},
+        {.now = [this] { return now; },
+         .call_upstream =
+             [this](const upstream_call& call, upstream_callback done)
+         {
+             started.push_back(call.index.number());
+             calls.push_back(std::move(done));
+         }}};
+};
+
+TEST_F(waiting_tasks, start_when_a_slot_is_free)
+{
+    dispatch(*second_link, 1);
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0}));
+    end_call();
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0, 1}));
+}
+
+TEST_F(waiting_tasks, are_fenced_by_a_query)
+{
+    dispatch(*second_link, 1);
+    query(*first, 1, 5);
+    ASSERT_EQ(statuses(*first).size(), 1U);
+    EXPECT_EQ(statuses(*first)[0].state, start_state::not_started);
+    ASSERT_EQ(results(*second_link).size(), 1U);
+    EXPECT_EQ(results(*second_link)[0].result->ran, effect::not_run);
+    EXPECT_GT(results(*second_link)[0].credits_total, 1U);
+    end_call();
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0}));
+    dispatch(*second_link, 1, 5);
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0}));
+    dispatch(*second_link, 1, 6);
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0, 1}));
+}
+
+TEST_F(waiting_tasks, of_a_later_attempt_outlive_a_query)
+{
+    dispatch(*second_link, 1, 6);
+    query(*first, 1, 5);
+    EXPECT_TRUE(results(*second_link).empty());
+    end_call();
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0, 1}));
+}
+
+TEST_F(waiting_tasks, are_cancelled_with_one_answer_that_brings_the_credit)
+{
+    dispatch(*second_link, 1);
+    second_link->deliver(cancel_message{submission, key(1)});
+    ASSERT_EQ(results(*second_link).size(), 1U);
+    const auto answer = results(*second_link)[0];
+    EXPECT_EQ(answer.result->reason, failure_reason::cancelled);
+    EXPECT_EQ(answer.result->ran, effect::not_run);
+    EXPECT_GT(answer.credits_total, 1U);
+    EXPECT_EQ(service.counts().cancelled, 1U);
+    end_call();
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0}));
+}
+
+TEST_F(waiting_tasks, of_a_closed_link_never_start)
+{
+    dispatch(*second_link, 1);
+    second_link->end();
+    end_call();
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0}));
+    query(*first, 1, 1);
+    ASSERT_EQ(statuses(*first).size(), 1U);
+    EXPECT_EQ(statuses(*first)[0].state, start_state::not_started);
+    dispatch(*first, 1);
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0}));
+    EXPECT_EQ(results(*first).back().result->ran, effect::not_run);
+}
+
+TEST_F(waiting_tasks, do_not_start_after_their_claim_ran_out)
+{
+    dispatch(*second_link, 1);
+    now += 20 * second;
+    end_call();
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0}));
+    ASSERT_EQ(results(*second_link).size(), 1U);
+    EXPECT_EQ(results(*second_link)[0].result->reason,
+              failure_reason::not_startable);
+}
+
+TEST_F(waiting_tasks, do_not_start_without_a_permit)
+{
+    dispatch(*second_link, 1);
+    service.hold(permit({.valid_until = now}));
+    end_call();
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0}));
+    ASSERT_EQ(results(*second_link).size(), 1U);
+    EXPECT_EQ(results(*second_link)[0].result->reason,
+              failure_reason::no_permit);
+}
+
+TEST_F(waiting_tasks, start_once_though_dispatched_twice)
+{
+    dispatch(*second_link, 1);
+    dispatch(*second_link, 1);
+    EXPECT_TRUE(results(*second_link).empty());
+    end_call();
+    end_call();
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0, 1}));
+    ASSERT_EQ(results(*second_link).size(), 1U);
+    EXPECT_TRUE(succeeded(results(*second_link)[0].result));
+}
+
+TEST_F(waiting_tasks, a_doubled_dispatch_of_a_running_task_uses_no_credit)
+{
+    service.announce({.slots = 2});
+    end_call();
+    dispatch(*first, 1);
+    dispatch(*first, 1);
+    ASSERT_EQ(statuses(*first).size(), 1U);
+    EXPECT_EQ(statuses(*first)[0].state, start_state::running);
+    dispatch(*first, 2);
+    EXPECT_EQ(started, std::vector<std::uint64_t>({0, 1, 2}));
+    EXPECT_EQ(service.counts().declined, 0U);
+}
+
+TEST_F(waiting_tasks, go_back_when_the_agent_drains)
+{
+    dispatch(*second_link, 1);
+    service.drain();
+    ASSERT_EQ(results(*second_link).size(), 1U);
+    EXPECT_EQ(results(*second_link)[0].result->reason,
+              failure_reason::draining);
+    EXPECT_EQ(results(*second_link)[0].result->ran, effect::not_run);
+    EXPECT_EQ(calls.size(), 1U);
+}
+
+TEST_F(waiting_tasks, go_back_at_once_from_an_agent_that_drains)
+{
+    service.drain();
+    dispatch(*second_link, 1);
+    ASSERT_EQ(results(*second_link).size(), 1U);
+    EXPECT_EQ(results(*second_link)[0].result->reason,
+              failure_reason::draining);
+}
+
+TEST_F(waiting_tasks, results_reach_every_watcher_and_one_link_the_credit)
+{
+    query(*second_link, 0, 1);
+    end_call();
+    ASSERT_EQ(results(*first).size(), 1U);
+    ASSERT_EQ(results(*second_link).size(), 1U);
+    EXPECT_GT(results(*first)[0].credits_total, 0U);
+    EXPECT_EQ(results(*second_link)[0].credits_total, 0U);
+}
+
+} // namespace
+
+} // namespace lagoonquay
--- a/process/tests/fake_link.hpp
+++ b/process/tests/fake_link.hpp
@@ -32,6 +32,16 @@
     void close() override
     {
     }
+    //! Hands over a message of the other side.
+    void deliver(const link_message& message)
+    {
+        hooks_.on_messages({message});
+    }
+    //! Ends the link as the network does.
+    void end()
+    {
+        hooks_.on_close();
+    }
     link_counts counts() const noexcept override
     {
         return counts_;
--- a/process/tests/operator_client_test.cpp
+++ b/process/tests/operator_client_test.cpp
@@ -173,7 +173,7 @@
     fleet_view_options view;
     view.version = version_number(version);
     view.out_domains = {domain_id("d")};
-    view.settings = "[exception big]\nreason = the largest customer\n";
+    view.settings = "[customer:big]\nreason = the largest customer\n";
     return {.body = encode_replica_view(fleet_view(std::move(view)))};
 }
 
@@ -181,6 +181,17 @@
     .body = R"({"id":"r","members":[{"role":"agent","id":"a","domain":"d",)"
             R"("address":"127.0.0.1:9","slots":8,"serving":true}]})"};
 
+TEST(operator_client, finds_a_domain_that_nobody_knows)
+{
+    fleet_status status;
+    status.answered.push_back({first, "r", {}, {{"agent", "a", "d"}}});
+    EXPECT_FALSE(unknown_target(status, set_domain{domain_id("d"), false}));
+    EXPECT_TRUE(unknown_target(status, set_domain{domain_id("D"), false}));
+    EXPECT_FALSE(unknown_target(status, set_domain{domain_id("D"), true}));
+    EXPECT_FALSE(unknown_target(status, set_agent_drain{agent_id("a"), true}));
+    EXPECT_TRUE(unknown_target(status, set_entry_drain{entry_id("a"), true}));
+}
+
 TEST(operator_client, takes_the_newest_of_the_views)
 {
     fake_replicas replicas;
@@ -197,7 +208,7 @@
               std::string::npos)
         << text;
     EXPECT_EQ(exceptions_text(exceptions_in(status.value().view()->settings)),
-              "[exception big]\n  reason = the largest customer\n");
+              "[customer:big]\n  reason = the largest customer\n");
 }
 
 } // namespace
