Decide the replicated log without I/O

Cause: control applied commands in one process only; a lost process lost them, and a second replica would have disagreed.

Ruled out: leader leases for permits (a frozen leader could grant from old state); replacing a voter in one step (the majorities {a,c} and {b,c'} of {a,b,c} and {a,b,c'} need not meet). A wiped folder therefore leaves the voters first, follows as a learner under a new node id, and becomes a voter once it has stored all that is committed.

Codecs are separate.

Sending beyond the window only costs memory and no test sees it.

--- a/version/include/lagoonquay/version/command.hpp
+++ b/version/include/lagoonquay/version/command.hpp
@@ -1,12 +1,14 @@
 //! Operators' commands and the state machine that they change.
 #pragma once
 
+#include "lagoonquay/request/time.hpp"
 #include "lagoonquay/version/fleet_view.hpp"
 
 #include <map>
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace lagoonquay
 {
@@ -76,6 +78,41 @@
                            const command_outcome&) = default;
 };
 
+//! What an operator is told.
+struct command_answer
+{
+    command_outcome outcome;
+    //! Until then an older permit may still allow what the command forbids.
+    duration in_force_after{};
+
+    friend bool operator==(const command_answer&,
+                           const command_answer&) = default;
+};
+
+//! @return whether the change takes leave to work away from someone.
+bool forbids_work(const change& what) noexcept;
+
+//! The outcome of one command, kept for resends.
+struct remembered_outcome
+{
+    command_id id;
+    command_outcome outcome;
+
+    friend bool operator==(const remembered_outcome&,
+                           const remembered_outcome&) = default;
+};
+
+//! All of a fleet_state.
+struct fleet_snapshot
+{
+    fleet_view view;
+    std::string author;
+    std::vector<remembered_outcome> outcomes; //!< oldest first
+
+    friend bool operator==(const fleet_snapshot&,
+                           const fleet_snapshot&) = default;
+};
+
 //! Applies commands in log order. Deterministic; not thread-safe.
 class fleet_state
 {
@@ -83,11 +120,16 @@
     //! Outcomes kept for resends.
     static constexpr std::size_t remembered_outcomes = 4096;
 
+    fleet_state() = default;
+    explicit fleet_state(const fleet_snapshot& from);
+
     //! Applies a command, or returns the outcome of its first application.
     command_outcome apply(const command& asked);
 
     const fleet_view& view() const noexcept;
 
+    fleet_snapshot snapshot() const;
+
     //! @return the outcome of an applied command.
     std::optional<command_outcome> outcome_of(const command_id& id) const;
 
--- a/version/src/command.cpp
+++ b/version/src/command.cpp
@@ -40,6 +40,24 @@
 
 } // namespace
 
+bool forbids_work(const change& what) noexcept
+{
+    if (const auto* domain = std::get_if<set_domain>(&what))
+        return !domain->in_service;
+    if (const auto* agent = std::get_if<set_agent_drain>(&what))
+        return agent->drained;
+    if (const auto* entry = std::get_if<set_entry_drain>(&what))
+        return entry->drained;
+    return false;
+}
+
+fleet_state::fleet_state(const fleet_snapshot& from)
+    : view_(from.view), author_(from.author)
+{
+    for (const auto& it : from.outcomes)
+        remember(it.id, it.outcome);
+}
+
 command_outcome fleet_state::apply(const command& asked)
 {
     if (const auto first = outcome_of(asked->id))
@@ -67,6 +85,15 @@
     return view_;
 }
 
+fleet_snapshot fleet_state::snapshot() const
+{
+    fleet_snapshot taken{view_, author_, {}};
+    taken.outcomes.reserve(order_.size());
+    for (const auto& [number, id] : order_)
+        taken.outcomes.push_back({id, outcomes_.at(id)});
+    return taken;
+}
+
 std::optional<command_outcome>
 fleet_state::outcome_of(const command_id& id) const
 {
--- a/version/src/version_codec.cpp
+++ b/version/src/version_codec.cpp
@@ -1,8 +1,7 @@
 #include "lagoonquay/version/version_codec.hpp"
 
-#include "lagoonquay/request/json_fields.hpp"
+#include "version_json.hpp"
 
-#include <boost/json.hpp>
 #include <limits>
 
 namespace json = boost::json;
@@ -14,6 +13,7 @@
 {
 
 constexpr std::size_t id_bytes = 128;
+constexpr std::uint64_t most_in_force_ms = 60'000;
 constexpr std::size_t settings_bytes = 4UL * 1024 * 1024;
 
 version_result<json::value> parse(std::string_view text)
@@ -117,29 +117,6 @@
     return set_domain{};
 }
 
-json::object view_to_json(const fleet_view& view)
-{
-    return {{"version", view->version.number()},
-            {"out_domains", ids_to_json(view->out_domains)},
-            {"drained_agents", ids_to_json(view->drained_agents)},
-            {"drained_entries", ids_to_json(view->drained_entries)},
-            {"settings", view->settings}};
-}
-
-fleet_view view_from_json(const json::value& source, json_fields& parent)
-{
-    json_fields fields(source, "view");
-    fleet_view_options options;
-    options.version = get_version(fields, "version");
-    options.out_domains = ids_from_json<domain_id>(fields, "out_domains");
-    options.drained_agents = ids_from_json<agent_id>(fields, "drained_agents");
-    options.drained_entries =
-        ids_from_json<entry_id>(fields, "drained_entries");
-    options.settings = fields.text("settings", settings_bytes);
-    parent.absorb(fields);
-    return fleet_view(std::move(options));
-}
-
 json::object member_to_json(const member& it)
 {
     return {{"role", it->role == member_role::agent ? "agent" : "entry"},
@@ -195,29 +172,63 @@
 
 } // namespace
 
-std::string encode_command(const command& asked)
+json::object view_to_json(const fleet_view& view)
+{
+    return {{"version", view->version.number()},
+            {"out_domains", ids_to_json(view->out_domains)},
+            {"drained_agents", ids_to_json(view->drained_agents)},
+            {"drained_entries", ids_to_json(view->drained_entries)},
+            {"settings", view->settings}};
+}
+
+fleet_view view_from_json(const json::value& source, json_fields& parent)
+{
+    json_fields fields(source, "view");
+    fleet_view_options options;
+    options.version = get_version(fields, "version");
+    options.out_domains = ids_from_json<domain_id>(fields, "out_domains");
+    options.drained_agents = ids_from_json<agent_id>(fields, "drained_agents");
+    options.drained_entries =
+        ids_from_json<entry_id>(fields, "drained_entries");
+    options.settings = fields.text("settings", settings_bytes);
+    parent.absorb(fields);
+    return fleet_view(std::move(options));
+}
+
+json::object command_to_json(const command& asked)
 {
     auto object = std::visit(change_to_json{}, asked->what);
     object["id"] = asked->id.text();
     object["author"] = asked->author;
     if (asked->expected)
         object["expected"] = asked->expected->number();
-    return json::serialize(object);
+    return object;
 }
 
-version_result<command> decode_command(std::string_view text)
+command command_from_json(json_fields& fields)
 {
-    BOOST_OUTCOME_TRY(const auto document, parse(text));
-    json_fields fields(document, "");
     command_options options;
     options.id = command_id(required_id(fields, "id"));
     options.author = fields.text_or("author", "", id_bytes);
     if (fields.member("expected") != nullptr)
         options.expected = get_version(fields, "expected");
     options.what = change_from_json(fields);
+    return command(std::move(options));
+}
+
+std::string encode_command(const command& asked)
+{
+    return json::serialize(command_to_json(asked));
+}
+
+version_result<command> decode_command(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    json_fields fields(document, "");
+    auto asked = command_from_json(fields);
     if (fields.failed())
         return malformed(fields);
-    return command(std::move(options));
+    return asked;
 }
 
 std::string encode_outcome(const command_outcome& outcome)
@@ -240,6 +251,29 @@
     return outcome;
 }
 
+std::string encode_answer(const command_answer& answer)
+{
+    const auto in_force =
+        std::chrono::ceil<std::chrono::milliseconds>(answer.in_force_after);
+    const json::object object{{"accepted", answer.outcome.accepted},
+                              {"version", answer.outcome.version.number()},
+                              {"author", answer.outcome.author},
+                              {"in_force_after_ms", in_force.count()}};
+    return json::serialize(object);
+}
+
+version_result<command_answer> decode_answer(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto outcome, decode_outcome(text));
+    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    json_fields fields(document, "");
+    const auto milliseconds = static_cast<std::int64_t>(
+        fields.number_or("in_force_after_ms", 0, 0, most_in_force_ms));
+    if (fields.failed())
+        return malformed(fields);
+    return command_answer{outcome, std::chrono::milliseconds(milliseconds)};
+}
+
 std::string encode_permit_request(const permit_request& request)
 {
     const json::object object{{"sender", member_to_json(request.sender)},
