Run control as a replicated log between real processes

Cause: control_service applied commands locally; replicas did not agree and nothing survived a restart.

Ruled out: request and answer in one HTTP exchange (the decisions send messages one way, and a slow disk would hold the exchange open); writing on an I/O thread (a sync of some ms would hold up heartbeats); letting a replica vote on permits from its belief that it follows a live leader (one that was frozen keeps that belief, so only a message of the present term counts).

Change: control_replica locks the decisions, stores on a thread of its own with one sync for all that gathered, and completes a command on commit; replica_transport sends one batch at a time to each address; a follower passes a command on once, with the operators' token. Heartbeats are answered only by a voter that has caught up since its start and heard from a leader within 10 s. Answers carry in_force_after_ms; the dump shows the log, each member's applied version and whether the replicas are whole. A new cluster needs "bootstrap = true" and every replica empty.

Found: "whole" was still true just after a wipe, until the leader noticed; a test that wiped a second replica then lost the quorum for good (180 s, refused as it must). A leader now counts only replicas heard in the last 0.5 s, and a repair is done when the wiped replica says so itself too.

Trials with single checks of durable_log off, each on a scratch copy: length against the mark: refuses_a_log_that_lost_synced_records failed; records after a bad one and payload checksum: refuses_a_corrupt_middle failed; cut: cuts_a_torn_tail; sync: syncs_each_batch_once and a_failed_sync; mark before the log: compaction_that_breaks_off; lock: one_process_uses_a_folder; mark missing: refuses_a_folder_without_its_mark.

--- a/connection/include/lagoonquay/connection/http_message.hpp
+++ b/connection/include/lagoonquay/connection/http_message.hpp
@@ -67,6 +67,9 @@
 //! @return the value of `key` in a query, or an empty string.
 std::string query_value(std::string_view query, std::string_view key);
 
+//! @return whether two bearer tokens are equal, in constant time.
+bool same_token(std::string_view left, std::string_view right) noexcept;
+
 //! @return a response with a JSON body {"error": code, "detail": detail}.
 http_response error_response(http_status status, std::string_view code,
                              std::string_view detail);
--- a/connection/src/http_message.cpp
+++ b/connection/src/http_message.cpp
@@ -23,6 +23,17 @@
     return {};
 }
 
+// Compares without an early exit, so that timing tells nothing.
+bool same_token(std::string_view left, std::string_view right) noexcept
+{
+    if (left.size() != right.size())
+        return false;
+    unsigned difference = 0;
+    for (std::size_t n = 0; n < left.size(); ++n)
+        difference |= static_cast<unsigned>(left[n] ^ right[n]);
+    return difference == 0;
+}
+
 http_response error_response(http_status status, std::string_view code,
                              std::string_view detail)
 {
--- a/connection/src/http_server.cpp
+++ b/connection/src/http_server.cpp
@@ -71,17 +71,6 @@
     return request;
 }
 
-// Compares without an early exit, so that timing tells nothing.
-bool same_token(std::string_view left, std::string_view right) noexcept
-{
-    if (left.size() != right.size())
-        return false;
-    unsigned difference = 0;
-    for (std::size_t n = 0; n < left.size(); ++n)
-        difference |= static_cast<unsigned>(left[n] ^ right[n]);
-    return difference == 0;
-}
-
 //! Holds one place of the connection limit.
 class connection_place
 {
--- a/process/include/lagoonquay/process/control_service.hpp
+++ b/process/include/lagoonquay/process/control_service.hpp
@@ -1,25 +1,18 @@
-//! One control replica: the fleet's state, its members and permit votes.
+//! One control replica as members and operators see it.
 #pragma once
 
+#include "lagoonquay/process/control_replica.hpp"
 #include "lagoonquay/process/sharded_map.hpp"
-#include "lagoonquay/version/command.hpp"
-#include "lagoonquay/version/error.hpp"
 #include "lagoonquay/version/member.hpp"
 
-#include <functional>
-#include <mutex>
 #include <string>
 #include <vector>
 
 namespace lagoonquay
 {
 
-//! Gets the outcome of a command once it is committed, or the error.
-using outcome_hook = std::function<void(version_result<command_outcome>)>;
-
 struct control_options
 {
-    replica_id id;
     //! A member that is silent for longer is no longer named to others.
     duration member_silence = std::chrono::seconds(3);
 
@@ -27,39 +20,53 @@
                            const control_options&) = default;
 };
 
+//! A member and the newest version that it has applied.
+struct member_report
+{
+    member about;
+    version_number applied;
+
+    friend bool operator==(const member_report&,
+                           const member_report&) = default;
+};
+
 //! Answers heartbeats and commands. Thread-safe.
 class control_service
 {
 public:
-    control_service(control_options options, clock_hook now);
+    //! The replica must outlive the service.
+    control_service(control_options options, control_replica& replica,
+                    clock_hook now);
 
     //! Answers a heartbeat with this replica's vote.
-    permit_reply on_heartbeat(const permit_request& request);
+    //! @return the reply, or not_voting.
+    version_result<permit_reply> on_heartbeat(const permit_request& request);
 
-    //! Replicates and applies a command.
-    void propose(const command& asked, const outcome_hook& done);
+    //! Replicates and applies a command; see control_replica::propose().
+    void propose(const command& asked, bool may_forward,
+                 const answer_hook& done);
 
     fleet_view view() const;
 
     //! @return the members heard of lately.
-    std::vector<member> members();
+    std::vector<member_report> members();
 
     //! @return the whole state as JSON.
     std::string dump();
 
+    //! The replica behind this service.
+    control_replica& replica() noexcept;
+
 private:
     struct known_member
     {
-        member about;
+        member_report report;
         instant heard{};
     };
 
     const control_options options_;
+    control_replica& replica_;
     const clock_hook now_;
-
-    mutable std::mutex state_mutex_;
-    fleet_state state_;
-
     sharded_map<std::string, known_member> members_;
 };
 
--- a/process/include/lagoonquay/process/process_settings.hpp
+++ b/process/include/lagoonquay/process/process_settings.hpp
@@ -46,6 +46,7 @@
     process_settings process;
     endpoint members; //!< listener for heartbeats and other replicas
     std::string data_folder;
+    bool bootstrap = false; //!< operators start a new cluster
 };
 
 //! Each reads and checks a whole file.
--- /dev/null
+++ b/process/src/control_replica.cpp
@@ -0,0 +1,150 @@
+#include "lagoonquay/process/control_replica.hpp"
+
+#include "control_replica_core.hpp"
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace lagoonquay
+{
+
+struct control_replica::shared
+{
+    shared(control_replica_options options, control_replica_hooks given,
+           const node_id& node, const stored_log& stored)
+        : hooks(
+              std::make_shared<const control_replica_hooks>(std::move(given))),
+          core(std::move(options), hooks, node, stored)
+    {
+    }
+
+    //! Runs `use` under the lock, then the calls that it left to do.
+    template <typename Use>
+    void step(Use use)
+    {
+        deferred_calls calls;
+        {
+            const std::lock_guard lock(mutex);
+            use(calls);
+            if (core.has_writes())
+                work_added.notify_one();
+        }
+        for (const auto& it : calls)
+            it();
+    }
+
+    //! Stores what has gathered, one sync for all, until the end.
+    void run_storage()
+    {
+        while (auto writes = next_writes())
+        {
+            const auto stored = hooks->store(*writes);
+            step(
+                [&](deferred_calls& calls)
+                {
+                    if (stored)
+                        core.stored(writes->back().sequence, calls);
+                    else
+                        core.storage_failed(stored.error().detail, calls);
+                });
+        }
+    }
+
+    std::optional<std::vector<log_write>> next_writes()
+    {
+        std::unique_lock lock(mutex);
+        work_added.wait(lock, [this] { return ending || core.has_writes(); });
+        if (ending)
+            return std::nullopt;
+        return core.take_writes();
+    }
+
+    const std::shared_ptr<const control_replica_hooks> hooks;
+    mutable std::mutex mutex;
+    std::condition_variable work_added;
+    control_replica_core core;
+    bool ending = false;
+    std::thread storage;
+};
+
+control_replica::control_replica(control_replica_options options,
+                                 control_replica_hooks hooks,
+                                 const node_id& node, const stored_log& stored)
+    : shared_(std::make_unique<shared>(std::move(options), std::move(hooks),
+                                       node, stored))
+{
+    shared_->storage = std::thread([this] { shared_->run_storage(); });
+}
+
+control_replica::~control_replica()
+{
+    {
+        const std::lock_guard lock(shared_->mutex);
+        shared_->ending = true;
+    }
+    shared_->work_added.notify_one();
+    shared_->storage.join();
+}
+
+void control_replica::tick()
+{
+    shared_->step([&](deferred_calls& calls) { shared_->core.tick(calls); });
+}
+
+void control_replica::receive(const replica_batch& batch)
+{
+    shared_->step([&](deferred_calls& calls)
+                  { shared_->core.receive(batch, calls); });
+}
+
+replica_greeting control_replica::on_greeting(const replica_greeting& other)
+{
+    replica_greeting own;
+    shared_->step(
+        [&](deferred_calls& calls)
+        {
+            shared_->core.on_greeting(other, calls);
+            own = shared_->core.greeting();
+        });
+    return own;
+}
+
+void control_replica::propose(const command& asked, bool may_forward,
+                              const answer_hook& done)
+{
+    shared_->step([&](deferred_calls& calls)
+                  { shared_->core.propose(asked, may_forward, done, calls); });
+}
+
+void control_replica::hand_over()
+{
+    shared_->step([&](deferred_calls& calls)
+                  { shared_->core.hand_over(calls); });
+}
+
+fleet_view control_replica::view() const
+{
+    const std::lock_guard lock(shared_->mutex);
+    return shared_->core.view();
+}
+
+bool control_replica::leads() const
+{
+    const std::lock_guard lock(shared_->mutex);
+    return shared_->core.leads();
+}
+
+std::optional<permit_vote> control_replica::vote(version_number known) const
+{
+    const std::lock_guard lock(shared_->mutex);
+    return shared_->core.vote(known);
+}
+
+control_replica_state control_replica::state() const
+{
+    const std::lock_guard lock(shared_->mutex);
+    return shared_->core.state();
+}
+
+} // namespace lagoonquay
--- a/process/src/process_settings.cpp
+++ b/process/src/process_settings.cpp
@@ -151,6 +151,7 @@
     settings.process = read_common(file);
     settings.members = read_endpoint(file, "members", "listen");
     settings.data_folder = file.text("storage", "folder");
+    settings.bootstrap = file.flag_or("storage", "bootstrap", false);
     BOOST_OUTCOME_TRY(checked(file.finish()));
     return settings;
 }
--- a/process/tests/durable_log_test.cpp
+++ b/process/tests/durable_log_test.cpp
@@ -77,12 +77,15 @@
         log_write write{.sequence = last};
         write.state = {cluster_number(9), term_number(term), node_id("b-1")};
         for (auto n = first; n <= last; ++n)
-            write.entries.push_back(
-                {log_index(n), term_number(term),
-                 command({.id = command_id(std::to_string(n)),
-                          .author = "ann",
-                          .expected = std::nullopt,
-                          .what = set_settings{std::string(50, 'x')}})});
+        {
+            log_entry entry{log_index(n), term_number(term), no_operation{}};
+            entry.content =
+                command({.id = command_id(std::to_string(n)),
+                         .author = "ann",
+                         .expected = std::nullopt,
+                         .what = set_settings{std::string(50, 'x')}});
+            write.entries.push_back(entry);
+        }
         return write;
     }
 
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -298,7 +298,7 @@
     const auto own = address(role_control, n);
     auto text = common(id, domain(n), at(own, operators_port));
     text += "[members]\nlisten = " + at(own, first_port);
-    text += "\n[storage]\nfolder = " + data_folder(n) + "\n";
+    text += "\n[storage]\nfolder = " + data_folder(n) + "\nbootstrap = true\n";
     controls_.push_back({"lagoonquay-control",
                          id,
                          {"--config", write_settings(id, text)},
--- a/version/include/lagoonquay/version/error.hpp
+++ b/version/include/lagoonquay/version/error.hpp
@@ -14,6 +14,7 @@
     corrupt,     //!< a stored record fails its checksum
     storage,     //!< the disk refused
     not_leader,  //!< another replica leads
+    not_voting,  //!< this replica must not answer permit requests now
     conflict,    //!< the expected version is not the current one
 };
 
--- a/version/include/lagoonquay/version/replica.hpp
+++ b/version/include/lagoonquay/version/replica.hpp
@@ -65,6 +65,16 @@
     leader,
 };
 
+//! A member as the leader knows it.
+struct follower_status
+{
+    log_index stored;
+    std::uint32_t silent_ticks = 0;
+
+    friend bool operator==(const follower_status&,
+                           const follower_status&) = default;
+};
+
 //! What others may know of a replica.
 struct replica_status
 {
@@ -78,7 +88,7 @@
     //! Has applied all that was committed when it first heard from a leader.
     bool caught_up = false;
     bool changing_members = false;
-    std::map<node_id, log_index> stored; //!< known to the leader only
+    std::map<node_id, follower_status> followers; //!< of the leader only
 };
 
 //! One replica. Not thread-safe; the host calls one method at a time and
@@ -113,6 +123,9 @@
     replica_output take_output();
 
     bool leads() const noexcept;
+    const std::optional<node_id>& leader() const noexcept;
+    term_number term() const noexcept;
+    bool caught_up() const noexcept;
     bool empty() const noexcept; //!< knows of no cluster
     replica_status status() const;
     const memory_log& log() const noexcept;
--- a/version/include/lagoonquay/version/version_codec.hpp
+++ b/version/include/lagoonquay/version/version_codec.hpp
@@ -19,9 +19,9 @@
 //! @return the outcome, or malformed.
 version_result<command_outcome> decode_outcome(std::string_view text);
 
-std::string encode_answer(const command_answer& answer);
+std::string encode_command_answer(const command_answer& answer);
 //! @return the answer, or malformed.
-version_result<command_answer> decode_answer(std::string_view text);
+version_result<command_answer> decode_command_answer(std::string_view text);
 
 std::string encode_permit_request(const permit_request& request);
 //! @return the request, or malformed.
--- a/version/src/replica.cpp
+++ b/version/src/replica.cpp
@@ -112,6 +112,21 @@
     return role_ == replica_role::leader;
 }
 
+const std::optional<node_id>& replica::leader() const noexcept
+{
+    return leader_;
+}
+
+term_number replica::term() const noexcept
+{
+    return state_.term;
+}
+
+bool replica::caught_up() const noexcept
+{
+    return caught_up_;
+}
+
 bool replica::empty() const noexcept
 {
     return state_.cluster == cluster_number();
@@ -129,7 +144,8 @@
                          .caught_up = caught_up_,
                          .changing_members = log_.members_index() > commit_};
     for (const auto& [node, it] : followers_)
-        found.stored.emplace(node, it.match);
+        found.followers.emplace(node,
+                                follower_status{it.match, it.silent_ticks});
     return found;
 }
 
--- a/version/src/version_codec.cpp
+++ b/version/src/version_codec.cpp
@@ -251,7 +251,7 @@
     return outcome;
 }
 
-std::string encode_answer(const command_answer& answer)
+std::string encode_command_answer(const command_answer& answer)
 {
     const auto in_force =
         std::chrono::ceil<std::chrono::milliseconds>(answer.in_force_after);
@@ -262,7 +262,7 @@
     return json::serialize(object);
 }
 
-version_result<command_answer> decode_answer(std::string_view text)
+version_result<command_answer> decode_command_answer(std::string_view text)
 {
     BOOST_OUTCOME_TRY(const auto outcome, decode_outcome(text));
     BOOST_OUTCOME_TRY(const auto document, parse(text));
