--- a/process/src/control_service.cpp
+++ b/process/src/control_service.cpp
@@ -7,7 +7,7 @@
 
 control_service::control_service(control_options options,
                                  control_replica& replica, clock_hook now)
-    : options_(std::move(options)), replica_(replica), now_(std::move(now))
+    : options_(options), replica_(replica), now_(std::move(now))
 {
 }
 
--- a/process/tests/control_replica_test.cpp
+++ b/process/tests/control_replica_test.cpp
@@ -194,6 +194,7 @@
 
 TEST_F(control_replica_test, a_resend_is_answered_by_any_replica)
 {
+    pass(std::chrono::seconds(5)); // long after the start
     hear_leader({{log_index(2), term_number(2), take_out()}}, 1, 2);
     command_answer answer;
     replica_.propose(take_out(), false,
--- a/tests/process/control_test.cpp
+++ b/tests/process/control_test.cpp
@@ -60,6 +60,19 @@
         return std::nullopt;
     }
 
+    //! Waits for a leader that holds that every replica has the log.
+    std::size_t leader()
+    {
+        std::optional<std::size_t> found;
+        EXPECT_TRUE(fleet::eventually(
+            [&]
+            {
+                found = whole();
+                return found.has_value();
+            }));
+        return found.value_or(0);
+    }
+
     std::uint64_t version(std::size_t n)
     {
         const auto found = state(n);
@@ -86,10 +99,11 @@
     }
 
     //! Resends to one replica after the other until there is an answer.
-    command_answer commit(const command& asked)
+    //! @param first  a replica that is not frozen: that one would not answer.
+    command_answer commit(const command& asked, std::size_t first = 0)
     {
         std::optional<command_answer> answer;
-        std::size_t n = 0;
+        std::size_t n = first;
         EXPECT_TRUE(fleet::eventually(
             [&]
             {
@@ -176,7 +190,7 @@
     for (int round = 0; round < 3; ++round)
     {
         commit_many(10);
-        const auto lead = whole().value_or(0);
+        const auto lead = leader();
         kill(lead);
         commit_many(10);
         restart(lead);
@@ -188,7 +202,7 @@
 TEST_F(control_test, a_frozen_leader_wakes_and_commits_nothing_of_its_own)
 {
     commit_many(5);
-    const auto lead = whole().value_or(0);
+    const auto lead = leader();
     fleet_.control(lead).process->signal(SIGSTOP);
     const auto other = (lead + 1) % 3;
     EXPECT_TRUE(fleet::eventually(
@@ -198,7 +212,7 @@
             return !log.empty() && log.at("leader").as_string() != "" &&
                    send(other, take_out(next_)).has_value();
         }));
-    commit(take_out(next_++)); // the resend gets the first answer
+    commit(take_out(next_++), other); // the resend gets the first answer
     fleet_.control(lead).process->signal(SIGCONT);
     commit_many(5);
     expect_nothing_lost();
@@ -207,10 +221,10 @@
 TEST_F(control_test, a_second_loss_right_after_a_repair_loses_nothing)
 {
     commit_many(20);
-    const auto lead = whole().value_or(0);
+    const auto lead = leader();
     wipe((lead + 1) % 3);
     ASSERT_TRUE(repaired((lead + 1) % 3));
-    const auto second = whole().value_or(0);
+    const auto second = leader();
     wipe(second);
     EXPECT_TRUE(repaired(second));
     expect_nothing_lost();
@@ -218,7 +232,7 @@
 
 TEST_F(control_test, a_wiped_replica_does_not_make_a_quorum)
 {
-    const auto lead = whole().value_or(0);
+    const auto lead = leader();
     const auto lagging = (lead + 1) % 3;
     const auto holder = (lead + 2) % 3;
     kill(lagging);
@@ -242,7 +256,7 @@
 TEST_F(control_test, a_damaged_log_is_refused_with_file_and_offset)
 {
     commit_many(10);
-    const auto lead = whole().value_or(0);
+    const auto lead = leader();
     const auto n = (lead + 1) % 3;
     kill(n);
     const auto damaged = log_file(n);
@@ -260,7 +274,7 @@
 TEST_F(control_test, a_truncated_log_is_refused)
 {
     commit_many(10);
-    const auto n = (whole().value_or(0) + 1) % 3;
+    const auto n = (leader() + 1) % 3;
     kill(n);
     fs::resize_file(log_file(n), fs::file_size(log_file(n)) - 40);
     restart(n);
@@ -280,7 +294,7 @@
 
 TEST_F(control_test, sigterm_hands_leadership_over_and_exits_with_0)
 {
-    const auto lead = whole().value_or(0);
+    const auto lead = leader();
     const auto term = log_of(lead).at("term").to_number<std::uint64_t>();
     fleet_.control(lead).process->signal(SIGTERM);
     EXPECT_EQ(fleet_.control(lead).process->wait(), 0);
@@ -289,6 +303,40 @@
     EXPECT_EQ(other.at("term").to_number<std::uint64_t>(), term + 1);
 }
 
+// A majority of votes is there at every moment between two leaders.
+TEST_F(control_test, permit_votes_go_on_through_an_election)
+{
+    commit_many(3);
+    const auto lead = leader();
+    const std::vector<std::size_t> others{(lead + 1) % 3, (lead + 2) % 3};
+    const permit_request beat{member({.role = member_role::agent,
+                                      .id = "agent-1",
+                                      .domain = domain_id("south-1")}),
+                              version_number(0)};
+    kill(lead);
+    const auto leads = [&](std::size_t n)
+    {
+        return log_of(n).at("role").as_string() == "leader";
+    };
+    std::size_t votes = 0;
+    EXPECT_TRUE(fleet::eventually(
+        [&]
+        {
+            for (const auto n : others)
+            {
+                const auto answer =
+                    fleet_.post(fleet_.control_members(n), "/v1/heartbeat",
+                                encode_permit_request(beat));
+                EXPECT_TRUE(answer && answer->status == http_status::ok);
+                const auto reply = decode_permit_reply(answer->body);
+                EXPECT_EQ(reply.value().vote.version, version_number(3));
+                ++votes;
+            }
+            return leads(others[0]) || leads(others[1]);
+        }));
+    EXPECT_GT(votes, 2U);
+}
+
 TEST_F(control_test, one_of_two_racing_commands_wins_and_out_says_when)
 {
     const auto racing = [](const std::string& author)
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -129,6 +129,11 @@
     return to_endpoint(at(address(role_entry, entry), first_port));
 }
 
+endpoint fleet::control_members(std::size_t control) const
+{
+    return to_endpoint(at(address(role_control, control), first_port));
+}
+
 endpoint fleet::control_operators(std::size_t control) const
 {
     return to_endpoint(at(address(role_control, control), operators_port));
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -70,6 +70,7 @@
 
     //! Listeners. Operators' listeners take the request without a token.
     endpoint callers(std::size_t entry) const;
+    endpoint control_members(std::size_t control) const;
     endpoint control_operators(std::size_t control) const;
     endpoint entry_operators(std::size_t entry) const;
     endpoint agent_operators(std::size_t agent) const;
