--- a/process/include/lagoonquay/process/process_settings.hpp
+++ b/process/include/lagoonquay/process/process_settings.hpp
@@ -82,6 +82,7 @@
     process_settings process;
     endpoint members; //!< listener for heartbeats and other replicas
     std::string data_folder;
+    bool bootstrap = false; //!< operators start a new cluster
 
     friend bool operator==(const control_settings&,
                            const control_settings&) = default;
