--- a/process/include/lagoonquay/process/control_replica.hpp
+++ b/process/include/lagoonquay/process/control_replica.hpp
@@ -60,7 +60,7 @@
 struct control_replica_state
 {
     replica_id name;
-    replica_status decisions;
+    log_status decisions;
     node_id node;
     fleet_view view;
     pending_limits pending;
--- a/process/src/control_dump.cpp
+++ b/process/src/control_dump.cpp
@@ -47,7 +47,7 @@
     return "follower";
 }
 
-json::array replica_states(const replica_status& status)
+json::array replica_states(const log_status& status)
 {
     json::array array;
     for (const auto& it : status.members->members)
@@ -64,7 +64,7 @@
     return array;
 }
 
-std::string leader_name(const replica_status& status)
+std::string leader_name(const log_status& status)
 {
     const auto* it =
         status.leader ? find_node(status.members, *status.leader) : nullptr;
--- a/version/include/lagoonquay/version/replica.hpp
+++ b/version/include/lagoonquay/version/replica.hpp
@@ -76,7 +76,7 @@
 };
 
 //! What others may know of a replica.
-struct replica_status
+struct log_status
 {
     replica_role role = replica_role::follower;
     hard_state state;
@@ -127,7 +127,7 @@
     term_number term() const noexcept;
     bool caught_up() const noexcept;
     bool empty() const noexcept; //!< knows of no cluster
-    replica_status status() const;
+    log_status status() const;
     const memory_log& log() const noexcept;
 
     //! @return entries that this replica does not know to be committed.
--- a/version/src/replica.cpp
+++ b/version/src/replica.cpp
@@ -132,17 +132,17 @@
     return state_.cluster == cluster_number();
 }
 
-replica_status replica::status() const
-{
-    replica_status found{.role = role_,
-                         .state = state_,
-                         .leader = leader_,
-                         .commit = commit_,
-                         .last = log_.last(),
-                         .members = log_.members(),
-                         .voter = is_voter(log_.members(), options_.self),
-                         .caught_up = caught_up_,
-                         .changing_members = log_.members_index() > commit_};
+log_status replica::status() const
+{
+    log_status found{.role = role_,
+                     .state = state_,
+                     .leader = leader_,
+                     .commit = commit_,
+                     .last = log_.last(),
+                     .members = log_.members(),
+                     .voter = is_voter(log_.members(), options_.self),
+                     .caught_up = caught_up_,
+                     .changing_members = log_.members_index() > commit_};
     for (const auto& [node, it] : followers_)
         found.followers.emplace(node,
                                 follower_status{it.match, it.silent_ticks});
--- a/version/tests/fake_cluster.cpp
+++ b/version/tests/fake_cluster.cpp
@@ -326,7 +326,7 @@
     return replicas_[slot].applied;
 }
 
-replica_status fake_cluster::status(std::size_t slot) const
+log_status fake_cluster::status(std::size_t slot) const
 {
     return replicas_[slot].decisions->status();
 }
--- a/version/tests/fake_cluster.hpp
+++ b/version/tests/fake_cluster.hpp
@@ -52,7 +52,7 @@
 
     bool running(std::size_t slot) const;
     const fleet_state& state(std::size_t slot) const;
-    replica_status status(std::size_t slot) const;
+    log_status status(std::size_t slot) const;
 
     //! @return whether the slot may answer permit requests.
     bool votes(std::size_t slot) const;
