--- a/process/tests/recovery_test.cpp
+++ b/process/tests/recovery_test.cpp
@@ -144,6 +144,20 @@
     EXPECT_EQ(fleet.entry(0).counts().requeued, 1U);
 }
 
+// The old link still holds the dispatch when the agent is asked on a new one.
+TEST_F(recovery, a_dispatch_that_arrives_after_the_question_never_starts)
+{
+    for (std::size_t n = 0; n < 3; ++n)
+        fleet.stall(0, n, milliseconds(400));
+    fleet.submit(0, job_of(fleet, 4));
+    fleet.run_for(milliseconds(10));
+    for (std::size_t n = 0; n < 3; ++n)
+        fleet.cut(0, n, false);
+    fleet.run_for(seconds(2));
+    EXPECT_TRUE(succeeded(only_answer()));
+    EXPECT_EQ(starts(), 4U);
+}
+
 TEST_F(recovery, a_new_incarnation_of_the_agent_fails_the_job_clearly)
 {
     run_takes(milliseconds(500));
