--- a/process/load/src/fleet_layout.cpp
+++ b/process/load/src/fleet_layout.cpp
@@ -86,7 +86,8 @@
     std::ostringstream out;
     out << common(layout, id, n, layout.control(n, operators_port))
         << "[members]\nlisten = " << to_text(layout.control(n, members_port))
-        << "\n[storage]\nfolder = " << folder << "/" << id << ".data\n";
+        << "\n[storage]\nfolder = " << folder << "/" << id
+        << ".data\nbootstrap = true\n";
     return out.str();
 }
 
--- a/process/load/src/slopes.cpp
+++ b/process/load/src/slopes.cpp
@@ -10,6 +10,7 @@
 #include "lagoonquay/request/job_run.hpp"
 #include "lagoonquay/request/start_guard.hpp"
 #include "lagoonquay/version/version_codec.hpp"
+#include "lone_control.hpp"
 #include "slope_probe.hpp"
 
 namespace lagoonquay::load
@@ -119,7 +120,7 @@
 void fill(control_service& control, std::size_t members)
 {
     for (std::size_t n = 0; n < members; ++n)
-        control.on_heartbeat(
+        (void)control.on_heartbeat(
             {sample_member(n, member_role::agent), version_number()});
 }
 
@@ -236,7 +237,8 @@
 double member_memory(std::size_t members)
 {
     const auto before = allocated_bytes();
-    control_service control({.id = replica_id("control-1")}, steady_now);
+    lone_control owner;
+    auto& control = owner.service();
     fill(control, members);
     return allocated_bytes() - before;
 }
@@ -257,13 +259,14 @@
 std::string heartbeat(control_service& control, const std::string& request)
 {
     const auto asked = decode_permit_request(request);
-    return encode_permit_reply(control.on_heartbeat(asked.value()));
+    return encode_permit_reply(control.on_heartbeat(asked.value()).value());
 }
 
 double heartbeat_time(member_role role, std::size_t members)
 {
     constexpr int rounds = 20;
-    control_service control({.id = replica_id("control-1")}, steady_now);
+    lone_control owner;
+    auto& control = owner.service();
     fill(control, members);
     const auto request = encode_permit_request(
         {sample_member(0, role), control.view()->version});
@@ -288,7 +291,8 @@
 
 double reply_bytes(member_role role, std::size_t members)
 {
-    control_service control({.id = replica_id("control-1")}, steady_now);
+    lone_control owner;
+    auto& control = owner.service();
     fill(control, members);
     const auto request = encode_permit_request(
         {sample_member(members, role), control.view()->version});
--- /dev/null
+++ b/process/src/agent_recovery.cpp
@@ -0,0 +1,85 @@
+// What an agent tells an entry that asks for tasks, or takes them back.
+#include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/process/agent_service.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+//! @return whether the task is asked for by one of the items.
+bool names(const query_message& asked, const dispatch_message& it)
+{
+    return it.submission == asked.submission &&
+           std::any_of(asked.items.begin(), asked.items.end(),
+                       [&](const query_item& item) {
+                           return item.index == it.key.index &&
+                                  it.key.attempt <= item.last;
+                       });
+}
+
+} // namespace
+
+// The tombstone is set before the list is read: what is taken from the list in
+// between meets the tombstone at its start.
+void agent_service::on_query(link_number link, const query_message& it)
+{
+    status_message status{it.submission, options_.id, options_.run, {}};
+    if (it.agent_run == options_.run)
+    {
+        auto& shard = shard_of(it.submission);
+        const std::lock_guard lock(shard.mutex);
+        for (const auto& item : it.items)
+        {
+            const task_key key{it.submission, item.index};
+            const auto found = shard.guard.query(key, item.last, hooks_.now());
+            if (found.state == start_state::running)
+                shard.watchers[key].insert(link);
+            status.items.push_back(found);
+        }
+    }
+    if (it.agent_run == options_.run)
+        give_up(take_waiting([&](const waiting_start& waiting)
+                             { return names(it, waiting.message); }),
+                failure_reason::not_startable, "a query forbade the start");
+    send(link, std::move(status));
+}
+
+// What was sent to an earlier run of this agent may have started there.
+void agent_service::on_cancel(link_number link, const cancel_message& it)
+{
+    if (it.key.agent_run != options_.run)
+        return;
+    const task_key key{it.submission, it.key.index};
+    bool forbidden = false;
+    {
+        auto& shard = shard_of(it.submission);
+        const std::lock_guard lock(shard.mutex);
+        forbidden = shard.guard.forbid(key, it.key.attempt, hooks_.now());
+    }
+    const query_message asked{
+        it.submission, options_.run, {{it.key.index, it.key.attempt}}};
+    const auto waiting = take_waiting([&](const waiting_start& each)
+                                      { return names(asked, each.message); });
+    const bool answered =
+        std::any_of(waiting.begin(), waiting.end(),
+                    [&](const waiting_start& each) {
+                        return each.link == link && each.message.key == it.key;
+                    });
+    give_up(waiting, failure_reason::cancelled, "cancelled before its start");
+    if (!forbidden)
+        return;
+    ++cancelled_;
+    if (answered)
+        return;
+    dispatch_message unseen;
+    unseen.submission = it.submission;
+    unseen.key = it.key;
+    send_not_run(link, unseen, failure_reason::cancelled,
+                 "cancelled before its start", 0);
+}
+
+} // namespace lagoonquay
--- a/process/src/control_http.cpp
+++ b/process/src/control_http.cpp
@@ -5,6 +5,7 @@
 #include "lagoonquay/process/operator_codec.hpp"
 #include "lagoonquay/process/operator_http.hpp"
 #include "lagoonquay/version/fleet_settings.hpp"
+#include "lagoonquay/version/replica_codec.hpp"
 #include "lagoonquay/version/version_codec.hpp"
 
 namespace lagoonquay
@@ -13,33 +14,61 @@
 namespace
 {
 
+http_response malformed(const std::string& detail)
+{
+    return error_response(http_status::bad_request, "malformed", detail);
+}
+
 http_response heartbeat_response(control_service& service,
                                  const std::string& body)
 {
     const auto asked = decode_permit_request(body);
     if (!asked)
-        return error_response(http_status::bad_request, "malformed",
-                              asked.error().detail);
-    return {.body = encode_permit_reply(service.on_heartbeat(asked.value()))};
+        return malformed(asked.error().detail);
+    const auto reply = service.on_heartbeat(asked.value());
+    if (!reply)
+        return error_response(http_status::unavailable, "not_voting",
+                              reply.error().detail);
+    return {.body = encode_permit_reply(reply.value())};
+}
+
+http_response messages_response(control_service& service,
+                                const std::string& body)
+{
+    const auto batch = decode_batch(body);
+    if (!batch)
+        return malformed(batch.error().detail);
+    service.replica().receive(batch.value());
+    return {.body = "{}"};
+}
+
+http_response greeting_response(control_service& service,
+                                const std::string& body)
+{
+    const auto other = decode_greeting(body);
+    if (!other)
+        return malformed(other.error().detail);
+    const auto greeting = service.replica().on_greeting(other.value());
+    return {.body = encode_greeting(greeting)};
 }
 
-http_response outcome_response(const version_result<command_outcome>& outcome)
+// "not_committed" does not say that the command never will be.
+http_response answer_response(const version_result<command_answer>& answer)
 {
-    if (!outcome)
+    if (!answer)
         return error_response(http_status::unavailable, "not_committed",
-                              outcome.error().detail);
-    const bool accepted = outcome.value().accepted;
+                              answer.error().detail);
+    const bool accepted = answer.value().outcome.accepted;
     return {.status = accepted ? http_status::ok : http_status::conflict,
-            .body = encode_outcome(outcome.value())};
+            .body = encode_command_answer(answer.value())};
 }
 
 void run_command(control_service& service, const std::string& body,
-                 const http_responder& respond)
+                 bool may_forward, const http_responder& respond)
 {
     const auto asked = decode_command(body);
     if (!asked)
-        return respond(error_response(http_status::bad_request, "malformed",
-                                      asked.error().detail));
+        return respond(malformed(asked.error().detail));
     const auto* settings = std::get_if<set_settings>(&asked.value()->what);
     if (settings != nullptr)
     {
@@ -49,9 +78,18 @@
                                           "bad_settings",
                                           checked.error().detail));
     }
-    service.propose(asked.value(),
-                    [respond](const version_result<command_outcome>& outcome)
-                    { respond(outcome_response(outcome)); });
+    service.propose(asked.value(), may_forward,
+                    [respond](const version_result<command_answer>& answer)
+                    { respond(answer_response(answer)); });
+}
+
+void run_passed_on(control_service& service, const std::string& token,
+                   const http_request& request, const http_responder& respond)
+{
+    if (!token.empty() && !same_token(token, request.bearer))
+        return respond(error_response(http_status::unauthorized, "unauthorized",
+                                      "a valid bearer token is needed"));
+    run_command(service, request.body, false, respond);
 }
 
 process_metrics metrics_of(control_service& service)
@@ -70,15 +108,29 @@
 
 } // namespace
 
-http_handler member_routes(control_service& service)
+http_handler member_routes(control_service& service, std::string token)
 {
-    const auto heartbeat = [&service](const http_request& request,
-                                      std::string_view,
-                                      const http_responder& respond)
+    const auto on_body = [&service](http_response (*answer)(control_service&,
+                                                            const std::string&))
+    {
+        return [&service, answer](const http_request& request, std::string_view,
+                                  const http_responder& respond)
+        {
+            respond(answer(service, request.body));
+        };
+    };
+    const auto passed_on = [&service, required = std::move(token)](
+                               const http_request& request, std::string_view,
+                               const http_responder& respond)
     {
-        respond(heartbeat_response(service, request.body));
+        run_passed_on(service, required, request, respond);
     };
-    return route_requests({{http_method::post, "/v1/heartbeat", heartbeat}});
+    const auto post = http_method::post;
+    return route_requests(
+        {{post, "/v1/heartbeat", on_body(heartbeat_response)},
+         {post, "/v1/replica/messages", on_body(messages_response)},
+         {post, "/v1/replica/greeting", on_body(greeting_response)},
+         {post, "/v1/replica/commands", passed_on}});
 }
 
 http_handler control_operator_routes(control_service& service)
@@ -93,7 +145,7 @@
     const auto run = [&service](const http_request& request, std::string_view,
                                 const http_responder& respond)
     {
-        run_command(service, request.body, respond);
+        run_command(service, request.body, true, respond);
     };
     const auto view = [&service]() -> http_response
     {
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -129,6 +129,11 @@
     return to_endpoint(at(address(role_entry, entry), first_port));
 }
 
+endpoint fleet::control_members(std::size_t control) const
+{
+    return to_endpoint(at(address(role_control, control), first_port));
+}
+
 endpoint fleet::control_operators(std::size_t control) const
 {
     return to_endpoint(at(address(role_control, control), operators_port));
@@ -298,7 +303,7 @@
     const auto own = address(role_control, n);
     auto text = common(id, domain(n), at(own, operators_port));
     text += "[members]\nlisten = " + at(own, first_port);
-    text += "\n[storage]\nfolder = " + data_folder(n) + "\n";
+    text += "\n[storage]\nfolder = " + data_folder(n) + "\nbootstrap = true\n";
     controls_.push_back({"lagoonquay-control",
                          id,
                          {"--config", write_settings(id, text)},
