Let go of what waits for a frozen process in the fake fleet

Cause: the address sanitizer's leak check failed all eight blocks of the schedules. What waits for a frozen process owns that process, which owns it.

Ruled out: a leak of the product: every report begins in the fake's send().

Change: a killed process and the fleet's end drop what waits.

Conclusion: the fake leaked, the entry did not.

--- a/process/tests/fake_fleet.cpp
+++ b/process/tests/fake_fleet.cpp
@@ -195,7 +195,20 @@
     run_for(std::chrono::seconds(2));
 }
 
-fake_fleet::~fake_fleet() = default;
+// What waits for a frozen process may own that process.
+fake_fleet::~fake_fleet()
+{
+    for (const auto& it : entries_)
+        drop_backlog(it->process);
+    for (const auto& it : agents_)
+        drop_backlog(it->process);
+}
+
+void fake_fleet::drop_backlog(const process_pointer& it)
+{
+    const auto dropped = std::move(it->backlog);
+    it->backlog.clear();
+}
 
 void fake_fleet::submit(std::size_t entry, const job& work)
 {
@@ -228,6 +241,7 @@
 {
     auto& host = *entries_[entry];
     host.process->alive = false;
+    drop_backlog(host.process);
     for (const auto& it : host.links)
         it->close();
     host.links.clear();
@@ -290,6 +304,7 @@
 {
     auto& host = *agents_[agent];
     host.process->alive = false;
+    drop_backlog(host.process);
     for (const auto& it : host.links)
         it->close();
     host.links.clear();
--- a/process/tests/fake_fleet.hpp
+++ b/process/tests/fake_fleet.hpp
@@ -106,6 +106,7 @@
     class fake_link;
     struct entry_host;
     struct agent_host;
+    static void drop_backlog(const process_pointer& it);
     void deliver(const process_pointer& to, virtual_time::event run);
     void send(const process_pointer& to, virtual_time::event run);
     void thaw(const process_pointer& it);
