--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -1,4 +1,6 @@
-include(GoogleTest)
+if(BUILD_TESTING)
+    include(GoogleTest)
+endif()
 
 # Adds the static library lagoonquay_NAME from every source in src/.
 function(lagoonquay_library name)
@@ -11,7 +13,7 @@
 # Adds the test binary NAME_tests from every source in tests/.
 function(lagoonquay_tests name)
     file(GLOB sources CONFIGURE_DEPENDS tests/*.cpp)
-    if(NOT sources)
+    if(NOT BUILD_TESTING OR NOT sources)
         return()
     endif()
     add_executable(${name}_tests ${sources})
