--- a/connection/include/lagoonquay/connection/http_message.hpp
+++ b/connection/include/lagoonquay/connection/http_message.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lagoonquay
 {
@@ -19,6 +20,15 @@
     other,
 };
 
+//! A header that the programs read or write by name.
+struct http_header
+{
+    std::string name;
+    std::string value;
+
+    friend bool operator==(const http_header&, const http_header&) = default;
+};
+
 struct http_request
 {
     http_method method = http_method::get;
@@ -26,6 +36,9 @@
     std::string query; //!< after the question mark
     std::string body;
     std::string bearer; //!< token of the Authorization header, if any
+    std::string host = {}; //!< as received; a client sends its target's
+    //! Sent as they are. Of a received request, those that the listener keeps.
+    std::vector<http_header> headers = {};
 
     friend bool operator==(const http_request&, const http_request&) = default;
 };
@@ -69,6 +82,10 @@
 //! Serves one request. Called from any I/O thread.
 using http_handler = std::function<void(const http_request&, http_responder)>;
 
+//! @return the value of a header, without regard to case, or an empty string.
+std::string_view header_value(const http_request& request,
+                              std::string_view name) noexcept;
+
 //! @return the value of `key` in a query, or an empty string.
 std::string query_value(std::string_view query, std::string_view key);
 
--- a/connection/include/lagoonquay/connection/upstream.hpp
+++ b/connection/include/lagoonquay/connection/upstream.hpp
@@ -61,6 +61,11 @@
 using upstream_hook =
     std::function<void(const upstream_call&, upstream_callback)>;
 
+//! Stops one attempt of a task that was called; its result follows from the
+//! call. Thread-safe.
+using upstream_stop_hook = std::function<void(
+    const submission_id&, task_index, attempt_number)>;
+
 class http_client;
 
 //! @return a hook that posts the payload to the upstream's /v1/tasks. An
--- a/connection/src/http_client.cpp
+++ b/connection/src/http_client.cpp
@@ -100,6 +100,8 @@
         if (!request.bearer.empty())
             request_.set(http::field::authorization,
                          "Bearer " + request.bearer);
+        for (const auto& it : request.headers)
+            request_.set(it.name, it.value);
         if (!request.body.empty())
             request_.set(http::field::content_type, "application/json");
         request_.body() = request.body;
--- a/connection/src/http_message.cpp
+++ b/connection/src/http_message.cpp
@@ -1,10 +1,39 @@
 #include "lagoonquay/connection/http_message.hpp"
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <cctype>
 
 namespace lagoonquay
 {
 
+namespace
+{
+
+char lower(char letter) noexcept
+{
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+}
+
+bool same_name(std::string_view left, std::string_view right) noexcept
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](char a, char b) { return lower(a) == lower(b); });
+}
+
+} // namespace
+
+std::string_view header_value(const http_request& request,
+                              std::string_view name) noexcept
+{
+    for (const auto& it : request.headers)
+    {
+        if (same_name(it.name, name))
+            return it.value;
+    }
+    return {};
+}
+
 std::string query_value(std::string_view query, std::string_view key)
 {
     while (!query.empty())
--- a/connection/src/http_server.cpp
+++ b/connection/src/http_server.cpp
@@ -57,7 +57,8 @@
     return std::string(header.substr(scheme.size()));
 }
 
-http_request to_request(http::request<http::string_body>&& raw)
+http_request to_request(http::request<http::string_body>&& raw,
+                        const std::vector<std::string>& kept)
 {
     const std::string target(raw.target());
     const auto mark = target.find('?');
@@ -68,6 +69,15 @@
         request.query = target.substr(mark + 1);
     const auto authorization = raw[http::field::authorization];
     request.bearer = bearer_of({authorization.data(), authorization.size()});
+    const auto host = raw[http::field::host];
+    request.host.assign(host.data(), host.size());
+    for (const auto& name : kept)
+    {
+        const auto value = raw[name];
+        if (!value.empty())
+            request.headers.push_back(
+                {name, std::string(value.data(), value.size())});
+    }
     request.body = std::move(raw.body());
     return request;
 }
@@ -177,7 +187,8 @@
     void serve()
     {
         keep_alive_ = parser_->get().keep_alive();
-        const auto request = to_request(parser_->release());
+        const auto request = to_request(parser_->release(),
+                                        server_->options.kept_headers);
         if (!admitted(request))
             return respond(error_response(http_status::unauthorized,
                                           "unauthorized",
--- /dev/null
+++ b/process/agent/include/lagoonquay/process/agent_node.hpp
@@ -0,0 +1,50 @@
+//! One agent with its links, heartbeats and listeners. How it speaks with its
+//! upstream is the program's own.
+#pragma once
+
+#include "lagoonquay/connection/http_server.hpp"
+#include "lagoonquay/process/agent_service.hpp"
+#include "lagoonquay/process/process_settings.hpp"
+
+#include <memory>
+
+namespace lagoonquay
+{
+
+class io_threads;
+
+//! How a program's agent differs from the product's own.
+struct agent_node_options
+{
+    permit_policy permits = permit_policy::expire;
+    upstream_hook call_upstream;
+    upstream_stop_hook stop_upstream = {};
+};
+
+//! Runs an agent until it is drained. Its threads outlive it.
+class agent_node
+{
+public:
+    agent_node(const agent_settings& settings, agent_node_options options,
+               io_threads& io);
+    ~agent_node();
+    agent_node(const agent_node&) = delete;
+    agent_node& operator=(const agent_node&) = delete;
+
+    agent_service& service() noexcept;
+
+    //! Opens the listeners for entries and operators, and starts the timers.
+    //! @return success, or bad_listen.
+    process_result<void> start();
+
+    //! Takes no new task; blocks until every started one has its result
+    //! written.
+    void drain();
+
+private:
+    struct parts;
+
+    const std::unique_ptr<parts> parts_;
+};
+
+} // namespace lagoonquay
--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -33,6 +33,10 @@
     //! An upstream that is silent for longer is taken as gone.
     duration upstream_silence = std::chrono::seconds(2);
     duration record_retention = std::chrono::minutes(10);
+    permit_policy permits = permit_policy::expire;
+    //! How long a repeatable task runs on for an entry whose link closed,
+    //! where the upstream's tasks can be stopped.
+    duration orphan_grace = std::chrono::seconds(1);
 
     friend bool operator==(const agent_options&,
                            const agent_options&) = default;
@@ -43,6 +47,8 @@
 {
     clock_hook now;
     upstream_hook call_upstream;
+    //! Absent where the upstream's tasks can't be stopped.
+    upstream_stop_hook stop_upstream = {};
 };
 
 //! Counts since the agent started.
@@ -105,6 +111,11 @@
         std::shared_ptr<message_link> link;
         grant_pacing pacing;
     };
+    struct orphaned_run
+    {
+        attempt_number attempt;
+        instant since{};
+    };
     struct guard_shard
     {
         explicit guard_shard(start_guard_options options) : guard(options)
@@ -115,6 +126,10 @@
         start_guard guard;
         //! Links that wait for the result of a running task.
         std::map<task_key, std::set<link_number>> watchers;
+        //! Repeatable tasks that run for nobody.
+        std::map<task_key, orphaned_run> orphans;
+        //! Attempts of repeatable tasks that run.
+        std::map<task_key, attempt_number> repeatable;
     };
     //! State of the whole process, under its own lock.
     struct standing
@@ -148,6 +163,9 @@
     void give_up(const std::vector<waiting_start>& waiting,
                  failure_reason reason, const std::string& detail);
     void decline_waiting();
+    void orphan_runs(link_number link);
+    void stop_orphans(instant now);
+    void stop_run(const task_key& key, attempt_number attempt);
     bool has_started(const dispatch_message& it);
     //! @return the link's total if its credit came back, or zero.
     std::uint64_t free_slot(link_number link, const resources& need);
--- /dev/null
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -0,0 +1,76 @@
+//! Runs of tasks at a worker that holds them under a lease.
+#pragma once
+
+#include "lagoonquay/connection/upstream.hpp"
+#include "lagoonquay/connection/worker.hpp"
+
+#include <cstddef>
+#include <memory>
+
+namespace lagoonquay
+{
+
+struct leased_runs_options
+{
+    //! Most that a worker grants at once, and so the longest that a run goes
+    //! on without an agent.
+    duration lease = std::chrono::seconds(1);
+    //! Time after which a lease is extended even if no run ends.
+    duration extend_period = std::chrono::milliseconds(350);
+    //! Allowance for what a worker's clock may lag.
+    duration clock_margin = std::chrono::milliseconds(100);
+    //! A worker that leaves orders unanswered for longer gets no starts, and
+    //! its lease is not extended, so that its runs are known to end.
+    duration silence = std::chrono::milliseconds(300);
+    duration stop_retry = std::chrono::milliseconds(150);
+
+    friend bool operator==(const leased_runs_options&,
+                           const leased_runs_options&) = default;
+};
+
+struct leased_runs_hooks
+{
+    clock_hook now;
+    worker_hooks worker;
+    //! The worker runs nothing that this object does not know of.
+    std::function<void()> on_ready;
+};
+
+//! Keeps the lease of a worker's runs, notes how they end, and makes a start
+//! without an answer void before it reports it. Thread-safe.
+class leased_runs
+{
+public:
+    leased_runs(leased_runs_options options, leased_runs_hooks hooks);
+    ~leased_runs();
+    leased_runs(const leased_runs&) = delete;
+    leased_runs& operator=(const leased_runs&) = delete;
+
+    //! Takes over a worker, or its next life: what ran in an earlier one is
+    //! over. What a new worker still runs for an earlier agent is stopped.
+    //! @param clock  the worker's clock as it was just heard.
+    void set_worker(const worker_address& worker, worker_time clock);
+
+    //! @return whether the worker runs nothing unknown and answers orders.
+    bool ready() const;
+
+    //! Starts a run. `done` gets its result once the run is known to be over
+    //! and its room at the worker is free.
+    void start(const upstream_call& call, upstream_callback done);
+
+    //! Stops a run; its result follows.
+    void stop(const task_run& run);
+
+    //! Handles time. Call each 50 ms or so.
+    void tick();
+
+    //! @return runs without a result.
+    std::size_t size() const;
+
+private:
+    struct state;
+
+    const std::shared_ptr<state> state_;
+};
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/agent/src/agent_node.cpp
@@ -0,0 +1,134 @@
+#include "lagoonquay/process/agent_node.hpp"
+
+#include "lagoonquay/connection/http_client.hpp"
+#include "lagoonquay/connection/http_routes.hpp"
+#include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/process/agent_http.hpp"
+#include "lagoonquay/process/io_threads.hpp"
+#include "lagoonquay/process/latency_statistics.hpp"
+#include "lagoonquay/process/operator_http.hpp"
+#include "lagoonquay/process/permit_client.hpp"
+#include "lagoonquay/process/program.hpp"
+
+#include <optional>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "main";
+constexpr duration heartbeat_period = std::chrono::milliseconds(500);
+constexpr duration grant_period = std::chrono::milliseconds(200);
+
+//! Counts how long the calls of the upstream take.
+upstream_hook timed(upstream_hook call, latency_statistics& calls)
+{
+    return [call = std::move(call), &calls](const upstream_call& asked,
+                                            upstream_callback done)
+    {
+        const auto began = steady_now();
+        call(asked,
+             [&calls, began, done = std::move(done)](const task_result& result)
+             {
+                 calls.add(steady_now() - began);
+                 done(result);
+             });
+    };
+}
+
+agent_options service_options(const agent_settings& settings,
+                              const agent_node_options& node)
+{
+    agent_options options;
+    options.id = agent_id(settings.process.id);
+    options.run = draw_incarnation();
+    options.domain = settings.process.domain;
+    options.address = to_text(settings.entries);
+    options.upstream_silence = settings.upstream_silence;
+    options.record_retention = settings.record_retention;
+    options.permits = node.permits;
+    return options;
+}
+
+} // namespace
+
+struct agent_node::parts
+{
+    parts(const agent_settings& given, agent_node_options node,
+          io_threads& threads)
+        : settings(given), io(threads), client(io.context(), {}),
+          service(service_options(given, node),
+                  {.now = steady_now,
+                   .call_upstream = timed(node.call_upstream, calls),
+                   .stop_upstream = node.stop_upstream}),
+          permits(client, {.replicas = given.process.control}, permit_hooks())
+    {
+    }
+
+    permit_client_hooks permit_hooks()
+    {
+        return {.now = steady_now,
+                .self = [this] { return service.self(); },
+                .known = [this] { return service.view(); },
+                .hold = [this](const permit& it) { service.hold(it); },
+                .learn = {}};
+    }
+
+    const agent_settings settings;
+    io_threads& io;
+    http_client client;
+    latency_statistics calls;
+    agent_service service;
+    permit_client permits;
+    std::optional<http_server> entry_listener;
+    std::optional<http_server> operator_listener;
+};
+
+agent_node::agent_node(const agent_settings& settings,
+                       agent_node_options options, io_threads& io)
+    : parts_(std::make_unique<parts>(settings, std::move(options), io))
+{
+}
+
+agent_node::~agent_node() = default;
+
+agent_service& agent_node::service() noexcept
+{
+    return parts_->service;
+}
+
+process_result<void> agent_node::start()
+{
+    auto& it = *parts_;
+    const auto& process = it.settings.process;
+    auto link_options = listener_options(process, it.settings.entries);
+    link_options.link_path = "/v1/link";
+    auto entries = http_server::listen(
+        it.io.context(), std::move(link_options),
+        route_requests({health_route()}),
+        [&it](const std::shared_ptr<message_link>& link)
+        { it.service.on_link(link); });
+    auto operators = http_server::listen(
+        it.io.context(), operator_listener_options(process),
+        agent_operator_routes(it.service, it.calls));
+    BOOST_OUTCOME_TRY(require_listening({&entries, &operators}));
+    it.entry_listener.emplace(std::move(entries).value());
+    it.operator_listener.emplace(std::move(operators).value());
+    it.permits.tick();
+    it.io.every(heartbeat_period, [&it] { it.permits.tick(); });
+    it.io.every(grant_period, [&it] { it.service.tick(); });
+    write_log(log_level::info, part, "Agent started.");
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void agent_node::drain()
+{
+    write_log(log_level::info, part, "Stopping: no new tasks.");
+    parts_->service.drain();
+    wait_until([&] { return parts_->service.drained(); });
+    write_log(log_level::info, part, "Stopped.");
+}
+
+} // namespace lagoonquay
--- a/process/agent/src/agent_recovery.cpp
+++ b/process/agent/src/agent_recovery.cpp
@@ -1,6 +1,7 @@
 // What an agent tells an entry that asks for tasks, or takes them back.
 #include "lagoonquay/connection/message_link.hpp"
 #include "lagoonquay/process/agent_service.hpp"
+#include "lagoonquay/process/log.hpp"
 
 #include <algorithm>
 
@@ -10,6 +11,8 @@
 namespace
 {
 
+constexpr std::string_view part = "agent";
+
 //! @return whether the task is asked for by one of the items.
 bool names(const query_message& asked, const dispatch_message& it)
 {
@@ -37,7 +40,10 @@
             const task_key key{it.submission, item.index};
             const auto found = shard.guard.query(key, item.last, hooks_.now());
             if (found.state == start_state::running)
+            {
                 shard.watchers[key].insert(link);
+                shard.orphans.erase(key);
+            }
             status.items.push_back(found);
         }
     }
@@ -48,6 +54,52 @@
     send(link, std::move(status));
 }
 
+// An entry that lost its link soon opens a new one and asks for its tasks. A
+// run that nobody asks for is stopped: its caller may already have another.
+void agent_service::orphan_runs(link_number link)
+{
+    const auto now = hooks_.now();
+    for (const auto& it : guards_)
+    {
+        const std::lock_guard lock(it->mutex);
+        for (auto& [key, links] : it->watchers)
+        {
+            if (links.erase(link) == 0 || !links.empty())
+                continue;
+            const auto found = it->repeatable.find(key);
+            if (found != it->repeatable.end())
+                it->orphans.emplace(key, orphaned_run{found->second, now});
+        }
+    }
+}
+
+void agent_service::stop_orphans(instant now)
+{
+    if (!hooks_.stop_upstream)
+        return;
+    std::vector<std::pair<task_key, attempt_number>> late;
+    for (const auto& it : guards_)
+    {
+        const std::lock_guard lock(it->mutex);
+        for (const auto& [key, run] : it->orphans)
+        {
+            if (now - run.since >= options_.orphan_grace)
+                late.emplace_back(key, run.attempt);
+        }
+    }
+    for (const auto& [key, attempt] : late)
+        stop_run(key, attempt);
+}
+
+void agent_service::stop_run(const task_key& key, attempt_number attempt)
+{
+    if (!hooks_.stop_upstream)
+        return;
+    write_log(log_level::info, part, key.submission,
+              "Stops task " + std::to_string(key.index.number()) + ".");
+    hooks_.stop_upstream(key.submission, key.index, attempt);
+}
+
 // What was sent to an earlier run of this agent may have started there.
 void agent_service::on_cancel(link_number link, const cancel_message& it)
 {
@@ -71,7 +123,7 @@
                     });
     give_up(waiting, failure_reason::cancelled, "cancelled before its start");
     if (!forbidden)
-        return;
+        return stop_run(key, it.key.attempt);
     ++cancelled_;
     if (answered)
         return;
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -70,6 +70,7 @@
         const std::lock_guard lock(it->mutex);
         it->guard.expire(now);
     }
+    stop_orphans(now);
     send_changed_grants();
     send_all_grants();
 }
@@ -215,6 +216,7 @@
                                       { return it.link == link; });
     }
     give_up(waiting, failure_reason::not_startable, "the link closed");
+    orphan_runs(link);
     send_changed_grants();
 }
 
@@ -329,7 +331,8 @@
         it.upstream && !it.upstream->leaving &&
         now - it.upstream_heard <= options_.upstream_silence;
     return upstream_ready && !it.draining && it.held &&
-           allows_start(*it.held, options_.id, options_.domain, now);
+           allows_start(*it.held, options_.id, options_.domain,
+                        permit_time(*it.held, options_.permits, now));
 }
 
 agent_service::guard_shard&
--- a/process/agent/src/agent_starts.cpp
+++ b/process/agent/src/agent_starts.cpp
@@ -138,7 +138,12 @@
     const std::lock_guard lock(shard.mutex);
     const auto verdict = shard.guard.try_start(it, hooks_.now());
     if (verdict == start_verdict::start)
-        shard.watchers[{it.submission, it.key.index}].insert(link);
+    {
+        const task_key key{it.submission, it.key.index};
+        shard.watchers[key].insert(link);
+        if (it.repeatable)
+            shard.repeatable[key] = it.key.attempt;
+    }
     return verdict;
 }
 
@@ -170,7 +175,11 @@
         if (waiting != shard.watchers.end())
             watchers = waiting->second;
         if (last)
+        {
             shard.watchers.erase(key);
+            shard.orphans.erase(key);
+            shard.repeatable.erase(key);
+        }
     }
     const auto credits = free_slot(link, it.work->need);
     const auto ran_for = hooks_.now() - started;
--- /dev/null
+++ b/process/agent/src/leased_runs.cpp
@@ -0,0 +1,138 @@
+#include "lagoonquay/process/leased_runs.hpp"
+
+#include "lagoonquay/process/log.hpp"
+#include "run_table.hpp"
+
+#include <mutex>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "lease";
+
+//! Calls to make once the lock is released.
+using deferred_calls = std::vector<std::function<void()>>;
+
+} // namespace
+
+// The decisions are in run_table; this adds the lock and sends its orders.
+struct leased_runs::state : public std::enable_shared_from_this<state>
+{
+    state(leased_runs_options options, leased_runs_hooks given)
+        : hooks(std::move(given)), table(options)
+    {
+    }
+
+    //! Runs `use` under the lock, then sends what it left to do.
+    template <typename Use>
+    void step(Use use)
+    {
+        run_table_output output;
+        {
+            const std::lock_guard lock(mutex);
+            use(hooks.now());
+            output = table.take_output();
+        }
+        send(output);
+    }
+
+    void send(const run_table_output& output)
+    {
+        for (const auto& it : output.starts)
+            hooks.worker.start(output.worker, it,
+                               [self = shared_from_this(), it,
+                                life = output.worker.life](
+                                   const order_reply& reply)
+                               { self->on_start(life, it, reply); });
+        for (const auto& it : output.stops)
+            hooks.worker.stop(output.worker, it,
+                              [self = shared_from_this(), it,
+                               life = output.worker.life](
+                                  const order_reply& reply)
+                              { self->on_stop(life, it, reply); });
+        if (output.extend)
+            hooks.worker.extend(output.worker, output.extend->order,
+                                [self = shared_from_this(),
+                                 it = *output.extend,
+                                 life = output.worker.life](
+                                    const lease_reply& reply)
+                                { self->on_extended(life, it, reply); });
+        for (const auto& it : output.results)
+            it.done(it.result);
+        if (output.became_ready && hooks.on_ready)
+            hooks.on_ready();
+    }
+
+    void on_start(worker_life life, const start_order& order,
+                  const order_reply& reply)
+    {
+        step([&](instant now) { table.on_start(life, order, reply, now); });
+    }
+
+    void on_stop(worker_life life, const stop_order& order,
+                 const order_reply& reply)
+    {
+        step([&](instant now) { table.on_stop(life, order, reply, now); });
+    }
+
+    void on_extended(worker_life life, const numbered_extension& sent,
+                     const lease_reply& reply)
+    {
+        step([&](instant now) { table.on_extended(life, sent, reply, now); });
+    }
+
+    const leased_runs_hooks hooks;
+    mutable std::mutex mutex;
+    run_table table;
+};
+
+leased_runs::leased_runs(leased_runs_options options, leased_runs_hooks hooks)
+    : state_(std::make_shared<state>(options, std::move(hooks)))
+{
+}
+
+leased_runs::~leased_runs() = default;
+
+void leased_runs::set_worker(const worker_address& worker, worker_time clock)
+{
+    bool fresh = false;
+    state_->step([&](instant now)
+                 { fresh = state_->table.set_worker(worker, clock, now); });
+    if (fresh)
+        write_log(log_level::info, part,
+                  "Worker " + worker.id + " at " + to_text(worker.address) +
+                      " in life " + std::to_string(worker.life.number()) + ".");
+}
+
+bool leased_runs::ready() const
+{
+    const std::lock_guard lock(state_->mutex);
+    return state_->table.ready();
+}
+
+void leased_runs::start(const upstream_call& call, upstream_callback done)
+{
+    state_->step([&](instant now)
+                 { state_->table.start(call, std::move(done), now); });
+}
+
+void leased_runs::stop(const task_run& run)
+{
+    state_->step([&](instant now) { state_->table.stop(run, now); });
+}
+
+void leased_runs::tick()
+{
+    state_->step([&](instant now) { state_->table.tick(now); });
+}
+
+std::size_t leased_runs::size() const
+{
+    const std::lock_guard lock(state_->mutex);
+    return state_->table.size();
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/agent/src/run_table.cpp
@@ -0,0 +1,373 @@
+#include "run_table.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+//! How much slower than ours a worker's clock may run: one part in this.
+constexpr std::int64_t clock_drift_part = 40;
+
+task_run run_of(const upstream_call& call)
+{
+    return {call.submission, call.index, call.attempt};
+}
+
+} // namespace
+
+run_table::run_table(leased_runs_options options) : options_(options)
+{
+}
+
+// The worker's clock rises during a life, so a token taken from it is higher
+// than that of any earlier agent of this life, without anything on a disk.
+bool run_table::set_worker(const worker_address& worker, worker_time clock,
+                           instant now)
+{
+    if (worker_ && worker_->life == worker.life && worker_->id == worker.id)
+    {
+        worker_ = worker;
+        clock_ = std::max(clock_, clock);
+        extend_if_needed(now);
+        return false;
+    }
+    worker_ = worker;
+    clock_ = clock;
+    clock_heard_ = now;
+    fence_ = fencing_token(static_cast<std::uint64_t>(clock.count()) + 1);
+    seen_ = 0;
+    told_ = 0;
+    ready_ = false;
+    extending_.reset();
+    foreign_.clear();
+    lease_over_ = now;
+    unanswered_.reset();
+    finish_all(failure_reason::upstream_unreachable, "the worker restarted");
+    extend_if_needed(now);
+    return true;
+}
+
+void run_table::start(const upstream_call& call, upstream_callback done,
+                      instant now)
+{
+    const auto id = run_of(call);
+    if (!worker_ || runs_.contains(id) || silent(now))
+    {
+        output_.results.push_back(
+            {std::move(done),
+             task_result({.index = call.index,
+                          .reason = failure_reason::not_startable,
+                          .ran = effect::not_run,
+                          .body = {},
+                          .detail = "no worker answers"})});
+        return;
+    }
+    run fresh;
+    fresh.done = std::move(done);
+    fresh.settled = orders_;
+    runs_.emplace(id, std::move(fresh));
+    output_.starts.push_back(
+        {id, call.payload, next_lease_end(now), fence_});
+}
+
+void run_table::stop(const task_run& id, instant now)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end() || found->second.at == phase::stopping ||
+        found->second.at == phase::gone)
+        return;
+    // An order to start that is under way is made void all the same.
+    found->second.start_unknown = found->second.at == phase::starting;
+    found->second.at = phase::stopping;
+    send_stop(id, found->second, now);
+}
+
+// Once the last lease is over, nothing runs there any more and no order to
+// start is taken: each carries the end of its lease.
+void run_table::tick(instant now)
+{
+    if (!worker_)
+        return;
+    if (!runs_.empty() && now > lease_over_ && !extending_)
+        finish_all(failure_reason::upstream_unreachable,
+                   "the worker did not answer until its lease ran out");
+    for (auto& [id, it] : runs_)
+    {
+        if (it.at == phase::stopping &&
+            now - it.stop_sent >= options_.stop_retry)
+            send_stop(id, it, now);
+    }
+    extend_if_needed(now);
+}
+
+void run_table::on_start(worker_life life, const start_order& order,
+                         const order_reply& reply, instant now)
+{
+    if (!current(life))
+        return;
+    hear(reply, now);
+    const auto found = runs_.find(order.run);
+    if (found == runs_.end())
+        return;
+    auto& it = found->second;
+    switch (reply.result)
+    {
+    case order_result::accepted:
+        it.settled = orders_;
+        it.start_unknown = false;
+        if (it.at == phase::starting)
+            it.at = phase::running;
+        return extend_if_needed(now);
+    case order_result::unknown:
+        it.start_unknown = true;
+        if (it.at != phase::starting)
+            return;
+        it.at = phase::stopping;
+        return send_stop(order.run, it, now);
+    case order_result::fenced:
+        raise_fence(reply, now);
+        [[fallthrough]];
+    case order_result::superseded:
+    case order_result::too_late:
+    case order_result::no_room:
+        return finish(order.run, failure_reason::not_startable,
+                      effect::not_run, "the worker declined the start");
+    case order_result::unhealthy:
+    case order_result::other_life:
+        return finish(order.run, failure_reason::upstream_unreachable,
+                      effect::not_run, "the worker takes no start now");
+    case order_result::invalid:
+        return finish(order.run, failure_reason::upstream_failed,
+                      effect::not_run, "the worker can't read the start");
+    }
+}
+
+// A stop that was taken makes a start void that has not arrived yet. Room is
+// free, and the run surely over, once a later report does not show it.
+void run_table::on_stop(worker_life life, const stop_order& order,
+                        const order_reply& reply, instant now)
+{
+    if (!current(life))
+        return;
+    hear(reply, now);
+    if (reply.result == order_result::fenced)
+        raise_fence(reply, now);
+    const auto found = runs_.find(order.run);
+    if (found == runs_.end() || reply.result != order_result::accepted)
+        return;
+    found->second.at = phase::gone;
+    found->second.settled = orders_;
+    extend_if_needed(now);
+}
+
+void run_table::on_extended(worker_life life, const numbered_extension& sent,
+                            const lease_reply& reply, instant now)
+{
+    if (!current(life))
+        return;
+    if (extending_ == sent.number)
+        extending_.reset();
+    hear(reply.order, now);
+    if (reply.order.result == order_result::fenced)
+        raise_fence(reply.order, now);
+    if (reply.order.result != order_result::accepted)
+        return;
+    told_ = std::max(told_, sent.order.seen);
+    note_ends(reply.ended);
+    note_running(reply.running, sent.number);
+    stop_unknown(reply.running, now);
+    const bool was_ready = ready_;
+    ready_ = ready_ || foreign_.empty();
+    output_.became_ready = output_.became_ready || (ready_ && !was_ready);
+    extend_if_needed(now);
+}
+
+run_table_output run_table::take_output()
+{
+    run_table_output taken = std::move(output_);
+    output_ = {};
+    if (worker_)
+        taken.worker = *worker_;
+    return taken;
+}
+
+bool run_table::ready() const noexcept
+{
+    return ready_;
+}
+
+std::size_t run_table::size() const noexcept
+{
+    return runs_.size();
+}
+
+bool run_table::current(worker_life life) const noexcept
+{
+    return worker_ && worker_->life == life;
+}
+
+void run_table::hear(const order_reply& reply, instant now)
+{
+    if (reply.result != order_result::unknown)
+        unanswered_.reset();
+    else if (!unanswered_)
+        unanswered_ = now;
+    if (!reply.clock || *reply.clock < clock_)
+        return;
+    clock_ = *reply.clock;
+    clock_heard_ = now;
+}
+
+// Only an earlier agent of this worker can have used a higher token.
+void run_table::raise_fence(const order_reply& reply, instant now)
+{
+    const auto clock = std::max(reply.clock.value_or(clock_), worker_now(now));
+    fence_ = std::max(
+        fence_, fencing_token(static_cast<std::uint64_t>(clock.count()) + 1));
+}
+
+bool run_table::silent(instant now) const
+{
+    return unanswered_ && now - *unanswered_ > options_.silence;
+}
+
+worker_time run_table::worker_now(instant now) const
+{
+    return clock_ + std::chrono::duration_cast<worker_time>(now - clock_heard_);
+}
+
+// Also notes until when runs may go on if nothing is heard from now on.
+worker_time run_table::next_lease_end(instant now)
+{
+    const auto unheard = now - clock_heard_ + options_.lease;
+    lease_over_ = std::max(lease_over_, now + options_.lease +
+                                            unheard / clock_drift_part +
+                                            options_.clock_margin);
+    return worker_now(now) +
+           std::chrono::duration_cast<worker_time>(options_.lease);
+}
+
+void run_table::send_stop(const task_run& id, run& it, instant now)
+{
+    it.stop_sent = now;
+    output_.stops.push_back({id, fence_});
+}
+
+void run_table::stop_unknown(const std::vector<task_run>& running, instant now)
+{
+    std::map<task_run, instant> still;
+    for (const auto& id : running)
+    {
+        if (runs_.contains(id))
+            continue;
+        const auto known = foreign_.find(id);
+        const bool told = known != foreign_.end() &&
+                          now - known->second < options_.stop_retry;
+        still.emplace(id, told ? known->second : now);
+        if (!told)
+            output_.stops.push_back({id, fence_});
+    }
+    foreign_ = std::move(still);
+}
+
+void run_table::note_ends(const std::vector<ended_run>& ended)
+{
+    for (const auto& it : ended)
+    {
+        if (it.number <= seen_)
+            continue;
+        seen_ = it.number;
+        switch (it.how)
+        {
+        case run_end::done:
+            finish(it.run, failure_reason::none, effect::ran, {});
+            break;
+        case run_end::failed:
+            finish(it.run, failure_reason::upstream_failed, effect::ran,
+                   "the run failed at the worker");
+            break;
+        case run_end::stopped:
+            finish(it.run, failure_reason::cancelled, effect::ran,
+                   "the run was stopped");
+            break;
+        case run_end::lapsed:
+            finish(it.run, failure_reason::upstream_unreachable,
+                   effect::unknown, "the run's lease ran out");
+            break;
+        }
+    }
+}
+
+// A report speaks of a run only if it was asked for after the last answer
+// about that run: answers on different connections overtake each other.
+void run_table::note_running(const std::vector<task_run>& running,
+                             std::uint64_t number)
+{
+    const std::set<task_run> there(running.begin(), running.end());
+    std::vector<task_run> missing;
+    for (const auto& [id, it] : runs_)
+    {
+        const bool settled = it.at == phase::running || it.at == phase::gone;
+        if (settled && number > it.settled && !there.contains(id))
+            missing.push_back(id);
+    }
+    for (const auto& id : missing)
+        finish(id, failure_reason::upstream_unreachable, effect::unknown,
+               "the run is no longer at the worker");
+}
+
+// One extension is on its way at a time; it waits at the worker for an end.
+void run_table::extend_if_needed(instant now)
+{
+    if (!worker_ || extending_)
+        return;
+    const bool idle = runs_.empty() && foreign_.empty() && ready_;
+    const bool untold = told_ < seen_;
+    if (idle && !untold)
+        return;
+    const bool waits = !runs_.empty() && foreign_.empty() && ready_ &&
+                       std::any_of(runs_.begin(), runs_.end(),
+                                   [](const auto& it)
+                                   { return it.second.at == phase::running; });
+    if (!waits && now - extended_ < options_.clock_margin / 4)
+        return;
+    numbered_extension next;
+    next.number = ++orders_;
+    if (!unanswered_)
+        next.order.lease_end = next_lease_end(now);
+    next.order.fence = fence_;
+    next.order.seen = seen_;
+    next.order.wait = waits ? options_.extend_period : duration::zero();
+    extending_ = next.number;
+    extended_ = now;
+    output_.extend = next;
+}
+
+void run_table::finish(const task_run& id, failure_reason reason, effect ran,
+                       const std::string& detail)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
+        return;
+    output_.results.push_back({std::move(found->second.done),
+                               task_result({.index = id.index,
+                                            .reason = reason,
+                                            .ran = ran,
+                                            .body = {},
+                                            .detail = detail})});
+    runs_.erase(found);
+}
+
+void run_table::finish_all(failure_reason reason, const std::string& detail)
+{
+    while (!runs_.empty())
+    {
+        const auto id = runs_.begin()->first;
+        finish(id, reason, effect::unknown, detail);
+    }
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/agent/src/run_table.hpp
@@ -0,0 +1,115 @@
+//! Decisions on the runs of one worker. Pure; the owner locks.
+#pragma once
+
+#include "lagoonquay/process/leased_runs.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace lagoonquay
+{
+
+//! An extension and its place among all orders of this object.
+struct numbered_extension
+{
+    lease_order order;
+    std::uint64_t number = 0;
+};
+
+//! A result and who waits for it.
+struct run_result
+{
+    upstream_callback done;
+    task_result result;
+};
+
+//! What the owner must do, without the lock.
+struct run_table_output
+{
+    worker_address worker;
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::optional<numbered_extension> extend;
+    std::vector<run_result> results;
+    bool became_ready = false;
+};
+
+class run_table
+{
+public:
+    explicit run_table(leased_runs_options options);
+
+    //! @return whether the worker is new, or lives anew.
+    bool set_worker(const worker_address& worker, worker_time clock,
+                    instant now);
+    void start(const upstream_call& call, upstream_callback done, instant now);
+    void stop(const task_run& run, instant now);
+    void tick(instant now);
+
+    void on_start(worker_life life, const start_order& order,
+                  const order_reply& reply, instant now);
+    void on_stop(worker_life life, const stop_order& order,
+                 const order_reply& reply, instant now);
+    void on_extended(worker_life life, const numbered_extension& sent,
+                     const lease_reply& reply, instant now);
+
+    run_table_output take_output();
+    bool ready() const noexcept;
+    std::size_t size() const noexcept;
+
+private:
+    enum class phase
+    {
+        starting, //!< the order is on its way
+        running,
+        stopping, //!< to be stopped, or made void; its start may be unknown
+        gone,     //!< stopped; its end may still be listed
+    };
+    struct run
+    {
+        upstream_callback done;
+        phase at = phase::starting;
+        //! Orders with a higher number were sent after the last answer about
+        //! this run.
+        std::uint64_t settled = 0;
+        instant stop_sent{};
+        bool start_unknown = false;
+    };
+
+    bool current(worker_life life) const noexcept;
+    void hear(const order_reply& reply, instant now);
+    void raise_fence(const order_reply& reply, instant now);
+    bool silent(instant now) const;
+    worker_time worker_now(instant now) const;
+    worker_time next_lease_end(instant now);
+    void send_stop(const task_run& id, run& it, instant now);
+    void stop_unknown(const std::vector<task_run>& running, instant now);
+    void note_ends(const std::vector<ended_run>& ended);
+    void note_running(const std::vector<task_run>& running,
+                      std::uint64_t number);
+    void extend_if_needed(instant now);
+    void finish(const task_run& id, failure_reason reason, effect ran,
+                const std::string& detail);
+    void finish_all(failure_reason reason, const std::string& detail);
+
+    const leased_runs_options options_;
+    std::optional<worker_address> worker_;
+    worker_time clock_{}; //!< as last heard
+    instant clock_heard_{};
+    std::optional<instant> unanswered_; //!< since when orders get no answer
+    fencing_token fence_;
+    std::map<task_run, run> runs_;
+    std::map<task_run, instant> foreign_; //!< and when they were told to stop
+    std::uint64_t seen_ = 0;
+    std::uint64_t told_ = 0;   //!< `seen_` as the worker has heard it
+    std::uint64_t orders_ = 0; //!< counts extensions
+    std::optional<std::uint64_t> extending_;
+    instant extended_{};   //!< when the last extension was sent
+    instant lease_over_{}; //!< by then everything there has ended
+    bool ready_ = false;
+    run_table_output output_;
+};
+
+} // namespace lagoonquay
--- a/process/common/include/lagoonquay/process/permit_client.hpp
+++ b/process/common/include/lagoonquay/process/permit_client.hpp
@@ -13,9 +13,11 @@
 {
 
 class http_client;
+class permit_rounds;
 
 struct permit_client_options
 {
+    //! Replicas to ask first, and whenever the known ones give no permit.
     std::vector<endpoint> replicas;
     duration timeout = std::chrono::milliseconds(900);
 };
@@ -27,10 +29,14 @@
     std::function<member()> self;
     std::function<fleet_view()> known; //!< the newest applied view
     std::function<void(const permit&)> hold;
-    std::function<void(const std::vector<member>&)> learn; //!< agents
+    //! Hears of the agents and the entries of the fleet; may be empty.
+    std::function<void(const std::vector<member>& agents,
+                       const std::vector<member>& entries)>
+        learn;
 };
 
-//! Asks every replica once per call of tick(). Thread-safe.
+//! Asks every replica once per call of tick(), and follows the replicas as they
+//! are replaced. Thread-safe.
 class permit_client
 {
 public:
@@ -47,7 +53,7 @@
 private:
     http_client& client_;
     const permit_client_options options_;
-    const std::shared_ptr<const permit_client_hooks> hooks_;
+    const std::shared_ptr<permit_rounds> rounds_;
 };
 
 } // namespace lagoonquay
--- a/process/common/include/lagoonquay/process/process_settings.hpp
+++ b/process/common/include/lagoonquay/process/process_settings.hpp
@@ -91,6 +91,18 @@
 //! @return the bearer token in the first line of a file, or bad_settings.
 process_result<std::string> read_token_file(const std::string& path);
 
+//! Opens a settings file. @return the file, or bad_settings.
+process_result<ini_file> open_settings(const std::string& path);
+
+//! @return success, or bad_settings with the first error of the file, which
+//! may be a section or key that was not read.
+process_result<void> finish_settings(ini_file& file);
+
+//! Each reads the sections of one kind of process; errors stay in the file.
+entry_settings read_entry_settings(ini_file& file);
+agent_settings read_agent_settings(ini_file& file);
+control_settings read_control_settings(ini_file& file);
+
 //! Each reads and checks a whole file.
 //! @return the settings, or bad_settings with file, section and key.
 process_result<entry_settings> load_entry_settings(const std::string& path);
--- a/process/common/src/permit_client.cpp
+++ b/process/common/src/permit_client.cpp
@@ -4,7 +4,9 @@
 #include "lagoonquay/process/log.hpp"
 #include "lagoonquay/version/version_codec.hpp"
 
+#include <algorithm>
 #include <mutex>
+#include <set>
 
 namespace lagoonquay
 {
@@ -14,33 +16,133 @@
 
 constexpr std::string_view part = "permit";
 
+// Without a permit for this long, the first replicas are asked as well.
+constexpr duration ask_widely_after = std::chrono::seconds(1);
+
+std::size_t voters_of(const membership& all)
+{
+    const auto n =
+        std::count_if(all->members.begin(), all->members.end(),
+                      [](const replica_member& it) { return it.voter; });
+    return static_cast<std::size_t>(n);
+}
+
+bool counts(const membership& all, const permit_vote& vote) noexcept
+{
+    const auto* it = find_name(all, vote.replica);
+    return it != nullptr && it->voter;
+}
+
+} // namespace
+
+//! What all rounds share: the replicas and when a majority answered last.
+class permit_rounds
+{
+public:
+    permit_rounds(permit_client_hooks hooks, std::vector<endpoint> first)
+        : hooks_(std::move(hooks)), first_(std::move(first))
+    {
+    }
+
+    const permit_client_hooks& hooks() const noexcept
+    {
+        return hooks_;
+    }
+
+    log_index known_replicas() const
+    {
+        const std::lock_guard lock(mutex_);
+        return replicas_.index;
+    }
+
+    std::vector<endpoint> targets() const
+    {
+        const std::lock_guard lock(mutex_);
+        std::set<endpoint> found;
+        for (const auto& it : replicas_.all->members)
+        {
+            if (const auto address = parse_endpoint(it.address))
+                found.insert(address.value());
+        }
+        const bool lost =
+            !granted_ || hooks_.now() - *granted_ > ask_widely_after;
+        if (lost)
+            found.insert(first_.begin(), first_.end());
+        return {found.begin(), found.end()};
+    }
+
+    void learn(const replica_set& heard)
+    {
+        const std::lock_guard lock(mutex_);
+        if (heard.index > replicas_.index)
+            replicas_ = heard;
+    }
+
+    membership replicas() const
+    {
+        const std::lock_guard lock(mutex_);
+        return replicas_.all;
+    }
+
+    void hold(const permit& granted, instant sent)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            granted_ = std::max(granted_.value_or(sent), sent);
+        }
+        hooks_.hold(granted);
+    }
+
+private:
+    const permit_client_hooks hooks_;
+    const std::vector<endpoint> first_;
+    mutable std::mutex mutex_;
+    replica_set replicas_;
+    std::optional<instant> granted_;
+};
+
+namespace
+{
+
 //! One round of heartbeats; holds the permit as soon as a majority answers,
 //! and again with each further vote.
 class heartbeat_round
 {
 public:
-    heartbeat_round(std::shared_ptr<const permit_client_hooks> hooks,
-                    std::size_t replicas, instant sent)
-        : hooks_(std::move(hooks)), replicas_(replicas), sent_(sent)
+    heartbeat_round(std::shared_ptr<permit_rounds> rounds, instant sent)
+        : rounds_(std::move(rounds)), sent_(sent)
     {
     }
 
+    // The majority is that of the newest replicas heard of. Replicas change
+    // one at a time, so two neighbouring sets have no majorities apart.
     void add(const permit_reply& reply)
     {
-        if (hooks_->learn && !reply.agents.empty())
-            hooks_->learn(reply.agents);
+        if (reply.replicas)
+            rounds_->learn(*reply.replicas);
+        const auto& hooks = rounds_->hooks();
+        if (hooks.learn && !(reply.agents.empty() && reply.entries.empty()))
+            hooks.learn(reply.agents, reply.entries);
+        if (!reply.vote)
+            return;
         const std::lock_guard lock(mutex_);
-        votes_.push_back(reply.vote);
+        votes_.push_back(*reply.vote);
+        const auto replicas = rounds_->replicas();
+        std::vector<permit_vote> counted;
+        for (const auto& it : votes_)
+        {
+            if (counts(replicas, it))
+                counted.push_back(it);
+        }
         const auto merged =
-            merge_votes(votes_, replicas_, hooks_->known(), sent_);
+            merge_votes(counted, voters_of(replicas), hooks.known(), sent_);
         if (merged)
-            hooks_->hold(*merged);
+            rounds_->hold(*merged, sent_);
     }
 
 private:
-    std::shared_ptr<const permit_client_hooks> hooks_;
-    std::size_t replicas_;
-    instant sent_;
+    const std::shared_ptr<permit_rounds> rounds_;
+    const instant sent_;
     std::mutex mutex_;
     std::vector<permit_vote> votes_;
 };
@@ -61,7 +163,8 @@
 permit_client::permit_client(http_client& client, permit_client_options options,
                              permit_client_hooks hooks)
     : client_(client), options_(std::move(options)),
-      hooks_(std::make_shared<const permit_client_hooks>(std::move(hooks)))
+      rounds_(
+          std::make_shared<permit_rounds>(std::move(hooks), options_.replicas))
 {
 }
 
@@ -69,15 +172,16 @@
 
 void permit_client::tick()
 {
-    const permit_request asked{hooks_->self(), hooks_->known()->version};
+    const auto& hooks = rounds_->hooks();
+    const permit_request asked{hooks.self(), hooks.known()->version,
+                               rounds_->known_replicas()};
     const http_request request{.method = http_method::post,
                                .path = "/v1/heartbeat",
                                .query = {},
                                .body = encode_permit_request(asked),
                                .bearer = {}};
-    const auto round = std::make_shared<heartbeat_round>(
-        hooks_, options_.replicas.size(), hooks_->now());
-    for (const auto& it : options_.replicas)
+    const auto round = std::make_shared<heartbeat_round>(rounds_, hooks.now());
+    for (const auto& it : rounds_->targets())
     {
         client_.send(it, request, options_.timeout,
                      [round](connection_result<http_response> answer)
--- a/process/common/src/process_settings.cpp
+++ b/process/common/src/process_settings.cpp
@@ -165,14 +165,19 @@
     return common;
 }
 
-// Turns an error of the version layer into this layer's.
-process_result<void> checked(const version_result<void>& read)
+//! Reads a whole file of one kind of process.
+template <typename Settings>
+process_result<Settings> load(const std::string& path,
+                              Settings (*read)(ini_file&))
 {
-    if (!read)
-        return fail(process_errc::bad_settings, read.error().detail);
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
+    BOOST_OUTCOME_TRY(auto file, open_settings(path));
+    auto settings = read(file);
+    BOOST_OUTCOME_TRY(finish_settings(file));
+    return settings;
 }
 
+} // namespace
+
 process_result<ini_file> open_settings(const std::string& path)
 {
     auto file = ini_file::load(path);
@@ -181,7 +186,13 @@
     return std::move(file).value();
 }
 
-} // namespace
+process_result<void> finish_settings(ini_file& file)
+{
+    const auto read = file.finish();
+    if (!read)
+        return fail(process_errc::bad_settings, read.error().detail);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
 
 process_result<std::string> read_token_file(const std::string& path)
 {
@@ -194,9 +205,8 @@
     return token;
 }
 
-process_result<entry_settings> load_entry_settings(const std::string& path)
+entry_settings read_entry_settings(ini_file& file)
 {
-    BOOST_OUTCOME_TRY(auto file, open_settings(path));
     entry_settings settings;
     settings.process = read_common(file);
     settings.callers = read_endpoint(file, "callers", "listen");
@@ -205,13 +215,11 @@
     settings.answer_retention = file.duration_or(
         "jobs", "answer_retention", settings.answer_retention, second, hour);
     read_ledger(file, settings);
-    BOOST_OUTCOME_TRY(checked(file.finish()));
     return settings;
 }
 
-process_result<agent_settings> load_agent_settings(const std::string& path)
+agent_settings read_agent_settings(ini_file& file)
 {
-    BOOST_OUTCOME_TRY(auto file, open_settings(path));
     agent_settings settings;
     settings.process = read_common(file);
     settings.entries = read_endpoint(file, "entries", "listen");
@@ -224,20 +232,32 @@
     settings.record_retention =
         file.duration_or("upstream", "record_retention",
                          settings.record_retention, minute, 48 * hour);
-    BOOST_OUTCOME_TRY(checked(file.finish()));
     return settings;
 }
 
-process_result<control_settings> load_control_settings(const std::string& path)
+control_settings read_control_settings(ini_file& file)
 {
-    BOOST_OUTCOME_TRY(auto file, open_settings(path));
     control_settings settings;
     settings.process = read_common(file);
     settings.members = read_endpoint(file, "members", "listen");
     settings.data_folder = file.text("storage", "folder");
     settings.bootstrap = file.flag_or("storage", "bootstrap", false);
-    BOOST_OUTCOME_TRY(checked(file.finish()));
     return settings;
 }
 
+process_result<entry_settings> load_entry_settings(const std::string& path)
+{
+    return load(path, read_entry_settings);
+}
+
+process_result<agent_settings> load_agent_settings(const std::string& path)
+{
+    return load(path, read_agent_settings);
+}
+
+process_result<control_settings> load_control_settings(const std::string& path)
+{
+    return load(path, read_control_settings);
+}
+
 } // namespace lagoonquay
--- a/process/control/include/lagoonquay/process/control_replica.hpp
+++ b/process/control/include/lagoonquay/process/control_replica.hpp
@@ -4,6 +4,7 @@
 
 #include "lagoonquay/process/error.hpp"
 #include "lagoonquay/version/error.hpp"
+#include "lagoonquay/version/member.hpp"
 #include "lagoonquay/version/permit.hpp"
 #include "lagoonquay/version/replica.hpp"
 #include "lagoonquay/version/replica_codec.hpp"
@@ -24,8 +25,13 @@
 {
     replica_id name;
     std::string address;            //!< of the listener for replicas
-    std::vector<std::string> peers; //!< addresses of the other replicas
-    bool may_bootstrap = false;     //!< operators start a new cluster
+    //! Addresses of the other replicas that start a cluster.
+    std::vector<std::string> peers;
+    bool may_bootstrap = false; //!< operators start a new cluster
+    //! Voters that the cluster grows to; zero keeps those that started it.
+    std::size_t voters = 0;
+    //! Silence after which a member gives its place to another address.
+    duration replace_after = std::chrono::seconds(20);
     std::uint64_t snapshot_entries = 2000;
     duration command_timeout = std::chrono::seconds(5);
     //! A replica that heard from no leader for longer gives no permit votes.
@@ -113,6 +119,9 @@
     //!         learner, has not caught up, or is cut off.
     std::optional<permit_vote> vote(version_number known) const;
 
+    //! @return who holds the log, as far as this replica knows.
+    replica_set replicas() const;
+
     control_replica_state state() const;
 
 private:
--- a/process/control/include/lagoonquay/process/control_service.hpp
+++ b/process/control/include/lagoonquay/process/control_service.hpp
@@ -38,9 +38,8 @@
     control_service(control_options options, control_replica& replica,
                     clock_hook now);
 
-    //! Answers a heartbeat with this replica's vote.
-    //! @return the reply, or not_voting.
-    version_result<permit_reply> on_heartbeat(const permit_request& request);
+    //! Answers a heartbeat, with this replica's vote if it may give one.
+    permit_reply on_heartbeat(const permit_request& request);
 
     //! Replicates and applies a command; see control_replica::propose().
     void propose(const command& asked, bool may_forward,
@@ -64,6 +63,8 @@
         instant heard{};
     };
 
+    void add_members(permit_reply& reply);
+
     const control_options options_;
     control_replica& replica_;
     const clock_hook now_;
--- a/process/control/src/control_http.cpp
+++ b/process/control/src/control_http.cpp
@@ -25,11 +25,7 @@
     const auto asked = decode_permit_request(body);
     if (!asked)
         return malformed(asked.error().detail);
-    const auto reply = service.on_heartbeat(asked.value());
-    if (!reply)
-        return error_response(http_status::unavailable, "not_voting",
-                              reply.error().detail);
-    return {.body = encode_permit_reply(reply.value())};
+    return {.body = encode_permit_reply(service.on_heartbeat(asked.value()))};
 }
 
 http_response messages_response(control_service& service,
@@ -63,21 +59,27 @@
             .body = encode_command_answer(answer.value())};
 }
 
+version_result<void> check_change(const change& what)
+{
+    if (const auto* it = std::get_if<set_settings>(&what))
+    {
+        BOOST_OUTCOME_TRY(parse_fleet_settings(it->settings));
+    }
+    if (const auto* it = std::get_if<set_catalog>(&what))
+        return check_catalog(it->catalog);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 void run_command(control_service& service, const std::string& body,
                  bool may_forward, const http_responder& respond)
 {
     const auto asked = decode_command(body);
     if (!asked)
         return respond(malformed(asked.error().detail));
-    const auto* settings = std::get_if<set_settings>(&asked.value()->what);
-    if (settings != nullptr)
-    {
-        const auto checked = parse_fleet_settings(settings->settings);
-        if (!checked)
-            return respond(error_response(http_status::unprocessable,
-                                          "bad_settings",
-                                          checked.error().detail));
-    }
+    const auto checked = check_change(asked.value()->what);
+    if (!checked)
+        return respond(error_response(http_status::unprocessable,
+                                      "bad_settings", checked.error().detail));
     service.propose(asked.value(), may_forward,
                     [respond](const version_result<command_answer>& answer)
                     { respond(answer_response(answer)); });
--- a/process/control/src/control_replica.cpp
+++ b/process/control/src/control_replica.cpp
@@ -141,6 +141,12 @@
     return shared_->core.vote(known);
 }
 
+replica_set control_replica::replicas() const
+{
+    const std::lock_guard lock(shared_->mutex);
+    return shared_->core.replicas();
+}
+
 control_replica_state control_replica::state() const
 {
     const std::lock_guard lock(shared_->mutex);
--- a/process/control/src/control_replica_core.cpp
+++ b/process/control/src/control_replica_core.cpp
@@ -14,6 +14,17 @@
 constexpr std::uint32_t greeting_ticks = 5;
 constexpr std::uint32_t heard_ticks = 5; // longest silence of a live replica
 
+replica_options decision_options(const control_replica_options& from,
+                                 const node_id& self)
+{
+    replica_options options;
+    options.self = self;
+    options.voters = from.voters;
+    options.replace_ticks = static_cast<std::uint32_t>(
+        from.replace_after / control_replica::tick_period);
+    return options;
+}
+
 version_result<command_answer> failed_answer(version_errc code,
                                              const std::string& detail)
 {
@@ -28,7 +39,8 @@
     const stored_log& stored)
     : options_(std::move(options)), hooks_(std::move(hooks)),
       node_(std::move(node)), started_(hooks_->now()),
-      decisions_({.self = node_}, {hooks_->draw}, stored)
+      decisions_(decision_options(options_, node_), {hooks_->draw}, stored),
+      greeted_(options_.peers.begin(), options_.peers.end())
 {
     deferred_calls none;
     carry_out(none);
@@ -45,7 +57,7 @@
     carry_out(calls);
     if (led && !decisions_.leads())
         write_log(log_level::warning, part, "Stepped down: no quorum.");
-    if (++ticks_ % greeting_ticks == 0 && decisions_.empty())
+    if (++ticks_ % greeting_ticks == 0 && looks_for_cluster())
         greet_peers(calls);
     expire(calls);
 }
@@ -325,7 +337,9 @@
         return false;
     const auto status = decisions_.status();
     const auto& members = status.members->members;
-    if (status.changing_members || members.size() != options_.peers.size() + 1)
+    const auto wanted =
+        options_.voters > 0 ? options_.voters : options_.peers.size() + 1;
+    if (status.changing_members || members.size() != wanted)
         return false;
     for (const auto& it : members)
     {
@@ -341,6 +355,12 @@
     return true;
 }
 
+replica_set control_replica_core::replicas() const
+{
+    const auto& log = decisions_.log();
+    return {log.members_index(), log.members()};
+}
+
 control_replica_state control_replica_core::state() const
 {
     const auto now = hooks_->now();
--- a/process/control/src/control_replica_core.hpp
+++ b/process/control/src/control_replica_core.hpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/process/control_replica.hpp"
 
 #include <deque>
+#include <set>
 
 namespace lagoonquay
 {
@@ -37,6 +38,7 @@
     const fleet_view& view() const noexcept;
     bool leads() const noexcept;
     std::optional<permit_vote> vote(version_number known) const;
+    replica_set replicas() const;
     control_replica_state state() const;
 
 private:
@@ -57,6 +59,9 @@
     void restore(const log_snapshot& base, deferred_calls& calls);
     void compact_if_long();
     void greet_peers(deferred_calls& calls);
+    bool looks_for_cluster() const;
+    bool is_peer(const std::string& address) const;
+    std::vector<std::string> member_addresses() const;
     void bootstrap_if_all_agree();
     void note_contact(const replica_message& message);
     void expire(deferred_calls& calls);
@@ -80,6 +85,7 @@
     std::deque<applied_command> settling_; //!< applied, not yet in force
     std::map<node_id, std::string> addresses_;
     std::map<replica_id, replica_greeting> greetings_;
+    std::set<std::string> greeted_; //!< where to ask for the cluster
     std::optional<instant> leader_heard_;
     std::uint32_t ticks_ = 0;
     std::string storage_error_;
--- a/process/control/src/control_replica_start.cpp
+++ b/process/control/src/control_replica_start.cpp
@@ -2,6 +2,8 @@
 #include "control_replica_core.hpp"
 #include "lagoonquay/process/log.hpp"
 
+#include <algorithm>
+
 namespace lagoonquay
 {
 
@@ -11,6 +13,9 @@
 constexpr std::string_view part = "replica";
 const log_index first_index(1);
 
+// A member that was replaced while it was away hears from no leader any more.
+constexpr duration leaderless_greeting = std::chrono::seconds(2);
+
 } // namespace
 
 // The first membership is passed on only while it is still the newest: a
@@ -20,7 +25,8 @@
     replica_greeting given{{node_, options_.name, options_.address, false},
                            cluster_number(),
                            membership(),
-                           options_.may_bootstrap};
+                           options_.may_bootstrap,
+                           member_addresses()};
     if (decisions_.empty())
         return given;
     given.cluster = decisions_.status().state.cluster;
@@ -29,9 +35,27 @@
     return given;
 }
 
+std::vector<std::string> control_replica_core::member_addresses() const
+{
+    std::vector<std::string> found;
+    for (const auto& it : decisions_.log().members()->members)
+        found.push_back(it.address);
+    return found;
+}
+
+bool control_replica_core::looks_for_cluster() const
+{
+    if (decisions_.empty())
+        return true;
+    if (options_.voters == 0 || decisions_.leads())
+        return false;
+    const auto heard = leader_heard_.value_or(started_);
+    return hooks_->now() - heard > leaderless_greeting;
+}
+
 void control_replica_core::greet_peers(deferred_calls& calls)
 {
-    for (const auto& it : options_.peers)
+    for (const auto& it : greeted_)
         calls.push_back([hooks = hooks_, it, given = greeting()]
                         { hooks->greet(it, given); });
 }
@@ -41,13 +65,23 @@
 {
     if (!storage_error_.empty())
         return;
+    for (const auto& it : other.addresses)
+    {
+        if (it != options_.address)
+            greeted_.insert(it);
+    }
     if (!decisions_.empty())
     {
-        if (other.cluster == cluster_number())
+        const bool may_join =
+            other.cluster == cluster_number() ||
+            (options_.voters > 0 &&
+             other.cluster == decisions_.status().state.cluster);
+        if (may_join)
             decisions_.on_join(other.self);
         return carry_out(calls);
     }
-    greetings_.insert_or_assign(other.self.name, other);
+    if (is_peer(other.self.address))
+        greetings_.insert_or_assign(other.self.name, other);
     // The membership names this life of the data folder, so this replica has
     // forgotten nothing that the cluster may count on.
     if (is_voter(other.members, node_))
@@ -60,6 +94,12 @@
     carry_out(calls);
 }
 
+bool control_replica_core::is_peer(const std::string& address) const
+{
+    return std::find(options_.peers.begin(), options_.peers.end(), address) !=
+           options_.peers.end();
+}
+
 // A new cluster needs every replica of the settings to be empty and told to
 // start one. So a wiped replica never starts one beside the others, even if
 // the setting was left in its file. Only the first name draws the cluster's
--- a/process/entry/include/lagoonquay/process/agent_table.hpp
+++ b/process/entry/include/lagoonquay/process/agent_table.hpp
@@ -129,8 +129,8 @@
 
     void clear(entry& it);
     void forget_unnamed(instant now);
-    template <typename Change>
-    auto change_credits(entry& it, Change change);
+    template <typename Edit>
+    auto change_credits(entry& it, Edit edit);
     agent_health_options health_options() const;
 
     sharded_map<agent_id, entry> agents_;
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -54,6 +54,8 @@
     std::size_t reach = 64; //!< most agents that a first claim names
     //! Whether readiness waits for a quorum of ledger replicas past its fence.
     bool probe_ledger = false;
+    bool dated_jobs = true; //!< whether callers tell when a job was created
+    permit_policy permits = permit_policy::expire;
     duration probe_period = std::chrono::seconds(1);
 
     friend bool operator==(const entry_options&,
--- a/process/entry/src/agent_table.cpp
+++ b/process/entry/src/agent_table.cpp
@@ -17,18 +17,18 @@
 } // namespace
 
 // Keeps the sum of all free credits.
-template <typename Change>
-auto agent_table::change_credits(entry& it, Change change)
+template <typename Edit>
+auto agent_table::change_credits(entry& it, Edit edit)
 {
     const auto before = std::int64_t{it.credits.available()};
-    if constexpr (std::is_void_v<decltype(change())>)
+    if constexpr (std::is_void_v<decltype(edit())>)
     {
-        change();
+        edit();
         credits_ += std::int64_t{it.credits.available()} - before;
     }
     else
     {
-        const auto result = change();
+        const auto result = edit();
         credits_ += std::int64_t{it.credits.available()} - before;
         return result;
     }
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -40,6 +40,7 @@
     return {.submission = state.id,
             .digest = state.digest,
             .created = state.submitted->created,
+            .dated = state.submitted->dated,
             .holder = options_.id,
             .holder_run = options_.run,
             .holder_address = options_.address,
--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -12,10 +12,19 @@
 {
     const bool declined = result->reason == failure_reason::no_permit ||
                           result->reason == failure_reason::not_startable ||
-                          result->reason == failure_reason::draining;
+                          result->reason == failure_reason::draining ||
+                          result->reason ==
+                              failure_reason::upstream_unreachable;
     return declined && result->ran == effect::not_run;
 }
 
+// @return whether the upstream ran the task and said that it failed.
+bool ended_failed(const task_result& result) noexcept
+{
+    return result->reason == failure_reason::upstream_failed &&
+           result->ran == effect::ran;
+}
+
 task_to_queue describe_task(const job& submitted, task_index index,
                             instant deadline)
 {
@@ -180,6 +189,9 @@
                      again = counted = it.run.requeue(key);
                  else if (retried)
                      again = counted = it.run.retry(key);
+                 else if (ended_failed(result) && !it.cancelled &&
+                          it.run.retry_failed(key))
+                     again = counted = retried = true;
                  else
                      counted = it.run.record(key, result);
                  retried = retried && counted && !move;
--- /dev/null
+++ b/process/entry/src/entry_node.cpp
@@ -0,0 +1,230 @@
+#include "lagoonquay/process/entry_node.hpp"
+
+#include "lagoonquay/connection/http_client.hpp"
+#include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/process/entry_http.hpp"
+#include "lagoonquay/process/entry_peers.hpp"
+#include "lagoonquay/process/io_threads.hpp"
+#include "lagoonquay/process/latency_statistics.hpp"
+#include "lagoonquay/process/ledger_client.hpp"
+#include "lagoonquay/process/ledger_replica.hpp"
+#include "lagoonquay/process/permit_client.hpp"
+#include "lagoonquay/process/program.hpp"
+
+#include <mutex>
+#include <optional>
+#include <random>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "main";
+constexpr duration heartbeat_period = std::chrono::milliseconds(500);
+constexpr duration link_period = std::chrono::milliseconds(100);
+constexpr duration tick_period = std::chrono::milliseconds(50);
+constexpr duration expiry_period = std::chrono::seconds(1);
+
+member describe(const entry_settings& settings, incarnation run)
+{
+    member_options it;
+    it.role = member_role::entry;
+    it.id = settings.process.id;
+    it.run = run;
+    it.domain = settings.process.domain;
+    it.address = to_text(settings.peers);
+    it.serving = true;
+    return member(std::move(it));
+}
+
+entry_options service_options(const entry_settings& settings,
+                              const entry_node_options& node, incarnation run)
+{
+    entry_options options;
+    options.id = entry_id(settings.process.id);
+    options.run = run;
+    options.domain = settings.process.domain;
+    options.address = to_text(settings.peers);
+    options.claim_lease = settings.claim_lease;
+    options.claim_margin = settings.claim_margin;
+    options.answer_retention = settings.answer_retention;
+    options.oldest_submission = settings.oldest_submission;
+    options.clock_skew = settings.clock_skew;
+    options.probe_ledger = true;
+    options.dated_jobs = node.dated_jobs;
+    options.permits = node.permits;
+    return options;
+}
+
+ledger_options memory_options(const entry_settings& settings)
+{
+    ledger_options options;
+    options.memory_since = wall_now();
+    options.clock_skew = settings.clock_skew;
+    options.retention = settings.claim_retention;
+    options.oldest_submission = settings.oldest_submission;
+    options.began = steady_now();
+    return options;
+}
+
+//! @return a source of numbers that several threads may use.
+random_hook seeded_draw(std::uint64_t seed)
+{
+    struct source
+    {
+        std::mutex mutex;
+        std::mt19937_64 engine;
+    };
+    const auto shared = std::make_shared<source>();
+    shared->engine.seed(seed);
+    return [shared](std::uint64_t bound)
+    {
+        const std::lock_guard lock(shared->mutex);
+        return bound == 0 ? 0 : shared->engine() % bound;
+    };
+}
+
+} // namespace
+
+struct entry_node::parts
+{
+    parts(const entry_settings& given, entry_node_options node,
+          io_threads& threads)
+        : settings(given), options(node), run(draw_incarnation()), io(threads),
+          client(io.context(), {}),
+          ledger(memory_options(given), steady_now, wall_now),
+          peers(to_text(given.peers), 2 * given.claim_lease, steady_now),
+          service(service_options(given, node, run), service_hooks()),
+          permits(client, {.replicas = given.process.control}, permit_hooks())
+    {
+    }
+
+    ledger_peers_hook peers_hook()
+    {
+        if (options.follow_entries)
+            return [this] { return peers.current(); };
+        return [it = settings.ledger_peers] { return it; };
+    }
+
+    entry_hooks service_hooks()
+    {
+        return {.now = steady_now,
+                .wall = wall_now,
+                .claim = claim_over_http(client, ledger,
+                                         {.peers = peers_hook()}, steady_now),
+                .forward = forward_over_http(client),
+                .draw = seeded_draw(run.number())};
+    }
+
+    permit_client_hooks permit_hooks()
+    {
+        return {.now = steady_now,
+                .self = [it = describe(settings, run)] { return it; },
+                .known = [this] { return service.view(); },
+                .hold = [this](const permit& it) { service.hold(it); },
+                .learn =
+                    [this](const std::vector<member>& agents,
+                           const std::vector<member>& entries)
+                {
+                    peers.learn(entries);
+                    service.learn(agents);
+                }};
+    }
+
+    void link_agent(const member& agent)
+    {
+        const agent_id id(agent->id);
+        const auto target = parse_endpoint(agent->address);
+        if (!target)
+            return write_log(log_level::warning, part,
+                             "Agent " + agent->id + " has the address '" +
+                                 agent->address + "'.");
+        service.agents().begin_link(id);
+        open_link(
+            io.context(), target.value(), "/v1/link", {},
+            [this, id](connection_result<std::shared_ptr<message_link>> opened)
+            {
+                if (!opened)
+                    return service.agents().close(id);
+                service.on_link(id, std::move(opened).value());
+            });
+    }
+
+    void link_agents()
+    {
+        for (const auto& it : service.agents().unlinked())
+            link_agent(it);
+    }
+
+    const entry_settings settings;
+    const entry_node_options options;
+    const incarnation run;
+    io_threads& io;
+    http_client client;
+    ledger_replica ledger;
+    entry_peers peers;
+    latency_statistics answers;
+    entry_service service;
+    permit_client permits;
+    std::optional<http_server> peer_listener;
+    std::optional<http_server> operator_listener;
+};
+
+entry_node::entry_node(const entry_settings& settings,
+                       entry_node_options options, io_threads& io)
+    : parts_(std::make_unique<parts>(settings, options, io))
+{
+}
+
+entry_node::~entry_node() = default;
+
+entry_service& entry_node::service() noexcept
+{
+    return parts_->service;
+}
+
+latency_statistics& entry_node::answers() noexcept
+{
+    return parts_->answers;
+}
+
+process_result<void> entry_node::start()
+{
+    auto& it = *parts_;
+    const auto& process = it.settings.process;
+    auto peers = http_server::listen(
+        it.io.context(), listener_options(process, it.settings.peers),
+        peer_routes(it.service, it.ledger, it.settings.jobs));
+    auto operators = http_server::listen(
+        it.io.context(), operator_listener_options(process),
+        entry_operator_routes(it.service, it.answers));
+    BOOST_OUTCOME_TRY(require_listening({&peers, &operators}));
+    it.peer_listener.emplace(std::move(peers).value());
+    it.operator_listener.emplace(std::move(operators).value());
+    it.permits.tick();
+    it.io.every(heartbeat_period, [&it] { it.permits.tick(); });
+    it.io.every(link_period, [&it] { it.link_agents(); });
+    it.io.every(tick_period, [&it] { it.service.tick(); });
+    it.io.every(expiry_period, [&it] { it.ledger.expire(); });
+    write_log(log_level::info, part, "Entry started.");
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void entry_node::drain(const http_server& callers)
+{
+    auto& it = *parts_;
+    write_log(log_level::info, part, "Stopping: no new jobs.");
+    it.service.drain();
+    wait_until(
+        [&]
+        {
+            return it.service.unanswered() == 0 &&
+                   callers.requests_in_progress() == 0 &&
+                   it.peer_listener->requests_in_progress() == 0;
+        });
+    write_log(log_level::info, part, "Stopped.");
+}
+
+} // namespace lagoonquay
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -152,7 +152,9 @@
     if (draining_ || (options_.probe_ledger && !ledger_ready_))
         return false;
     const std::lock_guard lock(permit_mutex_);
-    return permit_ && allows_entry(*permit_, options_.id, hooks_.now());
+    return permit_ &&
+           allows_entry(*permit_, options_.id,
+                        permit_time(*permit_, options_.permits, hooks_.now()));
 }
 
 std::size_t entry_service::unanswered()
@@ -228,6 +230,8 @@
     if (!ready())
         return refusal(id, failure_reason::no_permit, effect::unknown,
                        "this entry takes no jobs now");
+    if (!submitted->dated)
+        return std::nullopt;
     const auto now = hooks_.wall();
     if (submitted->created > now + 2 * options_.clock_skew)
         return refusal(id, failure_reason::expired, effect::not_run,
@@ -372,7 +376,8 @@
             return;
         probe_sent_ = now;
     }
-    hooks_.claim(claim_request({.holder = options_.id,
+    hooks_.claim(claim_request({.dated = options_.dated_jobs,
+                                .holder = options_.id,
                                 .holder_run = options_.run,
                                 .lease = options_.claim_lease}),
                  [this](const claim_outcome& outcome)
--- a/process/ledger/include/lagoonquay/process/ledger_client.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_client.hpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/connection/endpoint.hpp"
 #include "lagoonquay/process/claim.hpp"
 
+#include <functional>
 #include <vector>
 
 namespace lagoonquay
@@ -12,9 +13,12 @@
 class http_client;
 class ledger_replica;
 
+//! Names the other replicas of the ledger. Called from any thread.
+using ledger_peers_hook = std::function<std::vector<endpoint>()>;
+
 struct ledger_client_options
 {
-    std::vector<endpoint> peers; //!< the other replicas
+    ledger_peers_hook peers;
     duration timeout = std::chrono::milliseconds(500);
 };
 
--- a/process/ledger/include/lagoonquay/process/ledger_shard.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_shard.hpp
@@ -34,6 +34,7 @@
     submission_id submission;
     content_digest digest;
     wall_time created{};
+    bool dated = true; //!< whether `created` is the caller's
     entry_id holder;
     incarnation holder_run;
     std::string holder_address; //!< where others forward resubmissions
@@ -84,6 +85,10 @@
     //! Longer than oldest_submission, so that no record is missed.
     duration retention = std::chrono::minutes(10);
     duration oldest_submission = std::chrono::minutes(5);
+    instant began{}; //!< start of this process, on its monotonic clock
+    //! Longest time from the first submission of a job without a creation time
+    //! to a resubmission of it.
+    duration undated_horizon = std::chrono::seconds(5);
 
     friend bool operator==(const ledger_options&,
                            const ledger_options&) = default;
@@ -92,6 +97,10 @@
 //! @return whether a replica votes on submissions that are created now.
 bool past_fence(const ledger_options& options, wall_time wall) noexcept;
 
+//! @return whether a replica votes on submissions without a creation time: it
+//! remembers all that may be submitted again.
+bool past_undated_fence(const ledger_options& options, instant now) noexcept;
+
 //! The records of one shard. Not thread-safe; the shard's lock guards it.
 class ledger_shard
 {
@@ -123,7 +132,8 @@
 
     static claim_vote claim_again(record& held, const claim_request& asked,
                                   instant now);
-    bool remembers(wall_time created, wall_time wall) const noexcept;
+    bool remembers(const claim_request& asked, instant now,
+                   wall_time wall) const noexcept;
     claim_vote add(const claim_request& asked, instant now, wall_time wall);
     static claim_vote release(record& held, const claim_request& asked,
                               instant now);
--- a/process/ledger/src/ledger_client.cpp
+++ b/process/ledger/src/ledger_client.cpp
@@ -57,7 +57,8 @@
     return [&client, &local, it = std::move(options), clock = std::move(now)](
                const claim_request& asked, claim_callback done)
     {
-        const claim_tally tally(it.peers.size() + 1, asked->lease, clock());
+        const auto peers = it.peers();
+        const claim_tally tally(peers.size() + 1, asked->lease, clock());
         const auto exchange =
             std::make_shared<claim_exchange>(tally, std::move(done));
         const http_request request{.method = http_method::post,
@@ -65,7 +66,7 @@
                                    .query = {},
                                    .body = encode_claim_request(asked),
                                    .bearer = {}};
-        for (const auto& peer : it.peers)
+        for (const auto& peer : peers)
         {
             client.send(peer, request, it.timeout,
                         [exchange](connection_result<http_response> answer)
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -67,6 +67,7 @@
         {"submission", asked->submission.text()},
         {"digest", std::to_string(asked->digest.number())},
         {"created_ms", asked->created.time_since_epoch().count()},
+        {"dated", asked->dated},
         {"holder", asked->holder.text()},
         {"holder_run", std::to_string(asked->holder_run.number())},
         {"holder_address", asked->holder_address},
@@ -88,6 +89,7 @@
     options.digest = content_digest(fields.wide_number("digest"));
     options.created = wall_time(std::chrono::milliseconds(
         fields.number("created_ms", 0, json_exact_limit)));
+    options.dated = fields.flag_or("dated", true);
     options.holder = entry_id(fields.text("holder", id_bytes));
     options.holder_run = incarnation(fields.wide_number("holder_run"));
     options.holder_address = fields.text("holder_address", id_bytes);
--- a/process/ledger/src/ledger_shard.cpp
+++ b/process/ledger/src/ledger_shard.cpp
@@ -40,6 +40,11 @@
     return wall > options.memory_since + 2 * options.clock_skew;
 }
 
+bool past_undated_fence(const ledger_options& options, instant now) noexcept
+{
+    return now - options.began > options.undated_horizon;
+}
+
 ledger_shard::ledger_shard(ledger_options options) noexcept : options_(options)
 {
 }
@@ -80,8 +85,12 @@
 // A replica never votes on what its own clock calls the future, so whatever it
 // voted on before a restart lies before its new memory and is fenced. It never
 // votes on what is older than its records are kept.
-bool ledger_shard::remembers(wall_time created, wall_time wall) const noexcept
+bool ledger_shard::remembers(const claim_request& asked, instant now,
+                             wall_time wall) const noexcept
 {
+    if (!asked->dated)
+        return past_undated_fence(options_, now);
+    const auto created = asked->created;
     return past_fence(options_, created) &&
            created <= wall + options_.clock_skew &&
            created + options_.oldest_submission >= wall;
@@ -90,7 +99,7 @@
 claim_vote ledger_shard::add(const claim_request& asked, instant now,
                              wall_time wall)
 {
-    if (!remembers(asked->created, wall))
+    if (!remembers(asked, now, wall))
         return claim_vote({.verdict = claim_verdict::fenced});
     if (asked->release)
         return claim_vote({.verdict = claim_verdict::granted});
--- a/process/load/src/lone_control.cpp
+++ b/process/load/src/lone_control.cpp
@@ -33,7 +33,7 @@
 {
     const permit_request asked{
         member({.role = member_role::agent, .id = "agent-0"}), {}};
-    while (!service_.on_heartbeat(asked))
+    while (!service_.on_heartbeat(asked).vote)
     {
         now_us_ += control_replica::tick_period.count();
         replica_.tick();
--- a/process/load/src/slopes.cpp
+++ b/process/load/src/slopes.cpp
@@ -259,7 +259,7 @@
 std::string heartbeat(control_service& control, const std::string& request)
 {
     const auto asked = decode_permit_request(request);
-    return encode_permit_reply(control.on_heartbeat(asked.value()).value());
+    return encode_permit_reply(control.on_heartbeat(asked.value()));
 }
 
 double heartbeat_time(member_role role, std::size_t members)
@@ -346,9 +346,9 @@
     view.version = version_number(1);
     view.settings = std::string(settings_bytes, 's');
     permit_reply reply;
-    reply.vote.version = view.version;
-    reply.vote.replica = replica_id("control-1");
-    reply.vote.view = fleet_view(view);
+    reply.vote = permit_vote{.replica = replica_id("control-1"),
+                             .version = view.version,
+                             .view = fleet_view(view)};
     const auto text = encode_permit_reply(reply);
     return time_of(
                [&]
@@ -356,9 +356,9 @@
                    for (int n = 0; n < rounds; ++n)
                    {
                        const auto vote = decode_permit_reply(text);
-                       if (!vote)
+                       if (!vote || !vote.value().vote)
                            continue;
-                       (void)merge_votes({vote.value().vote}, 1, fleet_view(),
+                       (void)merge_votes({*vote.value().vote}, 1, fleet_view(),
                                          steady_now());
                    }
                }) /
--- a/process/operators/src/operator_client.cpp
+++ b/process/operators/src/operator_client.cpp
@@ -75,6 +75,14 @@
     {
         return true;
     }
+    bool operator()(const set_catalog&) const
+    {
+        return true;
+    }
+    bool operator()(const read_barrier&) const
+    {
+        return true;
+    }
 
 private:
     bool has(std::string_view role, const std::string& id) const
--- a/request/include/lagoonquay/request/job.hpp
+++ b/request/include/lagoonquay/request/job.hpp
@@ -6,6 +6,7 @@
 #include "lagoonquay/request/need.hpp"
 #include "lagoonquay/request/time.hpp"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,10 @@
     submission_id submission;
     customer_id customer;
     wall_time created{};     //!< repeated unchanged by a resubmission
+    //! Whether the caller told the creation time. If not, the entry stamps the
+    //! job itself, and resubmissions may differ in it and in the time limit.
+    bool dated = true;
+    std::uint32_t attempts = 1; //!< runs of one task that may end as failed
     duration time_limit{};   //!< from acceptance to the deadline
     bool idempotent = false; //!< whether a task may run more than once
     std::vector<task> tasks;
@@ -40,7 +45,8 @@
 //! A job: the unit that is answered whole or fails.
 using job = immutable<job_options>;
 
-//! @return a digest of everything but the submission id; FNV-1a, 64 bits.
+//! @return a digest of everything but the submission id, and for a job without
+//! a creation time but its times; FNV-1a, 64 bits.
 content_digest digest_of(const job& submitted);
 
 } // namespace lagoonquay
--- a/request/include/lagoonquay/request/job_run.hpp
+++ b/request/include/lagoonquay/request/job_run.hpp
@@ -60,6 +60,11 @@
     //! @return false if the key is not the current attempt.
     bool retry(const attempt_key& key);
 
+    //! Returns a task whose run has ended as failed to waiting, while the job
+    //! grants it another attempt.
+    //! @return false if the key is not the current attempt, or was the last.
+    bool retry_failed(const attempt_key& key);
+
     //! Notes that some earlier attempt of the task may have run.
     void doubt(task_index index);
 
@@ -100,6 +105,7 @@
         attempt_key key;
         task_result result;
         bool may_have_run = false; //!< in an earlier attempt
+        std::uint32_t failures = 0; //!< attempts that ended as failed
     };
 
     const slot* find(const attempt_key& key) const noexcept;
--- a/request/src/job.cpp
+++ b/request/src/job.cpp
@@ -17,8 +17,15 @@
 // processes; FNV-1a is the same everywhere.
 content_digest digest_of(const job& submitted)
 {
-    const auto anonymous = submitted.with([](job_options& it)
-                                          { it.submission = submission_id(); });
+    const auto anonymous = submitted.with(
+        [](job_options& it)
+        {
+            it.submission = submission_id();
+            if (it.dated)
+                return;
+            it.created = {};
+            it.time_limit = {};
+        });
     std::uint64_t hash = fnv_offset;
     for (const char byte : encode_job(anonymous))
     {
--- a/request/src/job_codec.cpp
+++ b/request/src/job_codec.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr std::uint64_t most_attempts = 100;
+
 std::uint64_t milliseconds_of(duration span)
 {
     return static_cast<std::uint64_t>(
@@ -66,6 +68,9 @@
         "time_limit_ms", milliseconds_of(limits.default_time_limit), 1,
         milliseconds_of(limits.longest_time_limit)));
     options.idempotent = fields.flag_or("idempotent", false);
+    options.dated = fields.flag_or("dated", true);
+    options.attempts = static_cast<std::uint32_t>(
+        fields.number_or("attempts", 1, 1, most_attempts));
     return options;
 }
 
@@ -76,7 +81,7 @@
     BOOST_OUTCOME_TRY(const auto document, parse_outside_json(text));
     json_fields fields(document, "");
     fields.only({"submission", "customer", "created_ms", "time_limit_ms",
-                 "idempotent", "tasks"});
+                 "idempotent", "dated", "attempts", "tasks"});
     auto options = read_job(fields, limits);
     options.tasks = read_tasks(fields, limits);
     if (fields.failed())
@@ -90,7 +95,7 @@
     BOOST_OUTCOME_TRY(const auto document, parse_outside_json(text));
     json_fields fields(document, "");
     fields.only({"submission", "customer", "created_ms", "time_limit_ms",
-                 "idempotent", "kind", "payload", "need", "declared_run_ms"});
+                 "idempotent", "dated", "attempts", "kind", "payload", "need", "declared_run_ms"});
     auto options = read_job(fields, limits);
     options.tasks.push_back(read_task(fields, limits));
     if (fields.member("idempotent") == nullptr)
@@ -111,6 +116,8 @@
         {"created_ms", submitted->created.time_since_epoch().count()},
         {"time_limit_ms", milliseconds_of(submitted->time_limit)},
         {"idempotent", submitted->idempotent},
+        {"dated", submitted->dated},
+        {"attempts", submitted->attempts},
         {"tasks", std::move(tasks)}};
     return json::serialize(document);
 }
--- a/request/src/job_run.cpp
+++ b/request/src/job_run.cpp
@@ -82,6 +82,17 @@
     return true;
 }
 
+bool job_run::retry_failed(const attempt_key& key)
+{
+    if (find(key) == nullptr)
+        return false;
+    auto& target = slots_[key.index.number()];
+    if (target.failures + 1 >= job_->attempts)
+        return false;
+    ++target.failures;
+    return retry(key);
+}
+
 void job_run::doubt(task_index index)
 {
     slots_.at(index.number()).may_have_run = true;
--- a/version/include/lagoonquay/version/command.hpp
+++ b/version/include/lagoonquay/version/command.hpp
@@ -50,8 +50,24 @@
     friend bool operator==(const set_settings&, const set_settings&) = default;
 };
 
-using change =
-    std::variant<set_domain, set_agent_drain, set_entry_drain, set_settings>;
+//! Replaces the queue catalog. One whose revision is not higher than the
+//! present one's is accepted and changes nothing, so that it may be resent.
+struct set_catalog
+{
+    queue_catalog catalog; //!< already checked
+
+    friend bool operator==(const set_catalog&, const set_catalog&) = default;
+};
+
+//! Changes nothing. Its answer names the version that was current when a
+//! majority agreed to it.
+struct read_barrier
+{
+    friend bool operator==(const read_barrier&, const read_barrier&) = default;
+};
+
+using change = std::variant<set_domain, set_agent_drain, set_entry_drain,
+                            set_settings, set_catalog, read_barrier>;
 
 struct command_options
 {
--- a/version/include/lagoonquay/version/fleet_view.hpp
+++ b/version/include/lagoonquay/version/fleet_view.hpp
@@ -3,6 +3,7 @@
 
 #include "lagoonquay/request/ids.hpp"
 #include "lagoonquay/request/immutable.hpp"
+#include "lagoonquay/version/queue_catalog.hpp"
 
 #include <cstdint>
 #include <set>
@@ -21,6 +22,7 @@
     std::set<agent_id> drained_agents;
     std::set<entry_id> drained_entries;
     std::string settings; //!< the fleet's settings as INI
+    queue_catalog catalog;
 
     friend bool operator==(const fleet_view_options&,
                            const fleet_view_options&) = default;
--- a/version/include/lagoonquay/version/log_entry.hpp
+++ b/version/include/lagoonquay/version/log_entry.hpp
@@ -58,6 +58,9 @@
 //! the same name. The voters change by at most one.
 membership with_learner(const membership& all, replica_member joining);
 
+//! @return a copy without `node`.
+membership without_node(const membership& all, const node_id& node);
+
 //! @return a copy in which `node` is a voter.
 membership with_voter(const membership& all, const node_id& node);
 
--- a/version/include/lagoonquay/version/member.hpp
+++ b/version/include/lagoonquay/version/member.hpp
@@ -4,10 +4,12 @@
 #include "lagoonquay/request/ids.hpp"
 #include "lagoonquay/request/immutable.hpp"
 #include "lagoonquay/request/need.hpp"
+#include "lagoonquay/version/log_entry.hpp"
 #include "lagoonquay/version/permit.hpp"
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,16 +45,28 @@
 {
     member sender;
     version_number known; //!< newest version the sender has applied
+    log_index known_replicas; //!< of the newest replica_set it has heard of
 
     friend bool operator==(const permit_request&,
                            const permit_request&) = default;
 };
 
+//! Who holds the log, from the log entry at `index` on.
+struct replica_set
+{
+    log_index index;
+    membership all;
+
+    friend bool operator==(const replica_set&, const replica_set&) = default;
+};
+
 //! A replica's answer to a heartbeat.
 struct permit_reply
 {
-    permit_vote vote;
-    std::vector<member> agents; //!< to entries only
+    std::optional<permit_vote> vote; //!< none while the replica must not vote
+    std::optional<replica_set> replicas; //!< to those who know an older one
+    std::vector<member> agents;          //!< to entries only
+    std::vector<member> entries;         //!< to entries only
 
     friend bool operator==(const permit_reply&, const permit_reply&) = default;
 };
--- a/version/include/lagoonquay/version/permit.hpp
+++ b/version/include/lagoonquay/version/permit.hpp
@@ -42,6 +42,18 @@
 //! What a majority allowed, until when.
 using permit = immutable<permit_options>;
 
+//! What a process does once its permit has run out.
+enum class permit_policy
+{
+    expire, //!< starts no work until a majority of control answers
+    keep,   //!< goes on with the last permit while no majority answers
+};
+
+//! @return the time to judge a permit at: `now`, or under `keep` the permit's
+//! last moment once it has run out.
+instant permit_time(const permit& held, permit_policy policy,
+                    instant now) noexcept;
+
 //! Merges the replicas' words.
 //! @param known  the newest view that this process has applied.
 //! @param sent   when the request for the votes was sent.
--- a/version/include/lagoonquay/version/replica.hpp
+++ b/version/include/lagoonquay/version/replica.hpp
@@ -19,6 +19,9 @@
     std::uint32_t election_ticks = 10; //!< shortest; the longest is twice that
     //! Silence after which a member may be replaced from another address.
     std::uint32_t replace_ticks = 200;
+    //! Voters that the log grows to as replicas ask to be let in; zero keeps
+    //! the first ones.
+    std::size_t voters = 0;
     std::size_t batch_entries = 64;
     std::uint64_t window_entries = 1024; //!< sent and not acknowledged
     std::size_t chunk_bytes = 64UL * 1024;
@@ -180,6 +183,8 @@
 
     // Membership
     void promote_learners();
+    std::optional<membership> members_with(const replica_member& joining) const;
+    const replica_member* silent_member(std::uint32_t ticks) const;
     bool may_change_members() const noexcept;
 
     // Snapshots
--- a/version/include/lagoonquay/version/replica_codec.hpp
+++ b/version/include/lagoonquay/version/replica_codec.hpp
@@ -26,6 +26,8 @@
     cluster_number cluster; //!< zero if it knows of none either
     membership members;
     bool may_bootstrap = false; //!< its settings say so
+    //! Where the members that it knows of listen for replicas.
+    std::vector<std::string> addresses = {};
 
     friend bool operator==(const replica_greeting&,
                            const replica_greeting&) = default;
--- a/version/src/command.cpp
+++ b/version/src/command.cpp
@@ -36,8 +36,23 @@
     {
         target.settings = it.settings;
     }
+    void operator()(const set_catalog& it) const
+    {
+        target.catalog = it.catalog;
+    }
+    void operator()(const read_barrier&) const
+    {
+    }
 };
 
+//! @return whether the change leaves the view as it is.
+bool is_void(const change& what, const fleet_view& view) noexcept
+{
+    if (const auto* it = std::get_if<set_catalog>(&what))
+        return it->catalog->revision <= view->catalog->revision;
+    return std::holds_alternative<read_barrier>(what);
+}
+
 } // namespace
 
 bool forbids_work(const change& what) noexcept
@@ -64,7 +79,11 @@
         return *first;
     const auto current = view_->version;
     command_outcome outcome{false, current, author_};
-    if (!asked->expected || *asked->expected == current)
+    if (is_void(asked->what, view_))
+    {
+        outcome.accepted = true;
+    }
+    else if (!asked->expected || *asked->expected == current)
     {
         const version_number next(current.number() + 1);
         view_ = view_.with(
--- a/version/src/log_entry.cpp
+++ b/version/src/log_entry.cpp
@@ -55,6 +55,16 @@
         });
 }
 
+membership without_node(const membership& all, const node_id& node)
+{
+    return all.with(
+        [&](membership_options& it)
+        {
+            std::erase_if(it.members, [&](const replica_member& each)
+                          { return each.node == node; });
+        });
+}
+
 membership with_voter(const membership& all, const node_id& node)
 {
     return all.with(
--- a/version/src/permit.cpp
+++ b/version/src/permit.cpp
@@ -1,5 +1,7 @@
 #include "lagoonquay/version/permit.hpp"
 
+#include <algorithm>
+
 namespace lagoonquay
 {
 
@@ -29,6 +31,14 @@
 
 } // namespace
 
+instant permit_time(const permit& held, permit_policy policy,
+                    instant now) noexcept
+{
+    if (policy == permit_policy::expire)
+        return now;
+    return std::min(now, held->valid_until - duration(1));
+}
+
 // Any committed change is on a majority, so every majority read holds a
 // replica that has it, committed or pending. Pending changes that forbid work
 // are counted; so "out" is seen by each read that begins after its commit,
--- a/version/src/replica_codec.cpp
+++ b/version/src/replica_codec.cpp
@@ -147,6 +147,26 @@
     return message;
 }
 
+std::vector<std::string> addresses_from_json(json_fields& fields)
+{
+    std::vector<std::string> addresses;
+    const auto* source = fields.array("addresses");
+    if (source == nullptr)
+        return addresses;
+    for (const auto& it : *source)
+    {
+        const auto* text = it.if_string();
+        if (text == nullptr || text->size() > replica_id_bytes)
+        {
+            fields.reject(request_errc::malformed,
+                          "'addresses' must hold addresses");
+            return addresses;
+        }
+        addresses.emplace_back(text->data(), text->size());
+    }
+    return addresses;
+}
+
 auto malformed(const json_fields& fields)
 {
     return fail(version_errc::malformed, fields.error().detail);
@@ -185,7 +205,8 @@
         json::object{{"self", member_to_json(greeting.self)},
                      {"cluster", wide(greeting.cluster.number())},
                      {"members", members_to_json(greeting.members)},
-                     {"may_bootstrap", greeting.may_bootstrap}});
+                     {"may_bootstrap", greeting.may_bootstrap},
+                     {"addresses", json::value_from(greeting.addresses)}});
 }
 
 version_result<replica_greeting> decode_greeting(std::string_view text)
@@ -198,6 +219,8 @@
     greeting.cluster = cluster_number(fields.wide_number("cluster"));
     greeting.members = members_from_json(fields, "members");
     greeting.may_bootstrap = fields.flag_or("may_bootstrap", false);
+    if (fields.member("addresses") != nullptr)
+        greeting.addresses = addresses_from_json(fields);
     if (fields.failed())
         return malformed(fields);
     return greeting;
--- a/version/src/replica_replication.cpp
+++ b/version/src/replica_replication.cpp
@@ -194,26 +194,56 @@
            log_.term_at(commit_) == state_.term;
 }
 
-// The old life of a data folder keeps answering heartbeats of members for a
-// while when it is only cut off. From another address it is replaced only
-// after a silence in which it has stopped doing so.
 void replica::on_join(const replica_member& joining)
 {
     if (!may_change_members() ||
         find_node(log_.members(), joining.node) != nullptr)
         return;
-    const auto* old = find_name(log_.members(), joining.name);
-    if (old == nullptr)
-        return;
-    const auto found = followers_.find(old->node);
-    if (found == followers_.end())
-        return;
-    const auto silence = old->address == joining.address
-                             ? options_.election_ticks
-                             : options_.replace_ticks;
-    if (found->second.silent_ticks < silence)
-        return;
-    append(with_learner(log_.members(), joining));
+    if (auto changed = members_with(joining))
+        append(*std::move(changed));
+}
+
+// The old life of a data folder keeps answering heartbeats of members for a
+// while when it is only cut off. From another address it is replaced only
+// after a silence in which it has stopped doing so. A replica of an unknown
+// name fills a free place, or that of the member that is silent for longest.
+std::optional<membership>
+replica::members_with(const replica_member& joining) const
+{
+    const auto& all = log_.members();
+    if (const auto* old = find_name(all, joining.name))
+    {
+        const auto found = followers_.find(old->node);
+        const auto silence = old->address == joining.address
+                                 ? options_.election_ticks
+                                 : options_.replace_ticks;
+        if (found == followers_.end() || found->second.silent_ticks < silence)
+            return std::nullopt;
+        return with_learner(all, joining);
+    }
+    if (all->members.size() < options_.voters)
+        return with_learner(all, joining);
+    const auto* silent = silent_member(options_.replace_ticks);
+    if (options_.voters == 0 || silent == nullptr)
+        return std::nullopt;
+    return with_learner(without_node(all, silent->node), joining);
+}
+
+// @return the member that is silent for longest, and for `ticks` at least.
+const replica_member* replica::silent_member(std::uint32_t ticks) const
+{
+    const replica_member* found = nullptr;
+    auto longest = ticks;
+    for (const auto& it : log_.members()->members)
+    {
+        const auto follower = followers_.find(it.node);
+        if (follower == followers_.end() ||
+            follower->second.silent_ticks < longest)
+            continue;
+        longest = follower->second.silent_ticks;
+        found = &it;
+    }
+    return found;
 }
 
 // A learner becomes a voter once it has stored all that is committed. From
--- a/version/src/version_codec.cpp
+++ b/version/src/version_codec.cpp
@@ -1,5 +1,7 @@
 #include "lagoonquay/version/version_codec.hpp"
 
+#include "catalog_json.hpp"
+#include "replica_json.hpp"
 #include "version_json.hpp"
 
 #include <limits>
@@ -88,6 +90,15 @@
     {
         return {{"change", "set_settings"}, {"settings", it.settings}};
     }
+    json::object operator()(const set_catalog& it) const
+    {
+        return {{"change", "set_catalog"},
+                {"catalog", catalog_to_json(it.catalog)}};
+    }
+    json::object operator()(const read_barrier&) const
+    {
+        return {{"change", "read_barrier"}};
+    }
 };
 
 std::string required_id(json_fields& fields, std::string_view key)
@@ -113,6 +124,11 @@
                                fields.flag_or("drained", true)};
     if (kind == "set_settings")
         return set_settings{fields.text("settings", settings_bytes)};
+    if (kind == "read_barrier")
+        return read_barrier{};
+    const auto* catalog = fields.member("catalog");
+    if (kind == "set_catalog" && catalog != nullptr)
+        return set_catalog{catalog_from_json(*catalog, fields)};
     fields.reject(request_errc::malformed, "unknown change '" + kind + "'");
     return set_domain{};
 }
@@ -158,6 +174,38 @@
     return member(std::move(options));
 }
 
+json::array fleet_members_to_json(const std::vector<member>& members)
+{
+    json::array array;
+    for (const auto& it : members)
+        array.push_back(member_to_json(it));
+    return array;
+}
+
+std::vector<member> fleet_members_from_json(json_fields& fields,
+                                            std::string_view key)
+{
+    std::vector<member> members;
+    if (fields.member(key) == nullptr)
+        return members;
+    const auto* source = fields.array(key);
+    if (source == nullptr)
+        return members;
+    for (const auto& it : *source)
+        members.push_back(member_from_json(it, fields));
+    return members;
+}
+
+void vote_to_json(const permit_vote& vote, json::object& out)
+{
+    out["replica"] = vote.replica.text();
+    out["version"] = vote.version.number();
+    out["pending_out"] = ids_to_json(vote.pending_out);
+    out["pending_drains"] = ids_to_json(vote.pending_drains);
+    if (vote.view)
+        out["view"] = view_to_json(*vote.view);
+}
+
 permit_vote vote_from_json(json_fields& fields)
 {
     permit_vote vote;
@@ -178,7 +226,8 @@
             {"out_domains", ids_to_json(view->out_domains)},
             {"drained_agents", ids_to_json(view->drained_agents)},
             {"drained_entries", ids_to_json(view->drained_entries)},
-            {"settings", view->settings}};
+            {"settings", view->settings},
+            {"catalog", catalog_to_json(view->catalog)}};
 }
 
 fleet_view view_from_json(const json::value& source, json_fields& parent)
@@ -191,6 +240,8 @@
     options.drained_entries =
         ids_from_json<entry_id>(fields, "drained_entries");
     options.settings = fields.text("settings", settings_bytes);
+    if (const auto* catalog = fields.member("catalog"))
+        options.catalog = catalog_from_json(*catalog, fields);
     parent.absorb(fields);
     return fleet_view(std::move(options));
 }
@@ -277,7 +328,9 @@
 std::string encode_permit_request(const permit_request& request)
 {
     const json::object object{{"sender", member_to_json(request.sender)},
-                              {"known", request.known.number()}};
+                              {"known", request.known.number()},
+                              {"known_replicas",
+                               request.known_replicas.number()}};
     return json::serialize(object);
 }
 
@@ -287,6 +340,8 @@
     json_fields fields(document, "");
     permit_request request;
     request.known = get_version(fields, "known");
+    request.known_replicas =
+        log_index(fields.number_or("known_replicas", 0, 0, json_exact_limit));
     if (const auto* sender = fields.member("sender"))
         request.sender = member_from_json(*sender, fields);
     else
@@ -298,17 +353,14 @@
 
 std::string encode_permit_reply(const permit_reply& reply)
 {
-    json::array agents;
-    for (const auto& it : reply.agents)
-        agents.push_back(member_to_json(it));
-    json::object object{
-        {"replica", reply.vote.replica.text()},
-        {"version", reply.vote.version.number()},
-        {"pending_out", ids_to_json(reply.vote.pending_out)},
-        {"pending_drains", ids_to_json(reply.vote.pending_drains)},
-        {"agents", std::move(agents)}};
-    if (reply.vote.view)
-        object["view"] = view_to_json(*reply.vote.view);
+    json::object object{{"agents", fleet_members_to_json(reply.agents)},
+                        {"entries", fleet_members_to_json(reply.entries)}};
+    if (reply.replicas)
+        object["replicas"] =
+            json::object{{"index", reply.replicas->index.number()},
+                         {"members", members_to_json(reply.replicas->all)}};
+    if (reply.vote)
+        vote_to_json(*reply.vote, object);
     return json::serialize(object);
 }
 
@@ -317,13 +369,18 @@
     BOOST_OUTCOME_TRY(const auto document, parse(text));
     json_fields fields(document, "");
     permit_reply reply;
-    reply.vote = vote_from_json(fields);
-    const auto* agents = fields.array("agents");
-    if (agents != nullptr)
+    if (fields.member("replica") != nullptr)
+        reply.vote = vote_from_json(fields);
+    if (const auto* replicas = fields.member("replicas"))
     {
-        for (const auto& it : *agents)
-            reply.agents.push_back(member_from_json(it, fields));
+        json_fields nested(*replicas, "replicas");
+        reply.replicas = replica_set{
+            log_index(nested.number("index", 0, json_exact_limit)),
+            members_from_json(nested, "members")};
+        fields.absorb(nested);
     }
+    reply.agents = fleet_members_from_json(fields, "agents");
+    reply.entries = fleet_members_from_json(fields, "entries");
     if (fields.failed())
         return malformed(fields);
     return reply;
