Reload on SIGHUP, and look before a lost start is stopped

Change: settings are watched and reloaded; a start without an answer is looked up at the worker and adopted if it runs; tasks of a lost agent that may run again wait out the grace in any case; links close after 1.2 s of silence.

--- a/connection/include/lagoonquay/connection/message_link.hpp
+++ b/connection/include/lagoonquay/connection/message_link.hpp
@@ -23,7 +23,7 @@
 {
     std::size_t frame_bytes = 32UL * 1024 * 1024;
     //! A link without any message or pong for this long is closed.
-    duration silence = std::chrono::seconds(2);
+    duration silence = std::chrono::milliseconds(1200);
 };
 
 //! Hooks of a link. Each is called from one I/O thread at a time.
--- a/process/agent/include/lagoonquay/process/agent_node.hpp
+++ b/process/agent/include/lagoonquay/process/agent_node.hpp
@@ -37,6 +37,10 @@
     //! @return success, or bad_listen.
     process_result<void> start();
 
+    //! Takes over what may change while the process runs: the control replicas
+    //! to ask first.
+    void reload(const agent_settings& settings);
+
     //! Takes no new task; blocks until every started one has its result
     //! written.
     void drain();
--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -36,7 +36,7 @@
     permit_policy permits = permit_policy::expire;
     //! How long a repeatable task runs on for an entry whose link closed,
     //! where the upstream's tasks can be stopped.
-    duration orphan_grace = std::chrono::seconds(1);
+    duration orphan_grace = std::chrono::milliseconds(600);
 
     friend bool operator==(const agent_options&,
                            const agent_options&) = default;
--- a/process/agent/src/agent_node.cpp
+++ b/process/agent/src/agent_node.cpp
@@ -92,7 +92,10 @@
 {
 }
 
-agent_node::~agent_node() = default;
+agent_node::~agent_node()
+{
+    parts_->io.stop();
+}
 
 agent_service& agent_node::service() noexcept
 {
@@ -123,6 +126,12 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+void agent_node::reload(const agent_settings& settings)
+{
+    write_log(log_level::info, part, "Settings reloaded.");
+    parts_->permits.set_replicas(settings.process.control);
+}
+
 void agent_node::drain()
 {
     write_log(log_level::info, part, "Stopping: no new tasks.");
--- a/process/agent/src/leased_runs.cpp
+++ b/process/agent/src/leased_runs.cpp
@@ -53,10 +53,9 @@
                                life = output.worker.life](
                                   const order_reply& reply)
                               { self->on_stop(life, it, reply); });
-        if (output.extend)
-            hooks.worker.extend(output.worker, output.extend->order,
-                                [self = shared_from_this(),
-                                 it = *output.extend,
+        for (const auto& it : output.extensions)
+            hooks.worker.extend(output.worker, it.order,
+                                [self = shared_from_this(), it,
                                  life = output.worker.life](
                                     const lease_reply& reply)
                                 { self->on_extended(life, it, reply); });
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -42,6 +42,7 @@
     told_ = 0;
     ready_ = false;
     extending_.reset();
+    looking_.reset();
     foreign_.clear();
     lease_over_ = now;
     unanswered_.reset();
@@ -80,7 +81,7 @@
         found->second.at == phase::gone)
         return;
     // An order to start that is under way is made void all the same.
-    found->second.start_unknown = found->second.at == phase::starting;
+    found->second.cancelled = true;
     found->second.at = phase::stopping;
     send_stop(id, found->second, now);
 }
@@ -117,16 +118,15 @@
     {
     case order_result::accepted:
         it.settled = orders_;
-        it.start_unknown = false;
-        if (it.at == phase::starting)
+        if (it.at == phase::starting || it.at == phase::doubtful)
             it.at = phase::running;
         return extend_if_needed(now);
     case order_result::unknown:
-        it.start_unknown = true;
         if (it.at != phase::starting)
             return;
-        it.at = phase::stopping;
-        return send_stop(order.run, it, now);
+        it.at = phase::doubtful;
+        it.settled = orders_;
+        return look_if_needed(now);
     case order_result::fenced:
         raise_fence(reply, now);
         [[fallthrough]];
@@ -160,7 +160,7 @@
         return;
     found->second.at = phase::gone;
     found->second.settled = orders_;
-    extend_if_needed(now);
+    look_if_needed(now);
 }
 
 void run_table::on_extended(worker_life life, const numbered_extension& sent,
@@ -170,6 +170,8 @@
         return;
     if (extending_ == sent.number)
         extending_.reset();
+    if (looking_ == sent.number)
+        looking_.reset();
     hear(reply.order, now);
     if (reply.order.result == order_result::fenced)
         raise_fence(reply.order, now);
@@ -177,7 +179,7 @@
         return;
     told_ = std::max(told_, sent.order.seen);
     note_ends(reply.ended);
-    note_running(reply.running, sent.number);
+    note_running(reply.running, sent.number, now);
     stop_unknown(reply.running, now);
     const bool was_ready = ready_;
     ready_ = ready_ || foreign_.empty();
@@ -290,8 +292,7 @@
                    "the run failed at the worker");
             break;
         case run_end::stopped:
-            finish(it.run, failure_reason::cancelled, effect::ran,
-                   "the run was stopped");
+            note_stopped(it);
             break;
         case run_end::lapsed:
             finish(it.run, failure_reason::upstream_unreachable,
@@ -301,49 +302,98 @@
     }
 }
 
+// A run that was stopped only because its start got no answer may start anew.
+void run_table::note_stopped(const ended_run& ended)
+{
+    const auto found = runs_.find(ended.run);
+    if (found == runs_.end())
+        return;
+    if (found->second.cancelled)
+        return finish(ended.run, failure_reason::cancelled, effect::ran,
+                      "the run was stopped");
+    finish(ended.run, failure_reason::upstream_unreachable, effect::unknown,
+           "the worker did not answer the start");
+}
+
 // A report speaks of a run only if it was asked for after the last answer
-// about that run: answers on different connections overtake each other.
+// about that run: answers on different connections overtake each other. A
+// start without an answer that is not there may still arrive, so it is stopped
+// first.
 void run_table::note_running(const std::vector<task_run>& running,
-                             std::uint64_t number)
+                             std::uint64_t number, instant now)
 {
     const std::set<task_run> there(running.begin(), running.end());
     std::vector<task_run> missing;
-    for (const auto& [id, it] : runs_)
+    for (auto& [id, it] : runs_)
     {
+        if (number <= it.settled)
+            continue;
         const bool settled = it.at == phase::running || it.at == phase::gone;
-        if (settled && number > it.settled && !there.contains(id))
+        const bool is_there = there.contains(id);
+        if (settled && !is_there)
             missing.push_back(id);
+        if (it.at != phase::doubtful)
+            continue;
+        it.at = is_there ? phase::running : phase::stopping;
+        if (!is_there)
+            send_stop(id, it, now);
     }
     for (const auto& id : missing)
         finish(id, failure_reason::upstream_unreachable, effect::unknown,
                "the run is no longer at the worker");
 }
 
+bool run_table::unsettled() const
+{
+    return !foreign_.empty() ||
+           std::any_of(runs_.begin(), runs_.end(),
+                       [](const auto& it)
+                       {
+                           return it.second.at == phase::doubtful ||
+                                  it.second.at == phase::gone;
+                       });
+}
+
 // One extension is on its way at a time; it waits at the worker for an end.
 void run_table::extend_if_needed(instant now)
 {
+    look_if_needed(now);
     if (!worker_ || extending_)
         return;
-    const bool idle = runs_.empty() && foreign_.empty() && ready_;
-    const bool untold = told_ < seen_;
-    if (idle && !untold)
+    const bool idle = runs_.empty() && ready_;
+    if (idle && told_ == seen_)
         return;
-    const bool waits = !runs_.empty() && foreign_.empty() && ready_ &&
-                       std::any_of(runs_.begin(), runs_.end(),
-                                   [](const auto& it)
-                                   { return it.second.at == phase::running; });
-    if (!waits && now - extended_ < options_.clock_margin / 4)
+    const bool waits = !runs_.empty() && ready_ && !unanswered_;
+    if (!waits && now - extended_ < options_.look_period)
         return;
-    numbered_extension next;
-    next.number = ++orders_;
+    lease_order order;
+    order.seen = seen_;
     if (!unanswered_)
-        next.order.lease_end = next_lease_end(now);
-    next.order.fence = fence_;
-    next.order.seen = seen_;
-    next.order.wait = waits ? options_.extend_period : duration::zero();
-    extending_ = next.number;
+        order.lease_end = next_lease_end(now);
+    if (waits)
+        order.wait = options_.extend_period;
     extended_ = now;
-    output_.extend = next;
+    output_.extensions.push_back(number_order(order));
+    extending_ = orders_;
+}
+
+// A question that the worker answers at once, beside the one that waits.
+void run_table::look_if_needed(instant now)
+{
+    if (!worker_ || looking_ || !unsettled() ||
+        now - looked_ < options_.look_period)
+        return;
+    lease_order order;
+    order.seen = seen_;
+    looked_ = now;
+    output_.extensions.push_back(number_order(order));
+    looking_ = orders_;
+}
+
+numbered_extension run_table::number_order(lease_order order)
+{
+    order.fence = fence_;
+    return {order, ++orders_};
 }
 
 void run_table::finish(const task_run& id, failure_reason reason, effect ran,
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -31,7 +31,7 @@
     worker_address worker;
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
-    std::optional<numbered_extension> extend;
+    std::vector<numbered_extension> extensions;
     std::vector<run_result> results;
     bool became_ready = false;
 };
@@ -63,8 +63,9 @@
     enum class phase
     {
         starting, //!< the order is on its way
+        doubtful, //!< the order got no answer
         running,
-        stopping, //!< to be stopped, or made void; its start may be unknown
+        stopping, //!< to be stopped, or made void
         gone,     //!< stopped; its end may still be listed
     };
     struct run
@@ -75,7 +76,7 @@
         //! this run.
         std::uint64_t settled = 0;
         instant stop_sent{};
-        bool start_unknown = false;
+        bool cancelled = false; //!< stopped on demand
     };
 
     bool current(worker_life life) const noexcept;
@@ -88,8 +89,12 @@
     void stop_unknown(const std::vector<task_run>& running, instant now);
     void note_ends(const std::vector<ended_run>& ended);
     void note_running(const std::vector<task_run>& running,
-                      std::uint64_t number);
+                      std::uint64_t number, instant now);
+    void note_stopped(const ended_run& ended);
+    bool unsettled() const;
     void extend_if_needed(instant now);
+    void look_if_needed(instant now);
+    numbered_extension number_order(lease_order order);
     void finish(const task_run& id, failure_reason reason, effect ran,
                 const std::string& detail);
     void finish_all(failure_reason reason, const std::string& detail);
@@ -106,7 +111,9 @@
     std::uint64_t told_ = 0;   //!< `seen_` as the worker has heard it
     std::uint64_t orders_ = 0; //!< counts extensions
     std::optional<std::uint64_t> extending_;
+    std::optional<std::uint64_t> looking_;
     instant extended_{};   //!< when the last extension was sent
+    instant looked_{};     //!< when the last question was sent
     instant lease_over_{}; //!< by then everything there has ended
     bool ready_ = false;
     run_table_output output_;
--- a/process/common/include/lagoonquay/process/io_threads.hpp
+++ b/process/common/include/lagoonquay/process/io_threads.hpp
@@ -32,6 +32,9 @@
     //! Runs `work` each `period` until stop(); calls never overlap.
     void every(duration period, std::function<void()> work);
 
+    //! Runs `work` on some thread at each SIGHUP.
+    void on_reload(std::function<void()> work);
+
     //! Runs `work` once on some thread.
     void post(std::function<void()> work);
 
--- a/process/common/include/lagoonquay/process/permit_client.hpp
+++ b/process/common/include/lagoonquay/process/permit_client.hpp
@@ -50,6 +50,9 @@
     //! Sends one heartbeat to every replica. Call about twice a second.
     void tick();
 
+    //! Replaces the replicas to ask first.
+    void set_replicas(std::vector<endpoint> replicas);
+
 private:
     http_client& client_;
     const permit_client_options options_;
--- a/process/common/include/lagoonquay/process/process_settings.hpp
+++ b/process/common/include/lagoonquay/process/process_settings.hpp
@@ -33,6 +33,7 @@
 //! What every program reads.
 struct process_settings
 {
+    std::string source; //!< file that they were read from
     std::string id;
     domain_id domain;
     std::size_t threads = 2;
--- a/process/common/include/lagoonquay/process/program.hpp
+++ b/process/common/include/lagoonquay/process/program.hpp
@@ -43,6 +43,15 @@
 //! @return a number for this run of the process, drawn at random.
 incarnation draw_incarnation();
 
+class io_threads;
+
+//! Calls `changed` whenever a file has changed.
+void watch_settings(io_threads& io, const std::string& path,
+                    std::function<void()> changed);
+
+//! Logs that changed settings were refused.
+void log_bad_reload(const layer_error<process_errc>& error);
+
 //! One program: how it reads its settings, and what it does with them.
 template <typename Settings>
 struct program_definition
@@ -53,6 +62,25 @@
     std::function<process_result<void>(const Settings&)> run;
 };
 
+//! Calls `use` with the settings whenever their file has changed, which is
+//! looked at on SIGHUP and every few seconds. Settings that can't be read are
+//! logged and leave the last ones in force.
+template <typename Settings>
+void follow_settings(io_threads& io, const std::string& path,
+                     std::function<process_result<Settings>(const std::string&)>
+                         load,
+                     std::function<void(const Settings&)> use)
+{
+    watch_settings(io, path,
+                   [path, load = std::move(load), use = std::move(use)]
+                   {
+                       const auto settings = load(path);
+                       if (!settings)
+                           return log_bad_reload(settings.error());
+                       use(settings.value());
+                   });
+}
+
 //! Runs a program from its command line to its end. With --check, only the
 //! settings are read. @return the code to leave with.
 template <typename Settings>
--- a/process/common/src/io_threads.cpp
+++ b/process/common/src/io_threads.cpp
@@ -52,6 +52,20 @@
         context.get_executor()};
     std::vector<std::thread> threads;
     net::signal_set signals{context};
+    net::signal_set reloads{context};
+    std::function<void()> reload;
+
+    void wait_for_reload()
+    {
+        reloads.async_wait(
+            [this](boost::system::error_code ec, int)
+            {
+                if (ec)
+                    return;
+                reload();
+                wait_for_reload();
+            });
+    }
 };
 
 io_threads::io_threads(std::size_t threads) : state_(std::make_unique<state>())
@@ -89,6 +103,13 @@
     timer->wait();
 }
 
+void io_threads::on_reload(std::function<void()> work)
+{
+    state_->reload = std::move(work);
+    state_->reloads.add(SIGHUP);
+    state_->wait_for_reload();
+}
+
 void io_threads::post(std::function<void()> work)
 {
     net::post(state_->context, std::move(work));
--- a/process/common/src/permit_client.cpp
+++ b/process/common/src/permit_client.cpp
@@ -49,6 +49,12 @@
         return hooks_;
     }
 
+    void set_first(std::vector<endpoint> first)
+    {
+        const std::lock_guard lock(mutex_);
+        first_ = std::move(first);
+    }
+
     log_index known_replicas() const
     {
         const std::lock_guard lock(mutex_);
@@ -95,8 +101,8 @@
 
 private:
     const permit_client_hooks hooks_;
-    const std::vector<endpoint> first_;
     mutable std::mutex mutex_;
+    std::vector<endpoint> first_;
     replica_set replicas_;
     std::optional<instant> granted_;
 };
@@ -170,6 +176,11 @@
 
 permit_client::~permit_client() = default;
 
+void permit_client::set_replicas(std::vector<endpoint> replicas)
+{
+    rounds_->set_first(std::move(replicas));
+}
+
 void permit_client::tick()
 {
     const auto& hooks = rounds_->hooks();
--- a/process/common/src/process_settings.cpp
+++ b/process/common/src/process_settings.cpp
@@ -151,6 +151,7 @@
 process_settings read_common(ini_file& file)
 {
     process_settings common;
+    common.source = file.name();
     common.id = read_id(file, "id");
     common.domain = domain_id(read_id(file, "domain"));
     common.threads =
--- a/process/common/src/program.cpp
+++ b/process/common/src/program.cpp
@@ -1,5 +1,8 @@
 #include "lagoonquay/process/program.hpp"
 
+#include "lagoonquay/process/io_threads.hpp"
+#include "lagoonquay/process/settings_watch.hpp"
+
 #include <chrono>
 #include <cxxopts.hpp>
 #include <iostream>
@@ -13,6 +16,7 @@
 {
 
 constexpr const char* version_text = "0.1.0";
+constexpr duration settings_period = std::chrono::seconds(2);
 constexpr auto idle_poll = std::chrono::milliseconds(20);
 
 cxxopts::Options make_options(const std::string& name,
@@ -82,6 +86,21 @@
     return incarnation(high << 32U | source());
 }
 
+void watch_settings(io_threads& io, const std::string& path,
+                    std::function<void()> changed)
+{
+    const auto watch =
+        std::make_shared<settings_watch>(path, std::move(changed));
+    io.on_reload([watch] { watch->look(); });
+    io.every(settings_period, [watch] { watch->look(); });
+}
+
+void log_bad_reload(const layer_error<process_errc>& error)
+{
+    write_log(log_level::error, "settings",
+              "Not reloaded: " + error.detail + ".");
+}
+
 http_server_options listener_options(const process_settings& settings,
                                      const endpoint& listen)
 {
--- a/process/control/include/lagoonquay/process/control_node.hpp
+++ b/process/control/include/lagoonquay/process/control_node.hpp
@@ -41,6 +41,10 @@
     //! Starts the timers; call once the listener for replicas is open.
     void start();
 
+    //! Takes over what may change while the process runs: replicas to ask for
+    //! the cluster.
+    void reload(const control_settings& settings);
+
     //! Gives leadership away; blocks until another leads, for 2 s at most.
     void hand_over();
 
--- a/process/control/include/lagoonquay/process/control_replica.hpp
+++ b/process/control/include/lagoonquay/process/control_replica.hpp
@@ -97,6 +97,9 @@
     //! Takes messages from another replica.
     void receive(const replica_batch& batch);
 
+    //! Names another replica to ask for the cluster.
+    void add_peer(const std::string& address);
+
     //! Another replica greets or answers. @return this replica's greeting.
     replica_greeting on_greeting(const replica_greeting& other);
 
--- a/process/control/src/control_node.cpp
+++ b/process/control/src/control_node.cpp
@@ -131,7 +131,10 @@
 {
 }
 
-control_node::~control_node() = default;
+control_node::~control_node()
+{
+    parts_->io.stop();
+}
 
 control_service& control_node::service() noexcept
 {
@@ -145,6 +148,13 @@
     write_log(log_level::info, part, "Control replica started.");
 }
 
+void control_node::reload(const control_settings& settings)
+{
+    write_log(log_level::info, part, "Settings reloaded.");
+    for (const auto& it : settings.process.control)
+        parts_->replica.add_peer(to_text(it));
+}
+
 // Others go on without a pause when the leader hands over before it ends.
 void control_node::hand_over()
 {
--- a/process/control/src/control_replica.cpp
+++ b/process/control/src/control_replica.cpp
@@ -110,6 +110,12 @@
     return own;
 }
 
+void control_replica::add_peer(const std::string& address)
+{
+    const std::lock_guard lock(shared_->mutex);
+    shared_->core.add_peer(address);
+}
+
 void control_replica::propose(const command& asked, bool may_forward,
                               const answer_hook& done)
 {
--- a/process/control/src/control_replica_core.hpp
+++ b/process/control/src/control_replica_core.hpp
@@ -23,6 +23,7 @@
     //! Each of these adds to `calls` what must run without the lock.
     void tick(deferred_calls& calls);
     void receive(const replica_batch& batch, deferred_calls& calls);
+    void add_peer(const std::string& address);
     void on_greeting(const replica_greeting& other, deferred_calls& calls);
     void propose(const command& asked, bool may_forward,
                  const answer_hook& done, deferred_calls& calls);
--- a/process/control/src/control_replica_start.cpp
+++ b/process/control/src/control_replica_start.cpp
@@ -60,16 +60,19 @@
                         { hooks->greet(it, given); });
 }
 
+void control_replica_core::add_peer(const std::string& address)
+{
+    if (address != options_.address)
+        greeted_.insert(address);
+}
+
 void control_replica_core::on_greeting(const replica_greeting& other,
                                        deferred_calls& calls)
 {
     if (!storage_error_.empty())
         return;
     for (const auto& it : other.addresses)
-    {
-        if (it != options_.address)
-            greeted_.insert(it);
-    }
+        add_peer(it);
     if (!decisions_.empty())
     {
         const bool may_join =
--- a/process/entry/include/lagoonquay/process/entry_node.hpp
+++ b/process/entry/include/lagoonquay/process/entry_node.hpp
@@ -44,6 +44,10 @@
     //! timers. @return success, or bad_listen.
     process_result<void> start();
 
+    //! Takes over what may change while the process runs: the control replicas
+    //! to ask first.
+    void reload(const entry_settings& settings);
+
     //! Takes no new job; blocks until every accepted one is answered and every
     //! response of `callers` is written.
     void drain(const http_server& callers);
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -178,7 +178,10 @@
 {
 }
 
-entry_node::~entry_node() = default;
+entry_node::~entry_node()
+{
+    parts_->io.stop();
+}
 
 entry_service& entry_node::service() noexcept
 {
@@ -212,6 +215,12 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+void entry_node::reload(const entry_settings& settings)
+{
+    write_log(log_level::info, part, "Settings reloaded.");
+    parts_->permits.set_replicas(settings.process.control);
+}
+
 void entry_node::drain(const http_server& callers)
 {
     auto& it = *parts_;
--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -229,7 +229,8 @@
 }
 
 // @return the attempts whose agent is given up: it came back as another
-// incarnation, or did not come back within the grace period.
+// incarnation, or did not come back within the grace period. A task that may
+// run again waits in any case: its old run may go on for that long.
 std::vector<attempt_key> entry_service::lost_attempts(job_state& state,
                                                       const linked_runs& links,
                                                       instant now) const
@@ -247,7 +248,9 @@
         const auto until =
             state.lost.try_emplace(agent, now + options_.link_grace)
                 .first->second;
-        if (link != links.end() || now >= until)
+        const bool restarted = link != links.end();
+        const bool settled = restarted && !state.submitted->idempotent;
+        if (settled || now >= until)
             lost.push_back(key);
     }
     return lost;
--- a/process/programs/control_main.cpp
+++ b/process/programs/control_main.cpp
@@ -25,6 +25,9 @@
         control_operator_routes(node->service()));
     BOOST_OUTCOME_TRY(require_listening({&members, &operators}));
     node->start();
+    follow_settings<control_settings>(
+        io, settings.process.source, load_control_settings,
+        [&node](const control_settings& it) { node->reload(it); });
     io.wait_for_stop_signal();
     node->hand_over();
     wait_until([&] { return operators.value().requests_in_progress() == 0; });
--- a/version/include/lagoonquay/version/ini_file.hpp
+++ b/version/include/lagoonquay/version/ini_file.hpp
@@ -35,6 +35,9 @@
     //! Reads a file. @return the document, or bad_setting.
     static version_result<ini_file> load(const std::string& path);
 
+    //! @return what names the document: the path of a file.
+    const std::string& name() const noexcept;
+
     bool has(std::string_view section, std::string_view key) const;
     std::string text(std::string_view section, std::string_view key);
     std::string text_or(std::string_view section, std::string_view key,
--- a/version/src/ini_file.cpp
+++ b/version/src/ini_file.cpp
@@ -94,6 +94,11 @@
     return parse(text.str(), std::string(path));
 }
 
+const std::string& ini_file::name() const noexcept
+{
+    return name_;
+}
+
 bool ini_file::has(std::string_view section, std::string_view key) const
 {
     const auto it = sections_.find(section);
