Ask a worker for a report when one is overdue

Ruled out: starts that were stopped (none), quarantine. Change: without a report for 60 ms a second order asks for one and does not wait; a start that a report shows counts as answered.

--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -22,6 +22,8 @@
     //! A worker that leaves orders unanswered for longer gets no starts, and
     //! its lease is not extended, so that its runs are known to end.
     duration silence = std::chrono::milliseconds(300);
+    //! Time without a report after which the worker is asked for one.
+    duration report_period = std::chrono::milliseconds(60);
     //! Least time between two questions that the worker answers at once.
     duration look_period = std::chrono::milliseconds(20);
     duration stop_retry = std::chrono::milliseconds(150);
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -176,7 +176,8 @@
     if (reply.order.result == order_result::fenced)
         raise_fence(reply.order, now);
     if (reply.order.result != order_result::accepted)
-        return;
+        return look_if_needed(now);
+    reported_ = now;
     told_ = std::max(told_, sent.order.seen);
     note_ends(reply.ended);
     note_running(reply.running, sent.number, now);
@@ -332,6 +333,8 @@
         const bool is_there = there.contains(id);
         if (settled && !is_there)
             missing.push_back(id);
+        if (it.at == phase::starting && is_there)
+            it.at = phase::running;
         if (it.at != phase::doubtful)
             continue;
         it.at = is_there ? phase::running : phase::stopping;
@@ -377,10 +380,13 @@
     extending_ = orders_;
 }
 
-// A question that the worker answers at once, beside the one that waits.
+// A question that the worker answers at once, beside the one that waits and
+// whose answer may be lost.
 void run_table::look_if_needed(instant now)
 {
-    if (!worker_ || looking_ || !unsettled() ||
+    const bool overdue =
+        !runs_.empty() && now - reported_ > options_.report_period;
+    if (!worker_ || looking_ || !(unsettled() || overdue) ||
         now - looked_ < options_.look_period)
         return;
     lease_order order;
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -114,6 +114,7 @@
     std::optional<std::uint64_t> looking_;
     instant extended_{};   //!< when the last extension was sent
     instant looked_{};     //!< when the last question was sent
+    instant reported_{};   //!< when the worker last told what runs
     instant lease_over_{}; //!< by then everything there has ended
     bool ready_ = false;
     run_table_output output_;
