Place tasks by what agents tell of their free resources

Cause: an entry reckoned with its own tasks only, and 64 slots hid that a worker was full; tasks waited at agents in order of arrival while others had room. Change: grants and results tell the needs of all that runs or waits at the agent; entries place by free processors and keep the rest in their queue.

--- a/connection/include/lagoonquay/connection/agent_slots.hpp
+++ b/connection/include/lagoonquay/connection/agent_slots.hpp
@@ -92,6 +92,8 @@
     std::uint32_t running() const noexcept;
     //! @return tasks that run or wait.
     std::uint32_t busy() const noexcept;
+    //! @return the needs of all tasks that run or wait.
+    resources demand() const noexcept;
     std::uint32_t slots() const noexcept;
 
 private:
--- a/connection/src/agent_slots.cpp
+++ b/connection/src/agent_slots.cpp
@@ -172,6 +172,14 @@
     return running_ + static_cast<std::uint32_t>(waiting_.size());
 }
 
+resources agent_slots::demand() const noexcept
+{
+    auto sum = used_;
+    for (const auto& it : waiting_)
+        sum = add(sum, it.message.work->need);
+    return sum;
+}
+
 std::uint32_t agent_slots::slots() const noexcept
 {
     return slots_;
--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -176,7 +176,13 @@
     grant_message grant_for(const link_grant& totals) const;
     std::optional<endpoint> permitted_upstream() const;
     bool draining() const;
-    std::uint32_t busy() const;
+    //! What tasks that run or wait here take.
+    struct task_load
+    {
+        std::uint32_t tasks = 0;
+        resources needs;
+    };
+    task_load load() const;
     bool accepting(const standing& it) const;
     std::size_t unsent() const;
     guard_shard& shard_of(const submission_id& submission);
--- a/process/agent/src/agent_node.cpp
+++ b/process/agent/src/agent_node.cpp
@@ -20,7 +20,7 @@
 
 constexpr std::string_view part = "main";
 constexpr duration heartbeat_period = std::chrono::milliseconds(500);
-constexpr duration grant_period = std::chrono::milliseconds(200);
+constexpr duration grant_period = std::chrono::milliseconds(100);
 
 //! Counts how long the calls of the upstream take.
 upstream_hook timed(upstream_hook call, latency_statistics& calls)
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -288,8 +288,10 @@
 
 grant_message agent_service::grant_for(const link_grant& totals) const
 {
+    const auto here = load();
     const std::lock_guard lock(standing_mutex_);
     grant_message grant;
+    grant.used = here.needs;
     grant.agent = options_.id;
     grant.agent_run = options_.run;
     grant.agent_time = hooks_.now();
@@ -318,10 +320,10 @@
     return standing_.draining;
 }
 
-std::uint32_t agent_service::busy() const
+agent_service::task_load agent_service::load() const
 {
     const std::lock_guard lock(grants_mutex_);
-    return slots_.busy();
+    return {slots_.busy(), slots_.demand()};
 }
 
 bool agent_service::accepting(const standing& it) const
--- a/process/agent/src/agent_starts.cpp
+++ b/process/agent/src/agent_starts.cpp
@@ -183,11 +183,11 @@
     }
     const auto credits = free_slot(link, it.work->need);
     const auto ran_for = hooks_.now() - started;
-    const auto tasks_here = busy();
+    const auto here = load();
     for (const auto& watcher : watchers)
         send(watcher, result_message{it.submission, it.key, result,
-                                     watcher == link ? credits : 0, tasks_here,
-                                     ran_for});
+                                     watcher == link ? credits : 0, here.tasks,
+                                     ran_for, here.needs});
     ++finished_;
     start_waiting();
     send_changed_grants();
@@ -232,8 +232,14 @@
                               .ran = never ? effect::not_run : effect::unknown,
                               .body = {},
                               .detail = detail});
-    send(link, result_message{
-                   it.submission, it.key, result, credits_total, busy(), {}});
+    const auto here = load();
+    send(link, result_message{it.submission,
+                              it.key,
+                              result,
+                              credits_total,
+                              here.tasks,
+                              {},
+                              here.needs});
 }
 
 } // namespace lagoonquay
--- a/process/entry/include/lagoonquay/process/agent_table.hpp
+++ b/process/entry/include/lagoonquay/process/agent_table.hpp
@@ -125,6 +125,7 @@
         std::map<open_key, open_dispatch> open;
         std::uint32_t outstanding = 0; //!< includes credits just taken
         std::uint32_t others = 0; //!< tasks of other entries, as last heard
+        resources others_need;    //!< of these
     };
 
     void clear(entry& it);
--- a/process/entry/src/agent_table.cpp
+++ b/process/entry/src/agent_table.cpp
@@ -130,6 +130,7 @@
             auto& it = values[agent];
             change_credits(it, [&] { it.credits.update(grant.credits_total); });
             it.last = grant;
+            it.others_need = subtract(grant.used, it.reserved);
             it.heard = now;
             it.health.set_accepting(grant.accepting, now);
             if (!grant.draining || it.credits.available() == 0)
@@ -161,7 +162,8 @@
                                  std::min(credits, most - it.outstanding),
                                  it.outstanding, it.others, it.last->slots,
                                  it.last->capacity,
-                                 subtract(it.last->capacity, it.reserved)});
+                                 subtract(it.last->capacity,
+                                          add(it.reserved, it.others_need))});
             }
         });
     return found;
@@ -303,6 +305,7 @@
                 --it->outstanding;
             const auto own = it->outstanding;
             it->others = result.busy > own ? result.busy - own : 0;
+            it->others_need = subtract(result.used, it->reserved);
             return ended;
         });
 }
@@ -374,6 +377,7 @@
     it.open.clear();
     it.outstanding = 0;
     it.others = 0;
+    it.others_need = {};
 }
 
 agent_health_options agent_table::health_options() const
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -32,6 +32,7 @@
     std::uint64_t credits_total = 0; //!< credits granted since the link opened
     std::uint32_t slots = 0;         //!< slots of the worker
     resources capacity;
+    resources used; //!< by tasks that run or wait at the agent
     bool accepting = false; //!< false without permit or upstream
     bool draining = false;  //!< asks for every unused credit
 
@@ -73,6 +74,7 @@
     std::uint64_t credits_total = 0;
     std::uint32_t busy = 0; //!< tasks that run or wait at the agent
     duration ran_for{};     //!< at the upstream; zero if it was not called
+    resources used = {};    //!< by the tasks that `busy` counts
 
     friend bool operator==(const result_message&,
                            const result_message&) = default;
--- a/request/include/lagoonquay/request/routing.hpp
+++ b/request/include/lagoonquay/request/routing.hpp
@@ -33,7 +33,9 @@
     std::uint32_t others = 0; //!< tasks of other entries there, as last heard
     std::uint32_t slots = 0;
     resources capacity;
-    resources free; //!< capacity less the needs of this entry's tasks there
+    //! Capacity less the needs of this entry's tasks there, and of the others'
+    //! as last heard.
+    resources free;
 
     friend bool operator==(const route_candidate&,
                            const route_candidate&) = default;
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -71,6 +71,7 @@
             {"credits_total", it.credits_total},
             {"slots", it.slots},
             {"capacity", resources_to_json(it.capacity)},
+            {"used", resources_to_json(it.used)},
             {"accepting", it.accepting},
             {"draining", it.draining}};
 }
@@ -98,6 +99,7 @@
                         {"result", result_to_json(it.result)},
                         {"credits_total", it.credits_total},
                         {"busy", it.busy},
+                        {"used", resources_to_json(it.used)},
                         {"ran_for_us", it.ran_for.count()}};
     put_key(object, it.submission, it.key);
     return object;
@@ -161,6 +163,7 @@
     it.slots =
         static_cast<std::uint32_t>(fields.number("slots", 0, count_limit));
     it.capacity = resources_from_json(fields, "capacity");
+    it.used = resources_from_json(fields, "used");
     it.accepting = fields.flag_or("accepting", false);
     it.draining = fields.flag_or("draining", false);
     return it;
@@ -196,6 +199,7 @@
     it.key = get_key(fields, limits);
     it.credits_total = fields.number("credits_total", 0, json_exact_limit);
     it.busy = static_cast<std::uint32_t>(fields.number("busy", 0, count_limit));
+    it.used = resources_from_json(fields, "used");
     it.ran_for = duration(fields.number("ran_for_us", 0, json_exact_limit));
     const auto* result = fields.member("result");
     if (result == nullptr)
--- a/request/src/routing.cpp
+++ b/request/src/routing.cpp
@@ -111,8 +111,13 @@
     return left.tasks * right.slots < right.tasks * left.slots;
 }
 
+// Where processors are known they measure the load; else tasks and slots do.
 known_load load_of(const route_candidate& it) noexcept
 {
+    if (it.capacity.processors_milli > 0)
+        return {std::uint64_t{it.capacity.processors_milli} -
+                    it.free.processors_milli,
+                it.capacity.processors_milli};
     return {std::uint64_t{it.outstanding} + it.others, it.slots};
 }
 
@@ -120,8 +125,8 @@
 // An agent that has none of this entry's tasks sends no news, so it is tried.
 bool is_full(const route_candidate& it) noexcept
 {
-    const auto load = load_of(it);
-    return it.outstanding > 0 && load.tasks >= load.slots;
+    const auto tasks = std::uint64_t{it.outstanding} + it.others;
+    return it.outstanding > 0 && tasks >= it.slots;
 }
 
 known_load domain_load_of(const domain_id& domain,
@@ -132,8 +137,9 @@
     {
         if (it.domain != domain)
             continue;
-        sum.tasks += it.outstanding + it.others;
-        sum.slots += it.slots;
+        const auto load = load_of(it);
+        sum.tasks += load.tasks;
+        sum.slots += load.slots;
     }
     return sum;
 }
