Let a young ledger replica ask its peers for their claims

Ruled out: permits (control led again within 2 s). Change: claims that live entries hold are asked for; runs of dead ones end by themselves within 1.5 s (agents stop what runs for nobody). The replica votes once every peer has answered, and after 5 s in any case.

--- a/connection/include/lagoonquay/connection/error.hpp
+++ b/connection/include/lagoonquay/connection/error.hpp
@@ -11,6 +11,7 @@
 {
     bad_address, //!< not an IP number and port
     unreachable, //!< could not connect; nothing was sent
+    refused,     //!< nothing listens there; nothing was sent
     timeout,     //!< no whole answer in time; the peer may have acted
     broken,      //!< the connection ended early; the peer may have acted
     too_large,   //!< the answer is over the limit; the peer has acted
@@ -23,7 +24,8 @@
 constexpr bool nothing_sent(connection_errc code) noexcept
 {
     return code == connection_errc::bad_address ||
-           code == connection_errc::unreachable;
+           code == connection_errc::unreachable ||
+           code == connection_errc::refused;
 }
 
 } // namespace lagoonquay
--- a/connection/src/http_client.cpp
+++ b/connection/src/http_client.cpp
@@ -130,6 +130,8 @@
             tcp::endpoint(ip, target_.port),
             [self = this->shared_from_this()](error_code code)
             {
+                if (code == net::error::connection_refused)
+                    return self->fail_with(connection_errc::refused, code);
                 if (code)
                     return self->fail_with(connection_errc::unreachable, code);
                 error_code ignored;
--- a/process/entry/include/lagoonquay/process/entry_http.hpp
+++ b/process/entry/include/lagoonquay/process/entry_http.hpp
@@ -3,6 +3,7 @@
 
 #include "lagoonquay/connection/http_message.hpp"
 #include "lagoonquay/process/entry_service.hpp"
+#include "lagoonquay/process/ledger_recovery.hpp"
 #include "lagoonquay/request/job_codec.hpp"
 
 namespace lagoonquay
@@ -25,6 +26,11 @@
 http_handler entry_operator_routes(entry_service& service,
                                    const latency_statistics& answers);
 
+//! Asks another entry for the claims that it holds. The client must outlive
+//! the answer.
+void ask_held_claims(http_client& client, const endpoint& peer,
+                     const held_claims_hook& done);
+
 //! @return a hook that hands jobs to other entries over HTTP.
 forward_hook forward_over_http(http_client& client);
 
--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -26,12 +26,16 @@
     //! @return where the others take claims.
     std::vector<endpoint> current();
 
+    //! @return whether control has named any entry, this one included.
+    bool known() const;
+
 private:
     const std::string own_;
     const duration keep_;
     const clock_hook now_;
 
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
+    bool known_ = false;
     std::map<endpoint, instant> named_;
 };
 
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -138,6 +138,9 @@
     //! @return whether new jobs are taken.
     bool ready() const;
 
+    //! @return the claims that this entry holds, with what is left of each.
+    std::vector<claim_request> held_claims();
+
     //! @return jobs without an answer yet.
     std::size_t unanswered();
 
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -242,6 +242,25 @@
         refuse(state, *answer);
 }
 
+std::vector<claim_request> entry_service::held_claims()
+{
+    const auto now = hooks_.now();
+    std::vector<claim_request> held;
+    for (const auto& state : open_jobs())
+    {
+        with_job(state,
+                 [&](const job_state& it)
+                 {
+                     if (it.round == claim_round() || now >= it.claim_end)
+                         return;
+                     auto options = request_for(it);
+                     options.lease = it.claim_end - now;
+                     held.emplace_back(std::move(options));
+                 });
+    }
+    return held;
+}
+
 void entry_service::renew(const job_pointer& state)
 {
     std::optional<claim_request> request;
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::string_view jobs_path = "/v1/jobs";
 constexpr std::uint32_t retry_after_s = 1;
+constexpr duration held_claims_timeout = std::chrono::milliseconds(500);
 
 http_response not_found()
 {
@@ -257,8 +258,13 @@
     {
         respond(claim_response(ledger, request.body));
     };
+    const auto held = [&service]() -> http_response
+    {
+        return {.body = encode_held_claims(service.held_claims())};
+    };
     return route_requests(
         {{http_method::post, "/v1/ledger/claim", claim},
+         {http_method::get, "/v1/ledger/held", answer_with(held)},
          {http_method::post, std::string(jobs_path),
           submit_route(service, limits, decode_job, nullptr)}});
 }
@@ -275,6 +281,27 @@
                          }}));
 }
 
+void ask_held_claims(http_client& client, const endpoint& peer,
+                     const held_claims_hook& done)
+{
+    http_request request;
+    request.path = "/v1/ledger/held";
+    client.send(peer, request, held_claims_timeout,
+                [done](const connection_result<http_response>& answer)
+                {
+                    if (!answer &&
+                        answer.error().code == connection_errc::refused)
+                        return done(held_claims{.gone = true, .claims = {}});
+                    if (!answer || answer.value().status != http_status::ok)
+                        return done(std::nullopt);
+                    auto claims = decode_held_claims(answer.value().body);
+                    if (!claims)
+                        return done(std::nullopt);
+                    done(held_claims{.gone = false,
+                                     .claims = std::move(claims).value()});
+                });
+}
+
 forward_hook forward_over_http(http_client& client)
 {
     return [&client](const std::string& address, const job& work,
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -97,10 +97,35 @@
           ledger(memory_options(given), steady_now, wall_now),
           peers(to_text(given.peers), 2 * given.claim_lease, steady_now),
           service(service_options(given, node, run), service_hooks()),
-          permits(client, {.replicas = given.process.control}, permit_hooks())
+          permits(client, {.replicas = given.process.control}, permit_hooks()),
+          recovery({}, recovery_hooks())
     {
     }
 
+    // The ledger of a settings file has peers that control does not name.
+    std::optional<std::vector<endpoint>> recovery_peers()
+    {
+        if (!options.follow_entries || !peers.known())
+            return std::nullopt;
+        return peers.current();
+    }
+
+    ledger_recovery_hooks recovery_hooks()
+    {
+        return {.now = steady_now,
+                .peers = [this] { return recovery_peers(); },
+                .ask = [this](const endpoint& peer, const held_claims_hook& done)
+                { ask_held_claims(client, peer, done); },
+                .remember = [this](const claim_request& it)
+                { ledger.remember(it); },
+                .done =
+                    [this]
+                {
+                    write_log(log_level::info, part, "Ledger is complete.");
+                    ledger.set_complete();
+                }};
+    }
+
     ledger_peers_hook peers_hook()
     {
         if (options.follow_entries)
@@ -168,6 +193,7 @@
     latency_statistics answers;
     entry_service service;
     permit_client permits;
+    ledger_recovery recovery;
     std::optional<http_server> peer_listener;
     std::optional<http_server> operator_listener;
 };
@@ -210,6 +236,7 @@
     it.io.every(heartbeat_period, [&it] { it.permits.tick(); });
     it.io.every(link_period, [&it] { it.link_agents(); });
     it.io.every(tick_period, [&it] { it.service.tick(); });
+    it.io.every(link_period, [&it] { it.recovery.tick(); });
     it.io.every(expiry_period, [&it] { it.ledger.expire(); });
     write_log(log_level::info, part, "Entry started.");
     return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -12,6 +12,7 @@
 {
     const auto now = now_();
     const std::lock_guard lock(mutex_);
+    known_ = known_ || !entries.empty();
     for (const auto& it : entries)
     {
         const auto address = parse_endpoint(it->address);
@@ -21,6 +22,12 @@
     }
 }
 
+bool entry_peers::known() const
+{
+    const std::lock_guard lock(mutex_);
+    return known_;
+}
+
 std::vector<endpoint> entry_peers::current()
 {
     const auto now = now_();
--- a/process/ledger/include/lagoonquay/process/ledger_codec.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_codec.hpp
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lagoonquay
 {
@@ -14,6 +15,12 @@
 //! @return the request, or malformed / out_of_range.
 request_result<claim_request> decode_claim_request(std::string_view text);
 
+//! Claims that an entry holds; the lease of each is what is left of it.
+std::string encode_held_claims(const std::vector<claim_request>& claims);
+//! @return the claims, or malformed / out_of_range.
+request_result<std::vector<claim_request>>
+decode_held_claims(std::string_view text);
+
 std::string encode_claim_vote(const claim_vote& vote);
 //! @return the vote, or malformed / out_of_range.
 request_result<claim_vote> decode_claim_vote(std::string_view text);
--- a/process/ledger/include/lagoonquay/process/ledger_replica.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_replica.hpp
@@ -5,6 +5,7 @@
 #include "lagoonquay/process/sharded_map.hpp"
 
 #include <array>
+#include <atomic>
 #include <memory>
 #include <mutex>
 
@@ -21,6 +22,10 @@
     //! Decides on a claim. One without a submission only asks whether this
     //! replica votes on submissions created now: granted or fenced.
     claim_vote claim(const claim_request& asked);
+    //! Records a claim that its holder has told.
+    void remember(const claim_request& held);
+    //! Every live claim is remembered now.
+    void set_complete();
     void expire();
     std::size_t size();
 
@@ -36,7 +41,10 @@
         ledger_shard shard;
     };
 
-    ledger_options options_;
+    guarded_shard& shard_of(const submission_id& submission);
+
+    const ledger_options options_;
+    std::atomic<bool> complete_{false};
     clock_hook now_;
     wall_clock_hook wall_;
     std::array<std::unique_ptr<guarded_shard>, shard_count> shards_;
--- a/process/ledger/include/lagoonquay/process/ledger_shard.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_shard.hpp
@@ -89,6 +89,8 @@
     //! Longest time from the first submission of a job without a creation time
     //! to a resubmission of it.
     duration undated_horizon = std::chrono::seconds(5);
+    //! Every live claim is remembered, although the process is young.
+    bool complete = false;
 
     friend bool operator==(const ledger_options&,
                            const ledger_options&) = default;
@@ -110,6 +112,13 @@
     //! Decides on a claim and records it.
     claim_vote claim(const claim_request& asked, instant now, wall_time wall);
 
+    //! Records a claim that its holder has told, unless it is known.
+    void remember(const claim_request& held, instant now);
+
+    //! Votes on submissions without a creation time from now on: every live
+    //! claim is remembered.
+    void set_complete() noexcept;
+
     //! Drops records past the retention.
     void expire(instant now);
 
@@ -142,6 +151,8 @@
     static claim_vote adopt(record& held, const claim_request& asked,
                             instant now);
 
+    void record_claim(const claim_request& asked, instant now);
+
     ledger_options options_;
     std::unordered_map<submission_id, record> records_;
 };
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -59,11 +59,9 @@
     return claim_verdict::fenced;
 }
 
-} // namespace
-
-std::string encode_claim_request(const claim_request& asked)
+json::object claim_to_json(const claim_request& asked)
 {
-    const json::object object{
+    return {
         {"submission", asked->submission.text()},
         {"digest", std::to_string(asked->digest.number())},
         {"created_ms", asked->created.time_since_epoch().count()},
@@ -77,13 +75,10 @@
         {"release", asked->release},
         {"lease_us", asked->lease.count()},
         {"reach", reach_to_json(asked->reach)}};
-    return json::serialize(object);
 }
 
-request_result<claim_request> decode_claim_request(std::string_view text)
+claim_request claim_from_json(json_fields& fields)
 {
-    BOOST_OUTCOME_TRY(const auto document, parse_json(text));
-    json_fields fields(document, "");
     claim_request_options options;
     options.submission = submission_id(fields.text("submission", id_bytes));
     options.digest = content_digest(fields.wide_number("digest"));
@@ -99,9 +94,52 @@
     options.release = fields.flag_or("release", false);
     options.lease = get_duration(fields, "lease_us");
     options.reach = reach_from_json(fields);
+    return claim_request(std::move(options));
+}
+
+} // namespace
+
+std::string encode_claim_request(const claim_request& asked)
+{
+    return json::serialize(claim_to_json(asked));
+}
+
+request_result<claim_request> decode_claim_request(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse_json(text));
+    json_fields fields(document, "");
+    auto asked = claim_from_json(fields);
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
-    return claim_request(std::move(options));
+    return asked;
+}
+
+std::string encode_held_claims(const std::vector<claim_request>& claims)
+{
+    json::array array;
+    for (const auto& it : claims)
+        array.push_back(claim_to_json(it));
+    return json::serialize(json::object{{"claims", std::move(array)}});
+}
+
+request_result<std::vector<claim_request>>
+decode_held_claims(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto document, parse_json(text));
+    json_fields fields(document, "");
+    std::vector<claim_request> claims;
+    if (const auto* source = fields.array("claims"))
+    {
+        for (const auto& it : *source)
+        {
+            json_fields claim(it, "claims");
+            claims.push_back(claim_from_json(claim));
+            fields.absorb(claim);
+        }
+    }
+    if (fields.failed())
+        return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
+    return claims;
 }
 
 std::string encode_claim_vote(const claim_vote& vote)
--- a/process/ledger/src/ledger_replica.cpp
+++ b/process/ledger/src/ledger_replica.cpp
@@ -17,16 +17,38 @@
     {
         const bool past = asked->dated
                               ? past_fence(options_, wall_())
-                              : past_undated_fence(options_, now_());
+                              : complete_ || past_undated_fence(options_, now_());
         return claim_vote(
             {.verdict = past ? claim_verdict::granted : claim_verdict::fenced});
     }
-    const auto hash = std::hash<submission_id>()(asked->submission);
-    auto& target = *shards_[hash % shard_count];
+    auto& target = shard_of(asked->submission);
     const std::lock_guard lock(target.mutex);
     return target.shard.claim(asked, now_(), wall_());
 }
 
+ledger_replica::guarded_shard&
+ledger_replica::shard_of(const submission_id& submission)
+{
+    return *shards_[std::hash<submission_id>()(submission) % shard_count];
+}
+
+void ledger_replica::remember(const claim_request& held)
+{
+    auto& target = shard_of(held->submission);
+    const std::lock_guard lock(target.mutex);
+    target.shard.remember(held, now_());
+}
+
+void ledger_replica::set_complete()
+{
+    for (auto& it : shards_)
+    {
+        const std::lock_guard lock(it->mutex);
+        it->shard.set_complete();
+    }
+    complete_ = true;
+}
+
 void ledger_replica::expire()
 {
     for (auto& it : shards_)
--- a/process/ledger/src/ledger_shard.cpp
+++ b/process/ledger/src/ledger_shard.cpp
@@ -42,7 +42,7 @@
 
 bool past_undated_fence(const ledger_options& options, instant now) noexcept
 {
-    return now - options.began > options.undated_horizon;
+    return options.complete || now - options.began > options.undated_horizon;
 }
 
 ledger_shard::ledger_shard(ledger_options options) noexcept : options_(options)
@@ -103,6 +103,13 @@
         return claim_vote({.verdict = claim_verdict::fenced});
     if (asked->release)
         return claim_vote({.verdict = claim_verdict::granted});
+    record_claim(asked, now);
+    return claim_vote({.verdict = claim_verdict::granted,
+                       .round = records_.at(asked->submission).round});
+}
+
+void ledger_shard::record_claim(const claim_request& asked, instant now)
+{
     record fresh;
     fresh.digest = asked->digest;
     fresh.holder = asked->holder;
@@ -114,9 +121,18 @@
     fresh.first_claim = now;
     fresh.lease_end = now + asked->lease;
     fresh.reach = asked->reach;
-    const auto round = fresh.round;
     records_.emplace(asked->submission, std::move(fresh));
-    return claim_vote({.verdict = claim_verdict::granted, .round = round});
+}
+
+void ledger_shard::remember(const claim_request& held, instant now)
+{
+    if (!records_.contains(held->submission))
+        record_claim(held, now);
+}
+
+void ledger_shard::set_complete() noexcept
+{
+    options_.complete = true;
 }
 
 // A holder that asks anew has forgotten what it did under its claim: it adopts
