Let an entry that stops take jobs while callers learn of it

Cause: after SIGTERM an entry refused at once, while callers' open connections and the balancer's two misses went on to reach it for some 2 s.

--- a/connection/include/lagoonquay/connection/http_server.hpp
+++ b/connection/include/lagoonquay/connection/http_server.hpp
@@ -63,6 +63,9 @@
     //! open connections go on.
     void stop_accepting();
 
+    //! From now on each connection is closed after its next response.
+    void close_after_responses() noexcept;
+
     //! @return open connections, links included.
     std::size_t open_connections() const noexcept;
 
--- a/connection/src/http_server.cpp
+++ b/connection/src/http_server.cpp
@@ -27,6 +27,7 @@
     const std::shared_ptr<std::atomic<std::size_t>> open =
         std::make_shared<std::atomic<std::size_t>>(0);
     std::atomic<std::size_t> in_progress{0};
+    std::atomic<bool> closing{false};
 };
 
 namespace
@@ -247,6 +248,7 @@
                           std::to_string(*answer.retry_after_s));
         if (!answer.allow.empty())
             response_.set(http::field::allow, answer.allow);
+        keep_alive_ = keep_alive_ && !server_->closing;
         response_.keep_alive(keep_alive_);
         response_.body() = std::move(answer.body);
         response_.prepare_payload();
@@ -397,6 +399,11 @@
               });
 }
 
+void http_server::close_after_responses() noexcept
+{
+    state_->closing = true;
+}
+
 std::size_t http_server::open_connections() const noexcept
 {
     return *state_->open;
--- a/process/common/include/lagoonquay/process/process_settings.hpp
+++ b/process/common/include/lagoonquay/process/process_settings.hpp
@@ -51,6 +51,8 @@
 {
     process_settings process;
     endpoint callers;                   //!< listener for callers
+    //! How long jobs are taken after a stop signal.
+    duration drain_notice{};
     endpoint peers;                     //!< listener for other entries
     std::vector<endpoint> ledger_peers; //!< the other ledger replicas
     job_limits jobs;
--- a/process/entry/include/lagoonquay/process/entry_node.hpp
+++ b/process/entry/include/lagoonquay/process/entry_node.hpp
@@ -48,9 +48,10 @@
     //! to ask first.
     void reload(const entry_settings& settings);
 
-    //! Takes no new job; blocks until every accepted one is answered and every
+    //! Takes jobs for the notice of the settings, in which the balancer learns
+    //! that this entry leaves, and none after it; blocks until every accepted one is answered and every
     //! response of `callers` is written.
-    void drain(const http_server& callers);
+    void drain(http_server& callers);
 
 private:
     struct parts;
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -132,10 +132,13 @@
     //! Handles deadlines, renewals and retention. Call a few times a second.
     void tick();
 
+    //! Is no longer ready, so that callers go elsewhere; goes on to take jobs.
+    void leave();
+
     //! Takes no new job; accepted ones go on.
     void drain();
 
-    //! @return whether new jobs are taken.
+    //! @return whether callers should send jobs here.
     bool ready() const;
 
     //! @return the claims that this entry holds, with what is left of each.
@@ -157,6 +160,7 @@
     using linked_runs = std::map<agent_id, incarnation>;
 
     // entry_service.cpp: acceptance and links
+    bool takes_jobs() const;
     std::optional<job_answer> refuse_early(const job& submitted) const;
     bool join(const job& submitted, content_digest digest, answer_hook& done);
     job_pointer add(const job& submitted, content_digest digest,
@@ -244,6 +248,7 @@
     std::atomic<bool> ledger_ready_{false};
     std::atomic<std::uint64_t> asks_{0};
 
+    std::atomic<bool> leaving_{false};
     std::atomic<bool> draining_{false};
     std::atomic<std::uint64_t> accepted_{0};
     std::atomic<std::uint64_t> joined_{0};
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -248,9 +248,14 @@
     parts_->permits.set_replicas(settings.process.control);
 }
 
-void entry_node::drain(const http_server& callers)
+void entry_node::drain(http_server& callers)
 {
     auto& it = *parts_;
+    write_log(log_level::info, part, "Stopping: no longer ready.");
+    it.service.leave();
+    callers.close_after_responses();
+    const auto notice_end = steady_now() + it.settings.drain_notice;
+    wait_until([&] { return steady_now() >= notice_end; });
     write_log(log_level::info, part, "Stopping: no new jobs.");
     it.service.drain();
     wait_until(
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -142,12 +142,22 @@
     dispatcher_.tick();
 }
 
+void entry_service::leave()
+{
+    leaving_ = true;
+}
+
 void entry_service::drain()
 {
     draining_ = true;
 }
 
 bool entry_service::ready() const
+{
+    return !leaving_ && takes_jobs();
+}
+
+bool entry_service::takes_jobs() const
 {
     if (draining_ || (options_.probe_ledger && !ledger_ready_))
         return false;
@@ -227,7 +237,7 @@
 entry_service::refuse_early(const job& submitted) const
 {
     const auto& id = submitted->submission;
-    if (!ready())
+    if (!takes_jobs())
         return refusal(id, failure_reason::no_permit, effect::unknown,
                        "this entry takes no jobs now");
     if (!submitted->dated)
