Offer no worker that leaves orders unanswered

Change: readiness of the leased runs includes the worker's silence, and each change is told at once.

--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -21,7 +21,7 @@
     duration clock_margin = std::chrono::milliseconds(100);
     //! A worker that leaves orders unanswered for longer gets no starts, and
     //! its lease is not extended, so that its runs are known to end.
-    duration silence = std::chrono::milliseconds(300);
+    duration silence = std::chrono::milliseconds(200);
     //! Time without a report after which the worker is asked for one.
     duration report_period = std::chrono::milliseconds(60);
     //! Least time between two questions that the worker answers at once.
@@ -36,8 +36,8 @@
 {
     clock_hook now;
     worker_hooks worker;
-    //! The worker runs nothing that this object does not know of.
-    std::function<void()> on_ready;
+    //! ready() has changed.
+    std::function<void()> on_readiness;
 };
 
 //! Keeps the lease of a worker's runs, notes how they end, and makes a start
@@ -55,7 +55,7 @@
     //! @param clock  the worker's clock as it was just heard.
     void set_worker(const worker_address& worker, worker_time clock);
 
-    //! @return whether the worker runs nothing unknown and answers orders.
+    //! @return whether the worker answers orders and runs nothing unknown.
     bool ready() const;
 
     //! Starts a run. `done` gets its result once the run is known to be over
--- a/process/agent/src/leased_runs.cpp
+++ b/process/agent/src/leased_runs.cpp
@@ -34,7 +34,7 @@
         {
             const std::lock_guard lock(mutex);
             use(hooks.now());
-            output = table.take_output();
+            output = table.take_output(hooks.now());
         }
         send(output);
     }
@@ -61,8 +61,8 @@
                                 { self->on_extended(life, it, reply); });
         for (const auto& it : output.results)
             it.done(it.result);
-        if (output.became_ready && hooks.on_ready)
-            hooks.on_ready();
+        if (output.readiness_changed && hooks.on_readiness)
+            hooks.on_readiness();
     }
 
     void on_start(worker_life life, const start_order& order,
@@ -109,7 +109,7 @@
 bool leased_runs::ready() const
 {
     const std::lock_guard lock(state_->mutex);
-    return state_->table.ready();
+    return state_->table.ready(state_->hooks.now());
 }
 
 void leased_runs::start(const upstream_call& call, upstream_callback done)
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -182,14 +182,14 @@
     note_ends(reply.ended);
     note_running(reply.running, sent.number, now);
     stop_unknown(reply.running, now);
-    const bool was_ready = ready_;
     ready_ = ready_ || foreign_.empty();
-    output_.became_ready = output_.became_ready || (ready_ && !was_ready);
     extend_if_needed(now);
 }
 
-run_table_output run_table::take_output()
+run_table_output run_table::take_output(instant now)
 {
+    output_.readiness_changed = told_ready_ != ready(now);
+    told_ready_ = ready(now);
     run_table_output taken = std::move(output_);
     output_ = {};
     if (worker_)
@@ -197,9 +197,9 @@
     return taken;
 }
 
-bool run_table::ready() const noexcept
+bool run_table::ready(instant now) const
 {
-    return ready_;
+    return ready_ && !silent(now);
 }
 
 std::size_t run_table::size() const noexcept
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -33,7 +33,7 @@
     std::vector<stop_order> stops;
     std::vector<numbered_extension> extensions;
     std::vector<run_result> results;
-    bool became_ready = false;
+    bool readiness_changed = false;
 };
 
 class run_table
@@ -55,8 +55,8 @@
     void on_extended(worker_life life, const numbered_extension& sent,
                      const lease_reply& reply, instant now);
 
-    run_table_output take_output();
-    bool ready() const noexcept;
+    run_table_output take_output(instant now);
+    bool ready(instant now) const;
     std::size_t size() const noexcept;
 
 private:
@@ -117,6 +117,7 @@
     instant reported_{};   //!< when the worker last told what runs
     instant lease_over_{}; //!< by then everything there has ended
     bool ready_ = false;
+    bool told_ready_ = false; //!< as the owner has heard
     run_table_output output_;
 };
 
