Refuse at once what would wait longer than its aim allows

Ruled out: room left idle (workers were full). Change: a job carries its aim (a multiple of its longest run and a fixed time). Tasks are due by it, and a new job is refused as not run once the most urgent task of its queue has waited 0.6 of the new one's slack.

--- a/process/entry/include/lagoonquay/process/dispatcher.hpp
+++ b/process/entry/include/lagoonquay/process/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "lagoonquay/process/retry_budget.hpp"
 #include "lagoonquay/process/run_times.hpp"
 #include "lagoonquay/process/task_queue.hpp"
+#include "lagoonquay/request/job.hpp"
 #include "lagoonquay/request/dispatch.hpp"
 #include "lagoonquay/request/routing.hpp"
 
@@ -41,7 +42,8 @@
     std::size_t lookahead = 64;
     //! A task that was passed over for this long gets an agent kept free.
     duration hold_after = std::chrono::milliseconds(250);
-    //! A job is due after this many times its expected run time alone.
+    //! A job without an aim is due after this many times its expected run time
+    //! alone.
     std::uint32_t stretch = 4;
     retry_options retries;
     run_times_options runs;
@@ -59,6 +61,7 @@
     resources need;
     duration declared_run{};
     instant deadline{};
+    job_aim aim;
 
     friend bool operator==(const task_to_queue&,
                            const task_to_queue&) = default;
@@ -128,7 +131,8 @@
     };
 
     queued_task to_queued(const task_to_queue& it, instant now);
-    void set_start_by(std::vector<queued_task>& job_tasks, instant now);
+    void set_start_by(std::vector<queued_task>& job_tasks, const job_aim& aim,
+                      instant now);
     bool run_pass();
     step dispatch_one(const queued_task& next, pass& state);
     std::optional<std::size_t> choose(const queued_task& next,
--- a/process/entry/include/lagoonquay/process/task_queue.hpp
+++ b/process/entry/include/lagoonquay/process/task_queue.hpp
@@ -46,6 +46,8 @@
     std::size_t all_tasks = 0;
     duration all_work{};
     double customer_share = 1; //!< among the customers that wait, 0 to 1
+    //! When the customer's most urgent task was queued, if one waits.
+    std::optional<instant> urgent_since;
 
     friend bool operator==(const queue_load&, const queue_load&) = default;
 };
--- a/process/entry/src/dispatcher.cpp
+++ b/process/entry/src/dispatcher.cpp
@@ -21,6 +21,11 @@
            result->reason == failure_reason::upstream_unreachable;
 }
 
+job_aim aim_of(const std::vector<task_to_queue>& job_tasks)
+{
+    return job_tasks.empty() ? job_aim() : job_tasks.front().aim;
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatcher_hooks hooks, dispatcher_options options)
@@ -36,7 +41,7 @@
     tasks.reserve(job_tasks.size());
     for (const auto& it : job_tasks)
         tasks.push_back(to_queued(it, now));
-    set_start_by(tasks, now);
+    set_start_by(tasks, aim_of(job_tasks), now);
     for (auto& it : tasks)
         queue_.push(std::move(it));
 }
@@ -47,7 +52,7 @@
     const auto delay = retries_.spend(it.customer, moves);
     const auto now = hooks_.now();
     std::vector<queued_task> queued{to_queued(it, now)};
-    set_start_by(queued, now);
+    set_start_by(queued, it.aim, now);
     queued.front().asked.avoid = declined;
     if (delay == duration::zero())
         return queue_.push(std::move(queued.front()));
@@ -145,7 +150,8 @@
 // A short job is due soon after its arrival and a long one later, so that both
 // wait in proportion to their run time; never later than the deadline. Within a
 // job the longest task must start first.
-void dispatcher::set_start_by(std::vector<queued_task>& job_tasks, instant now)
+void dispatcher::set_start_by(std::vector<queued_task>& job_tasks,
+                              const job_aim& aim, instant now)
 {
     duration longest{};
     duration work{};
@@ -156,9 +162,12 @@
     }
     const auto slots = std::max(agents_.usable_slots(), 1U);
     const auto alone = std::max(longest, work / slots);
+    const auto span = aim.stretch > 0
+                          ? scale(longest, aim.stretch) + aim.target
+                          : options_.stretch * alone;
     for (auto& it : job_tasks)
     {
-        const auto due = std::min(it.start_by, now + options_.stretch * alone);
+        const auto due = std::min(it.start_by, now + span);
         it.start_by = due - it.expected_run;
     }
 }
--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -34,7 +34,8 @@
             .kind = work->kind,
             .need = work->need,
             .declared_run = work->declared_run,
-            .deadline = deadline};
+            .deadline = deadline,
+            .aim = submitted->aim};
 }
 
 task_result cancelled_result(task_index index)
--- a/process/entry/src/job_admission.cpp
+++ b/process/entry/src/job_admission.cpp
@@ -58,12 +58,15 @@
     admission_request asked;
     asked.tasks = submitted->tasks.size();
     asked.time_limit = submitted->time_limit;
+    const auto& aim = submitted->aim;
     for (const auto& it : submitted->tasks)
     {
         const auto run = tasks_.runs().expect(it->kind, it->declared_run);
         asked.work += run;
         asked.longest = std::max(asked.longest, run);
     }
+    if (aim.stretch > 1)
+        asked.slack = aim.target + scale(asked.longest, aim.stretch - 1);
     return asked;
 }
 
@@ -81,7 +84,9 @@
             .customer_share = queue.customer_share,
             .slots = knows_fleet() ? tasks_.agents().usable_slots() : 0,
             .most_customer_tasks = limits_of(*settings, customer).queued_tasks,
-            .most_tasks = (*settings)->queued_tasks};
+            .most_tasks = (*settings)->queued_tasks,
+            .waited = queue.urgent_since ? now_() - *queue.urgent_since
+                                         : duration::zero()};
 }
 
 // Right after its start an entry has heard of few workers or none.
--- a/process/entry/src/task_queue.cpp
+++ b/process/entry/src/task_queue.cpp
@@ -88,6 +88,7 @@
         own = it->second.weight;
         load.customer_tasks = it->second.tasks.size();
         load.customer_work = it->second.work;
+        load.urgent_since = it->second.tasks.begin()->since;
     }
     else
     {
--- a/request/include/lagoonquay/request/admission.hpp
+++ b/request/include/lagoonquay/request/admission.hpp
@@ -22,6 +22,7 @@
     std::uint32_t slots = 0;   //!< usable by this entry; zero if not known
     std::uint32_t most_customer_tasks = 0;
     std::uint32_t most_tasks = 0;
+    duration waited{}; //!< so far, by the customer's most urgent task
 
     friend bool operator==(const admission_load&,
                            const admission_load&) = default;
@@ -34,6 +35,9 @@
     duration work{};       //!< sum of expected run times
     duration longest{};    //!< expected run time of the longest task
     duration time_limit{}; //!< from now to the deadline
+    //! How long its tasks may wait for the job to end when it is due; zero for
+    //! a job without an aim.
+    duration slack{};
 
     friend bool operator==(const admission_request&,
                            const admission_request&) = default;
--- a/request/include/lagoonquay/request/job.hpp
+++ b/request/include/lagoonquay/request/job.hpp
@@ -26,6 +26,16 @@
 //! One task of a job.
 using task = immutable<task_options>;
 
+//! When a job is due: after a multiple of its longest task's run time and a
+//! fixed time more.
+struct job_aim
+{
+    double stretch = 0; //!< zero for a job without an aim
+    duration target{};
+
+    friend bool operator==(const job_aim&, const job_aim&) = default;
+};
+
 struct job_options
 {
     submission_id submission;
@@ -36,6 +46,7 @@
     bool dated = true;
     std::uint32_t attempts = 1; //!< runs of one task that may end as failed
     duration time_limit{};   //!< from acceptance to the deadline
+    job_aim aim;
     bool idempotent = false; //!< whether a task may run more than once
     std::vector<task> tasks;
 
--- a/request/include/lagoonquay/request/time.hpp
+++ b/request/include/lagoonquay/request/time.hpp
@@ -27,6 +27,13 @@
 //! Milliseconds since the Unix epoch; used for submission creation times only.
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
+//! @return a multiple of a span.
+inline duration scale(duration span, double factor) noexcept
+{
+    return duration(static_cast<duration::rep>(
+        static_cast<double>(span.count()) * factor));
+}
+
 //! Reads the monotonic clock. May be called from any thread.
 using clock_hook = std::function<instant()>;
 
--- a/request/src/admission.cpp
+++ b/request/src/admission.cpp
@@ -12,6 +12,9 @@
 // refused only if even this part of it is over the limit.
 constexpr double certain_part = 0.8;
 
+// A queue that grows makes a new task wait longer than its head has waited.
+constexpr double waited_part = 0.6;
+
 duration over(duration work, double slots) noexcept
 {
     const auto span = static_cast<double>(work.count()) / slots;
@@ -41,6 +44,11 @@
         return failure_reason::quota;
     if (load.all_tasks + asked.tasks > load.most_tasks)
         return failure_reason::overloaded;
+    const auto most_wait = static_cast<double>(asked.slack.count()) *
+                           waited_part;
+    if (asked.slack > duration::zero() &&
+        static_cast<double>(load.waited.count()) > most_wait)
+        return failure_reason::overloaded;
     const auto expected = expected_response(asked, load);
     const auto certain = static_cast<double>(expected.count()) * certain_part;
     if (certain > static_cast<double>(asked.time_limit.count()))
