Measure a worker's load by the fuller of its slots and processors

Cause: tasks that declare no need left the load of a worker at zero, so a wide job no longer spread (routing.slot_credits_spread_a_wide_job failed). Change: the larger of tasks per slot and used processors counts.

--- a/request/src/routing.cpp
+++ b/request/src/routing.cpp
@@ -1,5 +1,6 @@
 #include "lagoonquay/request/routing.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <memory>
@@ -111,14 +112,16 @@
     return left.tasks * right.slots < right.tasks * left.slots;
 }
 
-// Where processors are known they measure the load; else tasks and slots do.
+// Tasks fill a worker's slots and its processors: the fuller of both counts.
 known_load load_of(const route_candidate& it) noexcept
 {
-    if (it.capacity.processors_milli > 0)
-        return {std::uint64_t{it.capacity.processors_milli} -
-                    it.free.processors_milli,
-                it.capacity.processors_milli};
-    return {std::uint64_t{it.outstanding} + it.others, it.slots};
+    const known_load slots{std::uint64_t{it.outstanding} + it.others, it.slots};
+    const known_load processors{std::uint64_t{it.capacity.processors_milli} -
+                                    std::min(it.capacity.processors_milli,
+                                             it.free.processors_milli),
+                                it.capacity.processors_milli};
+    const bool known = it.capacity.processors_milli > 0;
+    return known && less_loaded(slots, processors) ? processors : slots;
 }
 
 // A task that would wait at the agent waits better in the entry's own order.
