--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -44,6 +44,7 @@
     extending_.reset();
     looking_.reset();
     foreign_.clear();
+    extended_ = now - options_.look_period;
     lease_over_ = now;
     unanswered_.reset();
     finish_all(failure_reason::upstream_unreachable, "the worker restarted");
--- /dev/null
+++ b/process/agent/tests/run_table_test.cpp
@@ -0,0 +1,278 @@
+// Runs of tasks under a worker's lease, order by order.
+#include "run_table.hpp"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+const worker_life life(1000);
+const instant began(std::chrono::seconds(10));
+
+//! A table with a worker that has answered, so that it is ready.
+class leased_run_table : public testing::Test
+{
+protected:
+    leased_run_table() : table({})
+    {
+        EXPECT_TRUE(table.set_worker(worker(life), worker_time(5000), now));
+        report(take().extensions.at(0), {}, {});
+        EXPECT_TRUE(table.ready(now));
+        take();
+    }
+
+    static worker_address worker(worker_life of)
+    {
+        return {{"127.0.0.1", 9}, "w", of};
+    }
+
+    static task_run run(std::uint64_t index, std::uint64_t attempt = 1)
+    {
+        return {submission_id("s"), task_index(index), attempt_number(attempt)};
+    }
+
+    start_order start(std::uint64_t index)
+    {
+        upstream_call call;
+        call.submission = submission_id("s");
+        call.index = task_index(index);
+        call.attempt = attempt_number(1);
+        table.start(call, [this](const task_result& it)
+                    { results.push_back(it); }, now);
+        const auto output = take();
+        return output.starts.empty() ? start_order() : output.starts.at(0);
+    }
+
+    run_table_output take()
+    {
+        auto output = table.take_output(now);
+        for (const auto& it : output.results)
+            it.done(it.result);
+        for (const auto& it : output.extensions)
+            last_order = it;
+        for (const auto& it : output.stops)
+            stops.push_back(it.run);
+        return output;
+    }
+
+    void report(const numbered_extension& asked,
+                const std::vector<task_run>& running,
+                const std::vector<ended_run>& ended)
+    {
+        lease_reply reply;
+        reply.order = {order_result::accepted, clock()};
+        reply.running = running;
+        reply.ended = ended;
+        table.on_extended(life, asked, reply, now);
+    }
+
+    worker_time clock() const
+    {
+        return worker_time(5000) +
+               std::chrono::duration_cast<worker_time>(now - began);
+    }
+
+    void answer(const start_order& order, order_result result)
+    {
+        order_reply reply;
+        reply.result = result;
+        if (result != order_result::unknown)
+            reply.clock = clock();
+        table.on_start(life, order, reply, now);
+        take();
+    }
+
+    instant now = began;
+    run_table table;
+    std::vector<task_result> results;
+    std::vector<task_run> stops;
+    std::optional<numbered_extension> last_order;
+};
+
+TEST_F(leased_run_table, a_run_ends_with_the_end_that_the_worker_lists)
+{
+    const auto order = start(0);
+    EXPECT_EQ(order.lease_end, worker_time(6000));
+    answer(order, order_result::accepted);
+    report(*last_order, {}, {{1, run(0), run_end::done}});
+    take();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_TRUE(succeeded(results[0]));
+    now += milliseconds(30);
+    table.tick(now);
+    take();
+    EXPECT_EQ(last_order->order.seen, 1U);
+}
+
+TEST_F(leased_run_table, an_end_that_is_listed_twice_counts_once)
+{
+    const auto order = start(0);
+    answer(order, order_result::accepted);
+    const auto asked = *last_order;
+    report(asked, {}, {{1, run(0), run_end::failed}});
+    report(asked, {}, {{1, run(0), run_end::failed}});
+    take();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->reason, failure_reason::upstream_failed);
+    EXPECT_EQ(results[0]->ran, effect::ran);
+}
+
+TEST_F(leased_run_table, a_start_without_an_answer_that_runs_is_kept)
+{
+    const auto order = start(0);
+    now += milliseconds(250);
+    answer(order, order_result::unknown);
+    report(*last_order, {run(0)}, {});
+    take();
+    EXPECT_TRUE(stops.empty());
+    EXPECT_TRUE(results.empty());
+    EXPECT_EQ(table.size(), 1U);
+}
+
+TEST_F(leased_run_table, a_start_without_a_trace_is_made_void_first)
+{
+    const auto order = start(0);
+    now += milliseconds(250);
+    answer(order, order_result::unknown);
+    report(*last_order, {}, {});
+    take();
+    ASSERT_EQ(stops, std::vector<task_run>{run(0)});
+    EXPECT_TRUE(results.empty());
+    now += milliseconds(30);
+    table.on_stop(life, {run(0), {}}, {order_result::accepted, clock()}, now);
+    take();
+    EXPECT_TRUE(results.empty());
+    report(*last_order, {}, {});
+    take();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->reason, failure_reason::upstream_unreachable);
+    EXPECT_EQ(results[0]->ran, effect::unknown);
+}
+
+TEST_F(leased_run_table, a_report_asked_for_before_the_start_says_nothing)
+{
+    answer(start(0), order_result::accepted);
+    const auto before = *last_order;
+    answer(start(1), order_result::accepted);
+    report(before, {run(0)}, {});
+    take();
+    EXPECT_TRUE(results.empty());
+    EXPECT_EQ(table.size(), 2U);
+}
+
+TEST_F(leased_run_table, a_declined_start_was_not_run)
+{
+    for (const auto result :
+         {order_result::superseded, order_result::too_late,
+          order_result::no_room, order_result::fenced, order_result::unhealthy})
+    {
+        results.clear();
+        answer(start(0), result);
+        ASSERT_EQ(results.size(), 1U);
+        EXPECT_EQ(results[0]->ran, effect::not_run);
+    }
+}
+
+TEST_F(leased_run_table, a_fenced_order_raises_the_token_to_the_clock)
+{
+    now += milliseconds(400);
+    answer(start(0), order_result::fenced);
+    EXPECT_GT(start(1).fence, fencing_token(5400));
+}
+
+TEST_F(leased_run_table, a_new_life_ends_every_run)
+{
+    answer(start(0), order_result::accepted);
+    EXPECT_TRUE(table.set_worker(worker(worker_life(2000)), worker_time(10),
+                                 now));
+    take();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->ran, effect::unknown);
+    EXPECT_FALSE(table.ready(now));
+}
+
+TEST_F(leased_run_table, what_ran_for_an_earlier_agent_is_stopped_first)
+{
+    table.set_worker(worker(worker_life(2000)), worker_time(700), now);
+    const auto first = take().extensions.at(0);
+    EXPECT_EQ(first.order.fence, fencing_token(701));
+    lease_reply reply;
+    reply.order = {order_result::accepted, worker_time(710)};
+    reply.running = {run(9, 4)};
+    table.on_extended(worker_life(2000), first, reply, now);
+    take();
+    EXPECT_EQ(stops, std::vector<task_run>{run(9, 4)});
+    EXPECT_FALSE(table.ready(now));
+    now += milliseconds(60);
+    table.tick(now);
+    take();
+    reply.running.clear();
+    table.on_extended(worker_life(2000), *last_order, reply, now);
+    EXPECT_TRUE(table.ready(now));
+}
+
+TEST_F(leased_run_table, a_silent_worker_is_not_ready_and_its_lease_runs_out)
+{
+    answer(start(0), order_result::accepted);
+    table.on_extended(life, *last_order, {}, now);
+    now += milliseconds(250);
+    table.tick(now);
+    take();
+    EXPECT_FALSE(table.ready(now));
+    EXPECT_FALSE(last_order->order.lease_end);
+    EXPECT_EQ(start(1), start_order());
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->ran, effect::not_run);
+    for (int n = 0; n < 12; ++n)
+    {
+        table.on_extended(life, *last_order, {}, now);
+        now += milliseconds(100);
+        table.tick(now);
+        take();
+    }
+    EXPECT_EQ(table.size(), 0U);
+    EXPECT_EQ(results.back()->ran, effect::unknown);
+}
+
+TEST_F(leased_run_table, a_report_that_is_overdue_is_asked_for)
+{
+    answer(start(0), order_result::accepted);
+    const auto waiting = last_order->number;
+    now += milliseconds(70);
+    table.tick(now);
+    take();
+    EXPECT_GT(last_order->number, waiting);
+    EXPECT_EQ(last_order->order.wait, duration::zero());
+}
+
+TEST_F(leased_run_table, a_run_that_is_stopped_on_demand_is_cancelled)
+{
+    answer(start(0), order_result::accepted);
+    table.stop(run(0), now);
+    take();
+    EXPECT_EQ(stops, std::vector<task_run>{run(0)});
+    report(*last_order, {}, {{1, run(0), run_end::stopped}});
+    take();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->reason, failure_reason::cancelled);
+}
+
+TEST_F(leased_run_table, a_run_that_lapsed_may_run_again)
+{
+    answer(start(0), order_result::accepted);
+    report(*last_order, {}, {{1, run(0), run_end::lapsed}});
+    take();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->reason, failure_reason::upstream_unreachable);
+    EXPECT_EQ(results[0]->ran, effect::unknown);
+}
+
+} // namespace
+
+} // namespace lagoonquay
--- a/process/ledger/tests/ledger_test.cpp
+++ b/process/ledger/tests/ledger_test.cpp
@@ -85,6 +85,39 @@
     EXPECT_EQ((*outcome)->status, claim_status::unavailable);
 }
 
+claim_request undated(const std::string& holder)
+{
+    return asked_by(holder).with([](claim_request_options& it)
+                                 { it.dated = false; });
+}
+
+TEST(ledger_shard, an_undated_claim_needs_an_old_or_a_complete_memory)
+{
+    ledger_options options;
+    options.memory_since = began;
+    options.began = now - std::chrono::seconds(1);
+    ledger_shard shard(options);
+    EXPECT_EQ(shard.claim(undated("a"), now, wall)->verdict,
+              claim_verdict::fenced);
+    EXPECT_EQ(
+        shard.claim(undated("a"), now + options.undated_horizon, wall)->verdict,
+        claim_verdict::granted);
+    ledger_shard told(options);
+    told.set_complete();
+    EXPECT_EQ(told.claim(undated("a"), now, wall)->verdict,
+              claim_verdict::granted);
+}
+
+TEST(ledger_shard, a_claim_that_its_holder_told_keeps_others_out)
+{
+    ledger_shard shard({.memory_since = began});
+    shard.remember(undated("a"), now);
+    shard.set_complete();
+    const auto refused = shard.claim(undated("b"), now, wall);
+    EXPECT_EQ(refused->verdict, claim_verdict::held);
+    EXPECT_EQ(refused->holder_address, "a");
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/request/tests/job_run_test.cpp
+++ b/request/tests/job_run_test.cpp
@@ -85,6 +85,18 @@
     EXPECT_EQ(failures[1]->ran, effect::not_run);
 }
 
+TEST(job_run, a_failed_run_is_tried_again_within_the_jobs_attempts)
+{
+    const auto work = two_tasks().with([](job_options& it) { it.attempts = 2; });
+    job_run run(work);
+    const auto first = run.dispatch(task_index(0), agent, agent_run);
+    EXPECT_TRUE(run.retry_failed(first));
+    EXPECT_FALSE(run.retry_failed(first));
+    const auto second = run.dispatch(task_index(0), agent, agent_run);
+    EXPECT_FALSE(run.retry_failed(second));
+    EXPECT_TRUE(run.record(second, success(0)));
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/request/tests/routing_test.cpp
+++ b/request/tests/routing_test.cpp
@@ -112,6 +112,31 @@
     EXPECT_EQ(refuse(asked, load), failure_reason::overloaded);
 }
 
+TEST(admission, refuses_what_would_wait_longer_than_its_slack)
+{
+    admission_request asked{.tasks = 1,
+                            .time_limit = std::chrono::seconds(2),
+                            .slack = std::chrono::milliseconds(100)};
+    auto load = light_load();
+    load.waited = std::chrono::milliseconds(50);
+    EXPECT_EQ(refuse(asked, load), std::nullopt);
+    load.waited = std::chrono::milliseconds(70);
+    EXPECT_EQ(refuse(asked, load), failure_reason::overloaded);
+    asked.slack = {};
+    EXPECT_EQ(refuse(asked, load), std::nullopt);
+}
+
+TEST(routing, slot_credits_take_the_worker_with_most_free_processors)
+{
+    auto busy = candidate(1, 1);
+    busy.free = {2000, 1000, 0};
+    const auto idle = candidate(2, 1);
+    const auto route = make_route(route_policy::slot_credits, draw_zero);
+    const route_request asked{.need = {500, 1, 0}, .avoid = {}};
+    EXPECT_EQ(route(asked, {busy, idle}), 1U);
+    EXPECT_EQ(route(asked, {idle, busy}), 0U);
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/version/tests/permit_test.cpp
+++ b/version/tests/permit_test.cpp
@@ -90,6 +90,21 @@
     EXPECT_EQ(state.view()->version, version_number(1));
 }
 
+TEST(permit, may_be_kept_once_it_has_run_out)
+{
+    const permit held({.valid_until = sent + permit_duration});
+    const auto later = sent + 2 * permit_duration;
+    const agent_id agent("a");
+    const domain_id domain("d");
+    const auto expires = permit_time(held, permit_policy::expire, later);
+    EXPECT_FALSE(allows_start(held, agent, domain, expires));
+    const auto kept = permit_time(held, permit_policy::keep, later);
+    EXPECT_TRUE(allows_start(held, agent, domain, kept));
+    const permit out({.out_domains = {domain}, .valid_until = sent});
+    EXPECT_FALSE(allows_start(
+        out, agent, domain, permit_time(out, permit_policy::keep, later)));
+}
+
 } // namespace
 
 } // namespace lagoonquay
