Stop runs that stand still, and spare slow workers

Cause: tasks on a hung worker held their room until it woke, and a worker that is 6.5 times slower was filled like the others. Change: a worker's reports carry each run's progress; a run without any for 0.4 s, or four of its longest steps, is stopped and runs elsewhere.

--- a/connection/include/lagoonquay/connection/worker.hpp
+++ b/connection/include/lagoonquay/connection/worker.hpp
@@ -55,6 +55,15 @@
     friend bool operator==(const ended_run&, const ended_run&) = default;
 };
 
+//! A run that goes on, and how far it has come.
+struct running_run
+{
+    task_run run;
+    std::uint32_t percent = 0; //!< of its work, as far as the worker tells
+
+    friend bool operator==(const running_run&, const running_run&) = default;
+};
+
 //! Where a worker is and which life it lives.
 struct worker_address
 {
@@ -120,7 +129,7 @@
 struct lease_reply
 {
     order_reply order;
-    std::vector<task_run> running;
+    std::vector<running_run> running;
     std::vector<ended_run> ended; //!< above `seen`, lowest number first
 
     friend bool operator==(const lease_reply&, const lease_reply&) = default;
--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -26,6 +26,8 @@
     duration report_period = std::chrono::milliseconds(60);
     //! Least time between two questions that the worker answers at once.
     duration look_period = std::chrono::milliseconds(20);
+    //! Least time without progress after which a run is stopped.
+    duration stall = std::chrono::milliseconds(400);
     duration stop_retry = std::chrono::milliseconds(150);
 
     friend bool operator==(const leased_runs_options&,
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -182,6 +182,7 @@
     told_ = std::max(told_, sent.order.seen);
     note_ends(reply.ended);
     note_running(reply.running, sent.number, now);
+    note_progress(reply.running, now);
     stop_unknown(reply.running, now);
     ready_ = ready_ || foreign_.empty();
     extend_if_needed(now);
@@ -260,11 +261,13 @@
     output_.stops.push_back({id, fence_});
 }
 
-void run_table::stop_unknown(const std::vector<task_run>& running, instant now)
+void run_table::stop_unknown(const std::vector<running_run>& running,
+                             instant now)
 {
     std::map<task_run, instant> still;
-    for (const auto& id : running)
+    for (const auto& each : running)
     {
+        const auto& id = each.run;
         if (runs_.contains(id))
             continue;
         const auto known = foreign_.find(id);
@@ -321,10 +324,12 @@
 // about that run: answers on different connections overtake each other. A
 // start without an answer that is not there may still arrive, so it is stopped
 // first.
-void run_table::note_running(const std::vector<task_run>& running,
+void run_table::note_running(const std::vector<running_run>& running,
                              std::uint64_t number, instant now)
 {
-    const std::set<task_run> there(running.begin(), running.end());
+    std::set<task_run> there;
+    for (const auto& it : running)
+        there.insert(it.run);
     std::vector<task_run> missing;
     for (auto& [id, it] : runs_)
     {
@@ -347,6 +352,39 @@
                "the run is no longer at the worker");
 }
 
+// A run that makes no progress is stopped, so that it may run elsewhere. Slow
+// workers show progress in longer steps: the longest so far bounds the next.
+void run_table::note_progress(const std::vector<running_run>& running,
+                              instant now)
+{
+    for (const auto& it : running)
+    {
+        const auto found = runs_.find(it.run);
+        if (found == runs_.end() || found->second.at != phase::running)
+            continue;
+        auto& known = found->second;
+        if (known.progressed == instant() || it.percent > known.percent)
+        {
+            if (known.progressed != instant())
+                known.longest_gap =
+                    std::max(known.longest_gap, now - known.progressed);
+            known.progressed = now;
+            known.percent = it.percent;
+        }
+        if (!stands_still(known, now))
+            continue;
+        known.at = phase::stopping;
+        send_stop(it.run, known, now);
+    }
+}
+
+bool run_table::stands_still(const run& it, instant now) const
+{
+    constexpr int longer_gap = 4;
+    const auto most = std::max(options_.stall, longer_gap * it.longest_gap);
+    return now - it.progressed > most;
+}
+
 bool run_table::unsettled() const
 {
     return !foreign_.empty() ||
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -77,6 +77,9 @@
         std::uint64_t settled = 0;
         instant stop_sent{};
         bool cancelled = false; //!< stopped on demand
+        std::uint32_t percent = 0;
+        instant progressed{};   //!< when the percentage last rose
+        duration longest_gap{}; //!< between two rises
     };
 
     bool current(worker_life life) const noexcept;
@@ -86,10 +89,12 @@
     worker_time worker_now(instant now) const;
     worker_time next_lease_end(instant now);
     void send_stop(const task_run& id, run& it, instant now);
-    void stop_unknown(const std::vector<task_run>& running, instant now);
+    void stop_unknown(const std::vector<running_run>& running, instant now);
     void note_ends(const std::vector<ended_run>& ended);
-    void note_running(const std::vector<task_run>& running,
+    void note_running(const std::vector<running_run>& running,
                       std::uint64_t number, instant now);
+    void note_progress(const std::vector<running_run>& running, instant now);
+    bool stands_still(const run& it, instant now) const;
     void note_stopped(const ended_run& ended);
     bool unsettled() const;
     void extend_if_needed(instant now);
--- a/process/agent/tests/run_table_test.cpp
+++ b/process/agent/tests/run_table_test.cpp
@@ -62,7 +62,7 @@
     }
 
     void report(const numbered_extension& asked,
-                const std::vector<task_run>& running,
+                const std::vector<running_run>& running,
                 const std::vector<ended_run>& ended)
     {
         lease_reply reply;
@@ -128,7 +128,7 @@
     const auto order = start(0);
     now += milliseconds(250);
     answer(order, order_result::unknown);
-    report(*last_order, {run(0)}, {});
+    report(*last_order, {{run(0), 0}}, {});
     take();
     EXPECT_TRUE(stops.empty());
     EXPECT_TRUE(results.empty());
@@ -160,7 +160,7 @@
     answer(start(0), order_result::accepted);
     const auto before = *last_order;
     answer(start(1), order_result::accepted);
-    report(before, {run(0)}, {});
+    report(before, {{run(0), 0}}, {});
     take();
     EXPECT_TRUE(results.empty());
     EXPECT_EQ(table.size(), 2U);
@@ -204,7 +204,7 @@
     EXPECT_EQ(first.order.fence, fencing_token(701));
     lease_reply reply;
     reply.order = {order_result::accepted, worker_time(710)};
-    reply.running = {run(9, 4)};
+    reply.running = {{run(9, 4), 0}};
     table.on_extended(worker_life(2000), first, reply, now);
     take();
     EXPECT_EQ(stops, std::vector<task_run>{run(9, 4)});
@@ -263,6 +263,42 @@
     EXPECT_EQ(results[0]->reason, failure_reason::cancelled);
 }
 
+TEST_F(leased_run_table, a_run_that_stands_still_is_stopped_and_may_run_again)
+{
+    answer(start(0), order_result::accepted);
+    for (std::uint32_t percent = 1; percent < 4; ++percent)
+    {
+        report(*last_order, {{run(0), percent}}, {});
+        now += milliseconds(60);
+        table.tick(now);
+        take();
+    }
+    EXPECT_TRUE(stops.empty());
+    now += milliseconds(400);
+    table.tick(now);
+    take();
+    report(*last_order, {{run(0), 3}}, {});
+    take();
+    EXPECT_EQ(stops, std::vector<task_run>{run(0)});
+    report(*last_order, {}, {{1, run(0), run_end::stopped}});
+    take();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->reason, failure_reason::upstream_unreachable);
+}
+
+TEST_F(leased_run_table, a_slow_run_is_left_to_end)
+{
+    answer(start(0), order_result::accepted);
+    for (std::uint32_t percent = 1; percent < 8; ++percent)
+    {
+        report(*last_order, {{run(0), percent}}, {});
+        now += milliseconds(300);
+        table.tick(now);
+        take();
+    }
+    EXPECT_TRUE(stops.empty());
+}
+
 TEST_F(leased_run_table, a_run_that_lapsed_may_run_again)
 {
     answer(start(0), order_result::accepted);
--- a/process/agent/tests/worker_limits_test.cpp
+++ b/process/agent/tests/worker_limits_test.cpp
@@ -167,6 +167,23 @@
     EXPECT_EQ(fresh.size(), 1U);
 }
 
+TEST(agent_health, a_slow_worker_gets_one_task_at_a_time_until_it_is_fast_again)
+{
+    agent_health health;
+    const agent_health_options options;
+    const instant began(std::chrono::seconds(1));
+    const auto later = began + std::chrono::seconds(10);
+    health.set_accepting(true, began);
+    health.ran(6.5);
+    EXPECT_EQ(health.allowed(options, 8, later), 8U);
+    health.ran(6.5);
+    health.ran(6.5);
+    EXPECT_EQ(health.allowed(options, 8, later), 1U);
+    for (int n = 0; n < 5; ++n)
+        health.ran(1);
+    EXPECT_EQ(health.allowed(options, 8, later), 8U);
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/process/entry/include/lagoonquay/process/agent_health.hpp
+++ b/process/entry/include/lagoonquay/process/agent_health.hpp
@@ -16,12 +16,16 @@
     duration longest_pause = std::chrono::minutes(1);
     //! From one task at once to all slots after it becomes available.
     duration ramp = std::chrono::seconds(1);
+    //! Run times over the expected ones, on average, from which the worker
+    //! counts as slow.
+    double slow_ratio = 2.5;
 
     friend bool operator==(const agent_health_options&,
                            const agent_health_options&) = default;
 };
 
-//! Quarantine, probation and slow start of one agent. Not thread-safe.
+//! Quarantine, probation, slowness and slow start of one agent. Not
+//! thread-safe.
 class agent_health
 {
 public:
@@ -31,6 +35,9 @@
     //! A task that was started came back whole.
     void succeeded() noexcept;
 
+    //! A task ran this many times as long as expected.
+    void ran(double ratio) noexcept;
+
     //! A started task failed at the worker.
     void failed(const agent_health_options& options, instant now) noexcept;
 
@@ -48,6 +55,7 @@
     std::uint32_t pauses_ = 0;
     instant paused_until_{};
     bool probation_ = false;
+    double ratio_ = 1; //!< of run times to the expected ones, on average
 };
 
 } // namespace lagoonquay
--- a/process/entry/include/lagoonquay/process/agent_table.hpp
+++ b/process/entry/include/lagoonquay/process/agent_table.hpp
@@ -89,6 +89,9 @@
     //! Notes how a started task of the agent ended.
     void observe(const agent_id& agent, bool success, instant now);
 
+    //! Notes that a task ran this many times as long as expected.
+    void observe_run(const agent_id& agent, double ratio);
+
     //! Replaces the limits of quarantine and slow start.
     void set_health_options(const agent_health_options& options);
 
--- a/process/entry/src/agent_health.cpp
+++ b/process/entry/src/agent_health.cpp
@@ -11,6 +11,9 @@
 //! Doublings after which a pause no longer grows.
 constexpr std::uint32_t most_doublings = 16;
 
+//! Weight of the newest run in the average ratio.
+constexpr double newest_weight = 0.15;
+
 } // namespace
 
 void agent_health::set_accepting(bool accepting, instant now) noexcept
@@ -27,6 +30,11 @@
     probation_ = false;
 }
 
+void agent_health::ran(double ratio) noexcept
+{
+    ratio_ += newest_weight * (ratio - ratio_);
+}
+
 // On probation a single failure sets the worker aside again, for longer.
 // Tasks that were under way when it was set aside don't lengthen the pause.
 void agent_health::failed(const agent_health_options& options,
@@ -44,7 +52,7 @@
     probation_ = true;
 }
 
-// One task at a time on probation. After a return the share of the slots grows
+// One task at a time on probation and while the worker is slow. After a return the share of the slots grows
 // over the ramp, and each failure in a row halves it, so that a worker that
 // fails everything at once harms few tasks before it is set aside.
 std::uint32_t agent_health::allowed(const agent_health_options& options,
@@ -53,7 +61,7 @@
 {
     if (!accepting_ || now < paused_until_)
         return 0;
-    if (probation_)
+    if (probation_ || ratio_ > options.slow_ratio)
         return 1;
     const auto trusted =
         std::max(slots >> std::min(failures_, most_doublings), 1U);
--- a/process/entry/src/agent_table.cpp
+++ b/process/entry/src/agent_table.cpp
@@ -325,6 +325,16 @@
                  });
 }
 
+void agent_table::observe_run(const agent_id& agent, double ratio)
+{
+    agents_.with(agent,
+                 [&](entry* it)
+                 {
+                     if (it != nullptr)
+                         it->health.ran(ratio);
+                 });
+}
+
 void agent_table::set_health_options(const agent_health_options& options)
 {
     const std::lock_guard lock(health_mutex_);
--- a/process/entry/src/dispatcher.cpp
+++ b/process/entry/src/dispatcher.cpp
@@ -305,6 +305,11 @@
 {
     if (succeeded(result.result))
     {
+        const auto expected = runs_.expect(ended.kind, result.ran_for);
+        if (expected > duration::zero())
+            agents_.observe_run(agent,
+                                static_cast<double>(result.ran_for.count()) /
+                                    static_cast<double>(expected.count()));
         runs_.observe(ended.kind, result.ran_for);
         return agents_.observe(agent, true, hooks_.now());
     }
