Wait out the time that a worker takes to stop a run

Ruled out: the worker's lease, another agent. Change: such a run is over once its end is listed, or a report that was asked for after that time does not show it. The same holds for what an earlier agent left. The time comes from the settings.

--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -28,6 +28,8 @@
     duration look_period = std::chrono::milliseconds(20);
     //! Least time without progress after which a run is stopped.
     duration stall = std::chrono::milliseconds(400);
+    //! Longest that a worker takes to stop a run.
+    duration stop_time = std::chrono::milliseconds(50);
     duration stop_retry = std::chrono::milliseconds(150);
 
     friend bool operator==(const leased_runs_options&,
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -44,6 +44,7 @@
     extending_.reset();
     looking_.reset();
     foreign_.clear();
+    foreign_seen_.reset();
     extended_ = now - options_.look_period;
     lease_over_ = now;
     unanswered_.reset();
@@ -146,8 +147,8 @@
     }
 }
 
-// A stop that was taken makes a start void that has not arrived yet. Room is
-// free, and the run surely over, once a later report does not show it.
+// A stop that was taken makes a start void that has not arrived yet. A run that
+// is being stopped is neither listed as running nor as ended for a while.
 void run_table::on_stop(worker_life life, const stop_order& order,
                         const order_reply& reply, instant now)
 {
@@ -160,7 +161,7 @@
     if (found == runs_.end() || reply.result != order_result::accepted)
         return;
     found->second.at = phase::gone;
-    found->second.settled = orders_;
+    found->second.stopped = now;
     look_if_needed(now);
 }
 
@@ -181,10 +182,12 @@
     reported_ = now;
     told_ = std::max(told_, sent.order.seen);
     note_ends(reply.ended);
-    note_running(reply.running, sent.number, now);
+    note_running(reply.running, sent.number, sent.sent, now);
     note_progress(reply.running, now);
     stop_unknown(reply.running, now);
-    ready_ = ready_ || foreign_.empty();
+    ready_ = ready_ || (foreign_.empty() &&
+                        (!foreign_seen_ ||
+                         sent.sent > *foreign_seen_ + stop_time()));
     extend_if_needed(now);
 }
 
@@ -278,6 +281,13 @@
             output_.stops.push_back({id, fence_});
     }
     foreign_ = std::move(still);
+    if (!foreign_.empty())
+        foreign_seen_ = now;
+}
+
+duration run_table::stop_time() const noexcept
+{
+    return options_.stop_time + options_.clock_margin / 4;
 }
 
 void run_table::note_ends(const std::vector<ended_run>& ended)
@@ -325,7 +335,8 @@
 // start without an answer that is not there may still arrive, so it is stopped
 // first.
 void run_table::note_running(const std::vector<running_run>& running,
-                             std::uint64_t number, instant now)
+                             std::uint64_t number, instant asked_at,
+                             instant now)
 {
     std::set<task_run> there;
     for (const auto& it : running)
@@ -335,8 +346,10 @@
     {
         if (number <= it.settled)
             continue;
-        const bool settled = it.at == phase::running || it.at == phase::gone;
         const bool is_there = there.contains(id);
+        const bool settled =
+            it.at == phase::running ||
+            (it.at == phase::gone && asked_at > it.stopped + stop_time());
         if (settled && !is_there)
             missing.push_back(id);
         if (it.at == phase::starting && is_there)
@@ -415,7 +428,7 @@
     if (waits)
         order.wait = options_.extend_period;
     extended_ = now;
-    output_.extensions.push_back(number_order(order));
+    output_.extensions.push_back(number_order(order, now));
     extending_ = orders_;
 }
 
@@ -431,14 +444,14 @@
     lease_order order;
     order.seen = seen_;
     looked_ = now;
-    output_.extensions.push_back(number_order(order));
+    output_.extensions.push_back(number_order(order, now));
     looking_ = orders_;
 }
 
-numbered_extension run_table::number_order(lease_order order)
+numbered_extension run_table::number_order(lease_order order, instant now)
 {
     order.fence = fence_;
-    return {order, ++orders_};
+    return {order, ++orders_, now};
 }
 
 void run_table::finish(const task_run& id, failure_reason reason, effect ran,
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -16,6 +16,7 @@
 {
     lease_order order;
     std::uint64_t number = 0;
+    instant sent{};
 };
 
 //! A result and who waits for it.
@@ -76,6 +77,7 @@
         //! this run.
         std::uint64_t settled = 0;
         instant stop_sent{};
+        instant stopped{}; //!< when the worker took the stop
         bool cancelled = false; //!< stopped on demand
         std::uint32_t percent = 0;
         instant progressed{};   //!< when the percentage last rose
@@ -92,14 +94,15 @@
     void stop_unknown(const std::vector<running_run>& running, instant now);
     void note_ends(const std::vector<ended_run>& ended);
     void note_running(const std::vector<running_run>& running,
-                      std::uint64_t number, instant now);
+                      std::uint64_t number, instant asked_at, instant now);
+    duration stop_time() const noexcept;
     void note_progress(const std::vector<running_run>& running, instant now);
     bool stands_still(const run& it, instant now) const;
     void note_stopped(const ended_run& ended);
     bool unsettled() const;
     void extend_if_needed(instant now);
     void look_if_needed(instant now);
-    numbered_extension number_order(lease_order order);
+    numbered_extension number_order(lease_order order, instant now);
     void finish(const task_run& id, failure_reason reason, effect ran,
                 const std::string& detail);
     void finish_all(failure_reason reason, const std::string& detail);
@@ -112,6 +115,7 @@
     fencing_token fence_;
     std::map<task_run, run> runs_;
     std::map<task_run, instant> foreign_; //!< and when they were told to stop
+    std::optional<instant> foreign_seen_;
     std::uint64_t seen_ = 0;
     std::uint64_t told_ = 0;   //!< `seen_` as the worker has heard it
     std::uint64_t orders_ = 0; //!< counts extensions
--- a/process/agent/tests/run_table_test.cpp
+++ b/process/agent/tests/run_table_test.cpp
@@ -150,11 +150,39 @@
     EXPECT_TRUE(results.empty());
     report(*last_order, {}, {});
     take();
+    EXPECT_TRUE(results.empty());
+    now += milliseconds(80);
+    table.tick(now);
+    take();
+    report(*last_order, {}, {});
+    take();
     ASSERT_EQ(results.size(), 1U);
     EXPECT_EQ(results[0]->reason, failure_reason::upstream_unreachable);
     EXPECT_EQ(results[0]->ran, effect::unknown);
 }
 
+// Kept from a hunted day (scale-2, seed 631230157334): the run was started
+// again while the worker was still stopping it.
+TEST_F(leased_run_table, a_run_that_is_being_stopped_is_not_over)
+{
+    answer(start(0), order_result::accepted);
+    table.stop(run(0), now);
+    take();
+    table.on_stop(life, {run(0), {}}, {order_result::accepted, clock()}, now);
+    for (int n = 0; n < 3; ++n)
+    {
+        now += milliseconds(20);
+        table.tick(now);
+        take();
+        report(*last_order, {}, {});
+        take();
+        EXPECT_TRUE(results.empty());
+    }
+    report(*last_order, {}, {{1, run(0), run_end::stopped}});
+    take();
+    EXPECT_EQ(results.size(), 1U);
+}
+
 TEST_F(leased_run_table, a_report_asked_for_before_the_start_says_nothing)
 {
     answer(start(0), order_result::accepted);
@@ -214,6 +242,11 @@
     take();
     reply.running.clear();
     table.on_extended(worker_life(2000), *last_order, reply, now);
+    EXPECT_FALSE(table.ready(now));
+    now += milliseconds(80);
+    table.tick(now);
+    take();
+    table.on_extended(worker_life(2000), *last_order, reply, now);
     EXPECT_TRUE(table.ready(now));
 }
 
