Write one structured line for each decision, and never wait for its reader

Lines go to standard output, JSON by setting, through a bounded queue and a thread of their own that writes what has gathered; what does not fit is dropped and counted. Entries write accepted, claimed, refused, placed, task_ended and answered; agents started, ended, declined and stopping; all write versions, links, control lost and regained. An older view never replaces a newer one.

--- a/process/agent/src/agent_recovery.cpp
+++ b/process/agent/src/agent_recovery.cpp
@@ -95,8 +95,8 @@
 {
     if (!hooks_.stop_upstream)
         return;
-    write_log(log_level::info, part, key.submission,
-              "Stops task " + std::to_string(key.index.number()) + ".");
+    write_event(log_level::info, part, key.submission, "stopping",
+                {{"task", static_cast<std::int64_t>(key.index.number())}});
     hooks_.stop_upstream(key.submission, key.index, attempt);
 }
 
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -1,3 +1,4 @@
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/agent_service.hpp"
 
 #include "lagoonquay/connection/message_link.hpp"
@@ -43,11 +44,19 @@
 
 void agent_service::announce(const upstream_announcement& it)
 {
+    bool changed = false;
     {
         const std::lock_guard lock(standing_mutex_);
+        const auto& known = standing_.upstream;
+        changed = !known || known->leaving != it.leaving ||
+                  known->address != it.address;
         standing_.upstream = it;
         standing_.upstream_heard = hooks_.now();
     }
+    if (changed)
+        write_event(log_level::info, "agent", {}, "upstream",
+                    {{"address", to_text(it.address)},
+                     {"takes_tasks", it.leaving ? "no" : "yes"}});
     {
         const std::lock_guard lock(grants_mutex_);
         const auto others = running_of_others(it, options_.run);
@@ -58,8 +67,17 @@
 
 void agent_service::hold(const permit& granted)
 {
-    const std::lock_guard lock(standing_mutex_);
-    standing_.held = granted;
+    bool newer = false;
+    {
+        const std::lock_guard lock(standing_mutex_);
+        const auto& held = standing_.held;
+        if (held && granted->view->version < (*held)->view->version)
+            return;
+        newer = !held || (*held)->view->version < granted->view->version;
+        standing_.held = granted;
+    }
+    if (newer)
+        log_version("agent", granted);
 }
 
 void agent_service::tick()
--- a/process/agent/src/agent_starts.cpp
+++ b/process/agent/src/agent_starts.cpp
@@ -1,4 +1,5 @@
 // Starts at an agent: what waits, what starts, and what is never started.
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/connection/message_link.hpp"
 #include "lagoonquay/process/agent_service.hpp"
 #include "lagoonquay/process/log.hpp"
@@ -151,6 +152,12 @@
                         const endpoint& upstream)
 {
     ++started_;
+    write_event(log_level::info, part, it.submission, "started",
+                {{"task", static_cast<std::int64_t>(it.key.index.number())},
+                 {"attempt", static_cast<std::int64_t>(
+                                 it.key.attempt.number())},
+                 {"need_milli",
+                  std::int64_t{it.work->need.processors_milli}}});
     const upstream_call call{upstream,       it.submission, it.key.index,
                              it.key.attempt, options_.run,  it.work->payload,
                              it.run_limit};
@@ -183,6 +190,11 @@
     }
     const auto credits = free_slot(link, it.work->need);
     const auto ran_for = hooks_.now() - started;
+    write_event(log_level::info, part, it.submission, "ended",
+                {{"task", static_cast<std::int64_t>(it.key.index.number())},
+                 {"reason", to_text(result->reason)},
+                 {"ran", to_text(result->ran)},
+                 {"ran_ms", milliseconds_of(ran_for)}});
     const auto here = load();
     for (const auto& watcher : watchers)
         send(watcher, result_message{it.submission, it.key, result,
@@ -215,8 +227,10 @@
             {it.submission, options_.run, {{it.key.index, it.key.attempt}}});
     if (started && *started >= it.key.attempt)
         return;
-    write_log(log_level::info, part, it.submission,
-              "Dispatch declined: " + detail + ".");
+    write_event(log_level::info, part, it.submission, "declined",
+                {{"task", static_cast<std::int64_t>(it.key.index.number())},
+                 {"reason", to_text(reason)},
+                 {"detail", detail}});
     send_not_run(link, it, reason, detail, credits_total);
 }
 
--- a/process/common/include/lagoonquay/process/program.hpp
+++ b/process/common/include/lagoonquay/process/program.hpp
@@ -97,6 +97,7 @@
         return static_cast<int>(exit_code::ok);
     open_log(settings.value().process.log);
     const auto ended = it.run(settings.value());
+    close_log();
     return ended ? static_cast<int>(exit_code::ok)
                  : static_cast<int>(report(ended.error()));
 }
--- /dev/null
+++ b/process/common/src/decision_log.cpp
@@ -0,0 +1,20 @@
+#include "lagoonquay/process/decision_log.hpp"
+
+namespace lagoonquay
+{
+
+void log_version(std::string_view part, const permit& granted)
+{
+    const auto& view = *granted->view;
+    std::string out;
+    for (const auto& it : granted->out_domains)
+        out.append(out.empty() ? "" : ",").append(it.text());
+    write_event(
+        log_level::info, part, {}, "version_applied",
+        {{"version", static_cast<std::int64_t>(view.version.number())},
+         {"queues",
+          static_cast<std::int64_t>(view.catalog->revision.number())},
+         {"out", out}});
+}
+
+} // namespace lagoonquay
--- a/process/common/src/log.cpp
+++ b/process/common/src/log.cpp
@@ -1,13 +1,17 @@
 #include "lagoonquay/process/log.hpp"
 
+#include "log_queue.hpp"
+
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
-#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+#include <cerrno>
 #include <chrono>
-#include <iostream>
+#include <unistd.h>
 
 namespace logging = boost::log;
 
@@ -17,11 +21,54 @@
 namespace
 {
 
-// Written once by open_log() before any thread starts.
-log_options& active_options()
+//! Hands formatted records to the queue.
+class queue_backend
+    : public logging::sinks::basic_formatted_sink_backend<
+          char, logging::sinks::concurrent_feeding>
+{
+public:
+    queue_backend(std::size_t most_bytes, log_output output)
+        : queue_(most_bytes, std::move(output))
+    {
+    }
+
+    void consume(const logging::record_view&, const std::string& line)
+    {
+        queue_.push(line);
+    }
+
+    log_queue& queue() noexcept
+    {
+        return queue_;
+    }
+
+private:
+    log_queue queue_;
+};
+
+//! The log of this process. Written by open_log() before any thread starts.
+struct active_log
+{
+    log_options options;
+    boost::shared_ptr<queue_backend> backend;
+};
+
+active_log& active()
 {
-    static log_options options;
-    return options;
+    static active_log log;
+    return log;
+}
+
+// A reader that is gone ends the output, not the process.
+void write_to_standard_output(std::string_view lines)
+{
+    while (!lines.empty())
+    {
+        const auto n = ::write(STDOUT_FILENO, lines.data(), lines.size());
+        if (n < 0 && errno != EINTR)
+            return;
+        lines.remove_prefix(n < 0 ? 0 : static_cast<std::size_t>(n));
+    }
 }
 
 std::string_view level_name(log_level level) noexcept
@@ -46,64 +93,119 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-std::string json_line(log_level level, std::string_view part,
-                      std::string_view submission, std::string_view text)
+std::string text_of(const log_field& field)
+{
+    if (const auto* number = std::get_if<std::int64_t>(&field.value))
+        return std::to_string(*number);
+    return std::string(std::get<std::string_view>(field.value));
+}
+
+//! What a line tells besides its time, level and process.
+struct log_content
+{
+    std::string_view part;
+    std::string_view submission;
+    std::string_view text;  //!< a sentence, or empty
+    std::string_view event; //!< a decision, or empty
+    std::initializer_list<log_field> fields;
+};
+
+std::string json_line(log_level level, const log_content& it)
 {
     boost::json::object line{{"time_ms", time_ms()},
                              {"level", level_name(level)},
-                             {"process", active_options().process},
-                             {"part", part}};
-    if (!submission.empty())
-        line["submission"] = submission;
-    line["text"] = text;
+                             {"process", active().options.process},
+                             {"part", it.part}};
+    if (!it.submission.empty())
+        line["submission"] = it.submission;
+    if (!it.event.empty())
+        line["event"] = it.event;
+    for (const auto& field : it.fields)
+    {
+        if (const auto* number = std::get_if<std::int64_t>(&field.value))
+            line[field.name] = *number;
+        else
+            line[field.name] = std::get<std::string_view>(field.value);
+    }
+    if (!it.text.empty())
+        line["text"] = it.text;
     return boost::json::serialize(line);
 }
 
-std::string text_line(log_level level, std::string_view part,
-                      std::string_view submission, std::string_view text)
+std::string text_line(log_level level, const log_content& it)
 {
     std::string line = std::to_string(time_ms()) + " ";
     line.append(level_name(level)).append(" ");
-    line.append(active_options().process).append(" [");
-    line.append(part).append("] ");
-    if (!submission.empty())
-        line.append(submission).append(": ");
-    line.append(text);
+    line.append(active().options.process).append(" [");
+    line.append(it.part).append("] ");
+    if (!it.submission.empty())
+        line.append(it.submission).append(": ");
+    line.append(it.event).append(it.text);
+    for (const auto& field : it.fields)
+        line.append(" ").append(field.name).append("=").append(text_of(field));
     return line;
 }
 
-void write(log_level level, std::string_view part, std::string_view submission,
-           std::string_view text)
+void write(log_level level, const log_content& it)
 {
-    if (level < active_options().level)
+    if (level < active().options.level)
         return;
-    const bool json = active_options().format == log_format::json_lines;
+    const bool json = active().options.format == log_format::json_lines;
     thread_local logging::sources::logger logger;
-    BOOST_LOG(logger) << (json ? json_line(level, part, submission, text)
-                               : text_line(level, part, submission, text));
+    BOOST_LOG(logger) << (json ? json_line(level, it) : text_line(level, it));
 }
 
 } // namespace
 
-void open_log(const log_options& options)
+void open_log(const log_options& options, log_output output)
+{
+    close_log();
+    auto& log = active();
+    log.options = options;
+    log.backend = boost::make_shared<queue_backend>(
+        options.waiting_bytes,
+        output ? std::move(output) : log_output(write_to_standard_output));
+    const auto sink =
+        boost::make_shared<logging::sinks::synchronous_sink<queue_backend>>(
+            log.backend);
+    sink->set_formatter([](const logging::record_view& record,
+                           logging::formatting_ostream& out)
+                        { out << record["Message"].extract<std::string>(); });
+    logging::core::get()->add_sink(sink);
+}
+
+void close_log()
 {
-    active_options() = options;
-    logging::add_console_log(std::clog,
-                             logging::keywords::format =
-                                 logging::expressions::stream
-                                 << logging::expressions::smessage,
-                             logging::keywords::auto_flush = true);
+    auto& log = active();
+    if (!log.backend)
+        return;
+    log.backend->queue().drain();
+    logging::core::get()->remove_all_sinks();
+    log.backend.reset();
+}
+
+std::uint64_t dropped_log_lines() noexcept
+{
+    const auto& backend = active().backend;
+    return backend ? backend->queue().dropped() : 0;
 }
 
 void write_log(log_level level, std::string_view part, std::string_view text)
 {
-    write(level, part, {}, text);
+    write(level, {part, {}, text, {}, {}});
 }
 
 void write_log(log_level level, std::string_view part,
                const submission_id& submission, std::string_view text)
 {
-    write(level, part, submission.text(), text);
+    write(level, {part, submission.text(), text, {}, {}});
+}
+
+void write_event(log_level level, std::string_view part,
+                 const submission_id& submission, std::string_view event,
+                 std::initializer_list<log_field> fields)
+{
+    write(level, {part, submission.text(), {}, event, fields});
 }
 
 } // namespace lagoonquay
--- a/process/common/src/permit_client.cpp
+++ b/process/common/src/permit_client.cpp
@@ -1,12 +1,13 @@
 #include "lagoonquay/process/permit_client.hpp"
 
 #include "lagoonquay/connection/http_client.hpp"
-#include "lagoonquay/process/log.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/version/version_codec.hpp"
 
 #include <algorithm>
 #include <mutex>
 #include <set>
+#include <utility>
 
 namespace lagoonquay
 {
@@ -92,19 +93,40 @@
 
     void hold(const permit& granted, instant sent)
     {
+        bool regained = false;
         {
             const std::lock_guard lock(mutex_);
             granted_ = std::max(granted_.value_or(sent), sent);
+            regained = std::exchange(lost_, false);
         }
+        if (regained)
+            write_event(log_level::info, part, {}, "control_regained", {});
         hooks_.hold(granted);
     }
 
+    //! Notes when no majority has answered for as long as a permit lasts.
+    void notice_loss()
+    {
+        std::int64_t silent_ms = -1;
+        {
+            const std::lock_guard lock(mutex_);
+            const auto now = hooks_.now();
+            if (lost_ || !granted_ || now - *granted_ <= permit_duration)
+                return;
+            lost_ = true;
+            silent_ms = milliseconds_of(now - *granted_);
+        }
+        write_event(log_level::warning, part, {}, "control_lost",
+                    {{"silent_ms", silent_ms}});
+    }
+
 private:
     const permit_client_hooks hooks_;
     mutable std::mutex mutex_;
     std::vector<endpoint> first_;
     replica_set replicas_;
     std::optional<instant> granted_;
+    bool lost_ = false;
 };
 
 namespace
@@ -183,6 +205,7 @@
 
 void permit_client::tick()
 {
+    rounds_->notice_loss();
     const auto& hooks = rounds_->hooks();
     const permit_request asked{hooks.self(), hooks.known()->version,
                                rounds_->known_replicas()};
--- a/process/common/tests/log_test.cpp
+++ b/process/common/tests/log_test.cpp
@@ -1,9 +1,11 @@
 #include "lagoonquay/process/log.hpp"
 
 #include <boost/json.hpp>
+#include <chrono>
+#include <condition_variable>
 #include <gtest/gtest.h>
-#include <iostream>
-#include <sstream>
+#include <mutex>
+#include <string>
 
 namespace lagoonquay
 {
@@ -11,48 +13,98 @@
 namespace
 {
 
-//! Catches what is written to the log's stream.
-class caught_log
+//! A reader that keeps what it gets, and can stop to read.
+class fake_reader
 {
 public:
-    caught_log() : before_(std::clog.rdbuf(out_.rdbuf()))
+    log_output output()
     {
+        return [this](std::string_view lines)
+        {
+            std::unique_lock lock(mutex_);
+            changed_.wait(lock, [this] { return !stopped_; });
+            text_.append(lines);
+        };
     }
-    ~caught_log()
+
+    void stop()
+    {
+        const std::lock_guard lock(mutex_);
+        stopped_ = true;
+    }
+
+    void go_on()
     {
-        std::clog.rdbuf(before_);
+        const std::lock_guard lock(mutex_);
+        stopped_ = false;
+        changed_.notify_all();
     }
-    caught_log(const caught_log&) = delete;
-    caught_log& operator=(const caught_log&) = delete;
 
-    std::string text() const
+    std::string text()
     {
-        return out_.str();
+        const std::lock_guard lock(mutex_);
+        return text_;
     }
 
 private:
-    std::ostringstream out_;
-    std::streambuf* before_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool stopped_ = false;
+    std::string text_;
 };
 
-// The log is set up once per process, so one test covers its options.
+log_options json_options()
+{
+    return {.level = log_level::info,
+            .format = log_format::json_lines,
+            .process = "entry-1"};
+}
+
 TEST(log, writes_json_lines_of_the_level_with_the_submission)
 {
-    const caught_log caught;
-    open_log({.level = log_level::info,
-              .format = log_format::json_lines,
-              .process = "entry-1"});
+    fake_reader reader;
+    open_log(json_options(), reader.output());
     write_log(log_level::debug, "entry", "Not written.");
     write_log(log_level::warning, "entry", submission_id("s1"),
               "A \"quoted\"\nline.");
-    const auto line = boost::json::parse(caught.text()).as_object();
+    close_log();
+    const auto text = reader.text();
+    const auto line = boost::json::parse(text).as_object();
     EXPECT_EQ(line.at("level"), "warning");
     EXPECT_EQ(line.at("process"), "entry-1");
     EXPECT_EQ(line.at("part"), "entry");
     EXPECT_EQ(line.at("submission"), "s1");
     EXPECT_EQ(line.at("text"), "A \"quoted\"\nline.");
     EXPECT_TRUE(line.at("time_ms").is_int64());
-    EXPECT_EQ(caught.text().find('\n'), caught.text().size() - 1);
+    EXPECT_EQ(text.find('\n'), text.size() - 1);
+}
+
+TEST(log, an_event_has_its_inputs_as_fields)
+{
+    fake_reader reader;
+    open_log(json_options(), reader.output());
+    write_event(log_level::info, "entry", submission_id("s1"), "refused",
+                {{"reason", "overloaded"}, {"waited_ms", std::int64_t{70}}});
+    close_log();
+    const auto line = boost::json::parse(reader.text()).as_object();
+    EXPECT_EQ(line.at("event"), "refused");
+    EXPECT_EQ(line.at("reason"), "overloaded");
+    EXPECT_EQ(line.at("waited_ms"), 70);
+}
+
+TEST(log, a_reader_that_stops_delays_no_writer_and_hears_what_it_missed)
+{
+    fake_reader reader;
+    auto options = json_options();
+    options.waiting_bytes = 4096;
+    open_log(options, reader.output());
+    reader.stop();
+    for (int n = 0; n < 5000; ++n)
+        write_log(log_level::info, "entry", "One of many lines.");
+    EXPECT_GT(dropped_log_lines(), 4000U);
+    reader.go_on();
+    close_log();
+    EXPECT_NE(reader.text().find("lines_dropped"), std::string::npos);
 }
 
 } // namespace
--- a/process/control/src/control_replica_core.cpp
+++ b/process/control/src/control_replica_core.cpp
@@ -205,6 +205,13 @@
     const auto& id = (*asked)->id;
     const bool first = !applied_.outcome_of(id);
     const auto outcome = applied_.apply(*asked);
+    if (first && !std::holds_alternative<read_barrier>((*asked)->what))
+        write_event(
+            log_level::info, part, {}, "command_applied",
+            {{"command", id.text()},
+             {"accepted", outcome.accepted ? "yes" : "no"},
+             {"version", static_cast<std::int64_t>(outcome.version.number())},
+             {"index", static_cast<std::int64_t>(entry.index.number())}});
     if (first && outcome.accepted && forbids_work((*asked)->what))
         settling_.push_back({id, hooks_->now() + permit_duration});
     const auto [begin, end] = waiting_.equal_range(id);
--- a/process/entry/src/dispatcher.cpp
+++ b/process/entry/src/dispatcher.cpp
@@ -1,3 +1,4 @@
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/dispatcher.hpp"
 
 #include "lagoonquay/connection/message_link.hpp"
@@ -21,6 +22,19 @@
            result->reason == failure_reason::upstream_unreachable;
 }
 
+//! Writes where a task goes, and how old the news of that agent is.
+void log_placed(const queued_task& next, const route_candidate& chosen,
+                const taken_credit& credit, instant now)
+{
+    write_event(
+        log_level::info, "entry", next.key.submission, "placed",
+        {{"task", static_cast<std::int64_t>(next.key.index.number())},
+         {"agent", chosen.agent.text()},
+         {"free_milli", std::int64_t{chosen.free.processors_milli}},
+         {"waited_ms", milliseconds_of(now - next.since)},
+         {"news_age_ms", milliseconds_of(now - credit.heard)}});
+}
+
 job_aim aim_of(const std::vector<task_to_queue>& job_tasks)
 {
     return job_tasks.empty() ? job_aim() : job_tasks.front().aim;
@@ -268,6 +282,7 @@
     retries_.earn(next.customer);
     drop_hold(next.key);
     ++dispatched_;
+    log_placed(next, chosen, credit, hooks_.now());
     credit.link->send(std::move(message));
 }
 
--- a/process/entry/src/entry_answers.cpp
+++ b/process/entry/src/entry_answers.cpp
@@ -1,5 +1,6 @@
 // Answers of an entry's jobs.
 #include "entry_job.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/log.hpp"
 
 namespace lagoonquay
@@ -105,9 +106,12 @@
     if (!fresh)
         return;
     ++(succeeded(answer) ? completed_ : failed_);
-    if (!succeeded(answer))
-        write_log(log_level::info, part, state->id,
-                  "Job failed: " + answer->detail + ".");
+    write_event(log_level::info, part, state->id, "answered",
+                {{"outcome", succeeded(answer) ? "complete" : "failed"},
+                 {"reason", to_text(answer->reason)},
+                 {"ran", to_text(answer->ran)},
+                 {"after_ms", milliseconds_of(hooks_.now() - state->accepted)},
+                 {"detail", answer->detail}});
     for (const auto& it : waiters)
         it(answer);
 }
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -132,6 +132,9 @@
                  it.unheard = it.earlier;
                  it.recovery_end = hooks_.now() + options_.link_grace;
              });
+    write_event(log_level::info, part, state->id, "claimed",
+                {{"round", static_cast<std::int64_t>(outcome->round.number())},
+                 {"adopts", adopting ? "yes" : "no"}});
     if (!adopting)
     {
         if (const auto refused = refuse_admission(state))
@@ -152,8 +155,13 @@
 entry_service::refuse_admission(const job_pointer& state)
 {
     auto refused = admission_.refuse(state->submitted, effect::not_run);
-    if (refused)
-        ++refused_;
+    if (!refused)
+        return refused;
+    ++refused_;
+    write_event(log_level::info, part, state->id, "refused",
+                {{"reason", to_text((*refused)->reason)},
+                 {"ran", to_text((*refused)->ran)},
+                 {"detail", (*refused)->detail}});
     return refused;
 }
 
@@ -161,6 +169,9 @@
                                 const claim_outcome& outcome)
 {
     release_claim(state);
+    write_event(log_level::info, part, state->id, "not_claimed",
+                {{"status", to_text(outcome->status)},
+                 {"holder", outcome->holder_address}});
     const bool other = outcome->status == claim_status::held_by_other ||
                        outcome->status == claim_status::contested;
     bool forwarded = false;
--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -1,4 +1,5 @@
 // Tasks of an entry on their way to an agent and back.
+#include "lagoonquay/process/log.hpp"
 #include "entry_job.hpp"
 
 namespace lagoonquay
@@ -199,6 +200,14 @@
                  it.retries += retried ? 1 : 0;
                  again = again && it.stage == job_stage::running;
              });
+    if (counted && !succeeded(result))
+        write_event(
+            log_level::info, "entry", state->id, "task_ended",
+            {{"task", static_cast<std::int64_t>(key.index.number())},
+             {"agent", key.agent.text()},
+             {"reason", to_text(result->reason)},
+             {"ran", to_text(result->ran)},
+             {"then", again ? (retried ? "runs_again" : "moves") : "kept"}});
     if (again)
     {
         ++(retried ? retried_ : requeued_);
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -30,8 +30,9 @@
 //! the lock of the job's shard.
 struct entry_service::job_state
 {
-    job_state(const job& work, content_digest content, instant last)
-        : submitted(work), id(work->submission), digest(content),
+    job_state(const job& work, content_digest content, instant now,
+              instant last)
+        : submitted(work), id(work->submission), digest(content), accepted(now),
           deadline(last), run(work)
     {
     }
@@ -39,6 +40,7 @@
     const job submitted;
     const submission_id id;
     const content_digest digest;
+    const instant accepted;
     const instant deadline;
 
     job_run run;
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -1,3 +1,4 @@
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/entry_service.hpp"
 
 #include "entry_job.hpp"
@@ -13,6 +14,21 @@
 namespace lagoonquay
 {
 
+namespace
+{
+
+constexpr std::string_view part = "entry";
+
+void log_refusal(const job_answer& refused)
+{
+    write_event(log_level::info, part, refused->submission, "refused",
+                {{"reason", to_text(refused->reason)},
+                 {"ran", to_text(refused->ran)},
+                 {"detail", refused->detail}});
+}
+
+} // namespace
+
 entry_service::entry_service(entry_options options, entry_hooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks)),
       settings_(hooks_.draw),
@@ -45,12 +61,19 @@
     if (auto refused = refuse_early(submitted))
     {
         ++refused_;
+        log_refusal(*refused);
         return done(*refused);
     }
     const auto state = add(submitted, digest, done);
     if (!state)
         return;
     ++accepted_;
+    write_event(log_level::info, part, state->id, "accepted",
+                {{"customer", submitted->customer.text()},
+                 {"tasks", static_cast<std::int64_t>(submitted->tasks.size())},
+                 {"limit_ms", milliseconds_of(submitted->time_limit)},
+                 {"version", static_cast<std::int64_t>(
+                                 view()->version.number())}});
     ask_claim(state, claim_round());
 }
 
@@ -99,6 +122,8 @@
 void entry_service::on_link(const agent_id& agent,
                             const std::shared_ptr<message_link>& link)
 {
+    write_event(log_level::info, part, {}, "link_opened",
+                {{"agent", agent.text()}});
     dispatcher_.agents().open(agent, link);
     link->send(hello_message{options_.id, options_.run});
     link->start({[this, agent](const std::vector<link_message>& it)
@@ -111,10 +136,16 @@
 
 void entry_service::hold(const permit& granted)
 {
+    bool newer = false;
     {
         const std::lock_guard lock(permit_mutex_);
+        if (permit_ && granted->view->version < (*permit_)->view->version)
+            return;
+        newer = !permit_ || (*permit_)->view->version < granted->view->version;
         permit_ = granted;
     }
+    if (newer)
+        log_version(part, granted);
     if (!settings_.apply(granted->view))
         return;
     const auto& current = **settings_.current();
@@ -293,7 +324,8 @@
                                               answer_hook& done)
 {
     auto fresh = std::make_shared<job_state>(
-        submitted, digest, hooks_.now() + submitted->time_limit);
+        submitted, digest, hooks_.now(),
+        hooks_.now() + submitted->time_limit);
     const bool added =
         jobs_.with_shard(fresh->id,
                          [&](auto& values)
@@ -362,6 +394,8 @@
 // is given up.
 void entry_service::on_close(const agent_id& agent)
 {
+    write_event(log_level::info, part, {}, "link_lost",
+                {{"agent", agent.text()}});
     dispatcher_.agents().close(agent);
     linked_.with_shard(agent, [&](auto& values) { values.erase(agent); });
 }
--- a/process/ledger/include/lagoonquay/process/claim.hpp
+++ b/process/ledger/include/lagoonquay/process/claim.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lagoonquay
@@ -23,6 +24,9 @@
     unavailable,   //!< no quorum answered
 };
 
+//! @return the stable lower-case name used in logs.
+std::string_view to_text(claim_status value) noexcept;
+
 struct claim_outcome_options
 {
     claim_status status = claim_status::unavailable;
--- a/process/ledger/src/claim.cpp
+++ b/process/ledger/src/claim.cpp
@@ -18,6 +18,28 @@
 
 } // namespace
 
+std::string_view to_text(claim_status value) noexcept
+{
+    switch (value)
+    {
+    case claim_status::held:
+        return "held";
+    case claim_status::held_by_other:
+        return "held_by_other";
+    case claim_status::contested:
+        return "contested";
+    case claim_status::closed:
+        return "closed";
+    case claim_status::mismatch:
+        return "mismatch";
+    case claim_status::fenced:
+        return "fenced";
+    case claim_status::unavailable:
+        return "unavailable";
+    }
+    return "unavailable";
+}
+
 claim_tally::claim_tally(std::size_t replicas, duration lease,
                          instant sent) noexcept
     : replicas_(replicas), lease_(lease), sent_(sent)
