--- a/process/common/tests/decoder_fuzz_test.cpp
+++ b/process/common/tests/decoder_fuzz_test.cpp
@@ -229,7 +229,7 @@
     return queue_catalog({.revision = catalog_revision(3),
                           .queues = {{.id = queue_id("q"),
                                       .host = "h",
-                                      .path_prefix = "/p/",
+                                      .prefix = "/p/",
                                       .service = service_id("s"),
                                       .time_limit = std::chrono::seconds(1),
                                       .stretch = 1.5}},
--- a/version/include/lagoonquay/version/queue_catalog.hpp
+++ b/version/include/lagoonquay/version/queue_catalog.hpp
@@ -27,7 +27,7 @@
 {
     queue_id id;
     std::string host;        //!< of the callers' requests, without a port
-    std::string path_prefix; //!< ends where the submission id begins
+    std::string prefix; //!< ends where the submission id begins
     service_id service;      //!< whose workers run the tasks
     duration time_limit{};   //!< from acceptance to the answer
     duration target{};       //!< of a job beyond its stretched work
--- a/version/src/catalog_json.cpp
+++ b/version/src/catalog_json.cpp
@@ -19,7 +19,7 @@
 {
     return {{"id", it.id.text()},
             {"host", it.host},
-            {"path_prefix", it.path_prefix},
+            {"prefix", it.prefix},
             {"service", it.service.text()},
             {"time_limit_us", it.time_limit.count()},
             {"target_us", it.target.count()},
@@ -46,7 +46,7 @@
     job_queue it;
     it.id = queue_id(fields.text("id", name_bytes));
     it.host = fields.text("host", name_bytes);
-    it.path_prefix = fields.text("path_prefix", path_bytes);
+    it.prefix = fields.text("prefix", path_bytes);
     it.service = service_id(fields.text("service", name_bytes));
     it.time_limit = span(fields, "time_limit_us");
     it.target = span(fields, "target_us");
--- a/version/src/queue_catalog.cpp
+++ b/version/src/queue_catalog.cpp
@@ -36,7 +36,7 @@
                             queue.service.text() + "'");
         if (queue.time_limit <= duration::zero())
             return fail(version_errc::bad_setting, name + " has no time limit");
-        if (!places.emplace(queue.host, queue.path_prefix).second)
+        if (!places.emplace(queue.host, queue.prefix).second)
             return fail(version_errc::bad_setting,
                         name + " shares its host and prefix with another");
     }
@@ -50,10 +50,10 @@
     const job_queue* found = nullptr;
     for (const auto& queue : it->queues)
     {
-        if (queue.host != name || !path.starts_with(queue.path_prefix))
+        if (queue.host != name || !path.starts_with(queue.prefix))
             continue;
         if (found == nullptr ||
-            found->path_prefix.size() < queue.path_prefix.size())
+            found->prefix.size() < queue.prefix.size())
             found = &queue;
     }
     return found;
--- a/version/tests/queue_catalog_test.cpp
+++ b/version/tests/queue_catalog_test.cpp
@@ -14,7 +14,7 @@
 {
     return {.id = queue_id(id),
             .host = "h.example",
-            .path_prefix = prefix,
+            .prefix = prefix,
             .service = service_id("s"),
             .time_limit = std::chrono::seconds(1)};
 }
