Claim without waiting for entries whose process has ended

Ruled out: permits (held throughout), readiness of the stopped ones. Change: a refused connection proves that the process and its memory are gone; such a replica takes no part, and as many of the others must agree as meet every claim in force.

--- a/connection/include/lagoonquay/connection/http_message.hpp
+++ b/connection/include/lagoonquay/connection/http_message.hpp
@@ -35,7 +35,7 @@
     std::string path;  //!< without the query
     std::string query; //!< after the question mark
     std::string body;
-    std::string bearer; //!< token of the Authorization header, if any
+    std::string bearer;    //!< token of the Authorization header, if any
     std::string host = {}; //!< as received; a client sends its target's
     //! Sent as they are. Of a received request, those that the listener keeps.
     std::vector<http_header> headers = {};
--- a/connection/include/lagoonquay/connection/http_server.hpp
+++ b/connection/include/lagoonquay/connection/http_server.hpp
@@ -30,7 +30,7 @@
     std::size_t connections = 1024;
     duration idle_timeout = std::chrono::seconds(60);
     duration read_timeout = std::chrono::seconds(10); //!< for one request
-    std::string bearer;    //!< required token; empty admits everyone
+    std::string bearer; //!< required token; empty admits everyone
     //! Names of the headers that handlers see.
     std::vector<std::string> kept_headers = {};
     std::string link_path; //!< path of WebSocket upgrades; empty for none
--- a/connection/include/lagoonquay/connection/upstream.hpp
+++ b/connection/include/lagoonquay/connection/upstream.hpp
@@ -63,8 +63,8 @@
 
 //! Stops one attempt of a task that was called; its result follows from the
 //! call. Thread-safe.
-using upstream_stop_hook = std::function<void(
-    const submission_id&, task_index, attempt_number)>;
+using upstream_stop_hook =
+    std::function<void(const submission_id&, task_index, attempt_number)>;
 
 class http_client;
 
--- a/connection/src/http_server.cpp
+++ b/connection/src/http_server.cpp
@@ -188,8 +188,8 @@
     void serve()
     {
         keep_alive_ = parser_->get().keep_alive();
-        const auto request = to_request(parser_->release(),
-                                        server_->options.kept_headers);
+        const auto request =
+            to_request(parser_->release(), server_->options.kept_headers);
         if (!admitted(request))
             return respond(error_response(http_status::unauthorized,
                                           "unauthorized",
--- a/process/agent/src/agent_node.cpp
+++ b/process/agent/src/agent_node.cpp
@@ -108,14 +108,14 @@
     const auto& process = it.settings.process;
     auto link_options = listener_options(process, it.settings.entries);
     link_options.link_path = "/v1/link";
-    auto entries = http_server::listen(
-        it.io.context(), std::move(link_options),
-        route_requests({health_route()}),
-        [&it](const std::shared_ptr<message_link>& link)
-        { it.service.on_link(link); });
-    auto operators = http_server::listen(
-        it.io.context(), operator_listener_options(process),
-        agent_operator_routes(it.service, it.calls));
+    auto entries =
+        http_server::listen(it.io.context(), std::move(link_options),
+                            route_requests({health_route()}),
+                            [&it](const std::shared_ptr<message_link>& link)
+                            { it.service.on_link(link); });
+    auto operators =
+        http_server::listen(it.io.context(), operator_listener_options(process),
+                            agent_operator_routes(it.service, it.calls));
     BOOST_OUTCOME_TRY(require_listening({&entries, &operators}));
     it.entry_listener.emplace(std::move(entries).value());
     it.operator_listener.emplace(std::move(operators).value());
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -1,5 +1,5 @@
-#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/agent_service.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 
 #include "lagoonquay/connection/message_link.hpp"
 
--- a/process/agent/src/agent_starts.cpp
+++ b/process/agent/src/agent_starts.cpp
@@ -1,7 +1,7 @@
 // Starts at an agent: what waits, what starts, and what is never started.
-#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/connection/message_link.hpp"
 #include "lagoonquay/process/agent_service.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/log.hpp"
 
 namespace lagoonquay
@@ -152,12 +152,11 @@
                         const endpoint& upstream)
 {
     ++started_;
-    write_event(log_level::info, part, it.submission, "started",
-                {{"task", static_cast<std::int64_t>(it.key.index.number())},
-                 {"attempt", static_cast<std::int64_t>(
-                                 it.key.attempt.number())},
-                 {"need_milli",
-                  std::int64_t{it.work->need.processors_milli}}});
+    write_event(
+        log_level::info, part, it.submission, "started",
+        {{"task", static_cast<std::int64_t>(it.key.index.number())},
+         {"attempt", static_cast<std::int64_t>(it.key.attempt.number())},
+         {"need_milli", std::int64_t{it.work->need.processors_milli}}});
     const upstream_call call{upstream,       it.submission, it.key.index,
                              it.key.attempt, options_.run,  it.work->payload,
                              it.run_limit};
--- a/process/agent/src/leased_runs.cpp
+++ b/process/agent/src/leased_runs.cpp
@@ -42,23 +42,23 @@
     void send(const run_table_output& output)
     {
         for (const auto& it : output.starts)
-            hooks.worker.start(output.worker, it,
-                               [self = shared_from_this(), it,
-                                life = output.worker.life](
-                                   const order_reply& reply)
-                               { self->on_start(life, it, reply); });
+            hooks.worker.start(
+                output.worker, it,
+                [self = shared_from_this(), it,
+                 life = output.worker.life](const order_reply& reply)
+                { self->on_start(life, it, reply); });
         for (const auto& it : output.stops)
-            hooks.worker.stop(output.worker, it,
-                              [self = shared_from_this(), it,
-                               life = output.worker.life](
-                                  const order_reply& reply)
-                              { self->on_stop(life, it, reply); });
+            hooks.worker.stop(
+                output.worker, it,
+                [self = shared_from_this(), it,
+                 life = output.worker.life](const order_reply& reply)
+                { self->on_stop(life, it, reply); });
         for (const auto& it : output.extensions)
-            hooks.worker.extend(output.worker, it.order,
-                                [self = shared_from_this(), it,
-                                 life = output.worker.life](
-                                    const lease_reply& reply)
-                                { self->on_extended(life, it, reply); });
+            hooks.worker.extend(
+                output.worker, it.order,
+                [self = shared_from_this(), it,
+                 life = output.worker.life](const lease_reply& reply)
+                { self->on_extended(life, it, reply); });
         for (const auto& it : output.results)
             it.done(it.result);
         if (output.readiness_changed && hooks.on_readiness)
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -72,8 +72,7 @@
     fresh.done = std::move(done);
     fresh.settled = orders_;
     runs_.emplace(id, std::move(fresh));
-    output_.starts.push_back(
-        {id, call.payload, next_lease_end(now), fence_});
+    output_.starts.push_back({id, call.payload, next_lease_end(now), fence_});
 }
 
 void run_table::stop(const task_run& id, instant now)
@@ -135,8 +134,8 @@
     case order_result::superseded:
     case order_result::too_late:
     case order_result::no_room:
-        return finish(order.run, failure_reason::not_startable,
-                      effect::not_run, "the worker declined the start");
+        return finish(order.run, failure_reason::not_startable, effect::not_run,
+                      "the worker declined the start");
     case order_result::unhealthy:
     case order_result::other_life:
         return finish(order.run, failure_reason::upstream_unreachable,
@@ -185,9 +184,9 @@
     note_running(reply.running, sent.number, sent.sent, now);
     note_progress(reply.running, now);
     stop_unknown(reply.running, now);
-    ready_ = ready_ || (foreign_.empty() &&
-                        (!foreign_seen_ ||
-                         sent.sent > *foreign_seen_ + stop_time()));
+    ready_ = ready_ ||
+             (foreign_.empty() &&
+              (!foreign_seen_ || sent.sent > *foreign_seen_ + stop_time()));
     extend_if_needed(now);
 }
 
@@ -402,8 +401,7 @@
 {
     return !foreign_.empty() ||
            std::any_of(runs_.begin(), runs_.end(),
-                       [](const auto& it)
-                       {
+                       [](const auto& it) {
                            return it.second.at == phase::doubtful ||
                                   it.second.at == phase::gone;
                        });
@@ -460,12 +458,12 @@
     const auto found = runs_.find(id);
     if (found == runs_.end())
         return;
-    output_.results.push_back({std::move(found->second.done),
-                               task_result({.index = id.index,
-                                            .reason = reason,
-                                            .ran = ran,
-                                            .body = {},
-                                            .detail = detail})});
+    output_.results.push_back(
+        {std::move(found->second.done), task_result({.index = id.index,
+                                                     .reason = reason,
+                                                     .ran = ran,
+                                                     .body = {},
+                                                     .detail = detail})});
     runs_.erase(found);
 }
 
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -77,7 +77,7 @@
         //! this run.
         std::uint64_t settled = 0;
         instant stop_sent{};
-        instant stopped{}; //!< when the worker took the stop
+        instant stopped{};      //!< when the worker took the stop
         bool cancelled = false; //!< stopped on demand
         std::uint32_t percent = 0;
         instant progressed{};   //!< when the percentage last rose
--- a/process/common/include/lagoonquay/process/process_settings.hpp
+++ b/process/common/include/lagoonquay/process/process_settings.hpp
@@ -50,7 +50,7 @@
 struct entry_settings
 {
     process_settings process;
-    endpoint callers;                   //!< listener for callers
+    endpoint callers; //!< listener for callers
     //! How long jobs are taken after a stop signal.
     duration drain_notice{};
     endpoint peers;                     //!< listener for other entries
--- a/process/common/include/lagoonquay/process/program.hpp
+++ b/process/common/include/lagoonquay/process/program.hpp
@@ -66,10 +66,10 @@
 //! looked at on SIGHUP and every few seconds. Settings that can't be read are
 //! logged and leave the last ones in force.
 template <typename Settings>
-void follow_settings(io_threads& io, const std::string& path,
-                     std::function<process_result<Settings>(const std::string&)>
-                         load,
-                     std::function<void(const Settings&)> use)
+void follow_settings(
+    io_threads& io, const std::string& path,
+    std::function<process_result<Settings>(const std::string&)> load,
+    std::function<void(const Settings&)> use)
 {
     watch_settings(io, path,
                    [path, load = std::move(load), use = std::move(use)]
--- a/process/common/src/decision_log.cpp
+++ b/process/common/src/decision_log.cpp
@@ -12,8 +12,7 @@
     write_event(
         log_level::info, part, {}, "version_applied",
         {{"version", static_cast<std::int64_t>(view.version.number())},
-         {"queues",
-          static_cast<std::int64_t>(view.catalog->revision.number())},
+         {"queues", static_cast<std::int64_t>(view.catalog->revision.number())},
          {"out", out}});
 }
 
--- a/process/common/src/log.cpp
+++ b/process/common/src/log.cpp
@@ -22,9 +22,8 @@
 {
 
 //! Hands formatted records to the queue.
-class queue_backend
-    : public logging::sinks::basic_formatted_sink_backend<
-          char, logging::sinks::concurrent_feeding>
+class queue_backend : public logging::sinks::basic_formatted_sink_backend<
+                          char, logging::sinks::concurrent_feeding>
 {
 public:
     queue_backend(std::size_t most_bytes, log_output output)
@@ -168,9 +167,9 @@
     const auto sink =
         boost::make_shared<logging::sinks::synchronous_sink<queue_backend>>(
             log.backend);
-    sink->set_formatter([](const logging::record_view& record,
-                           logging::formatting_ostream& out)
-                        { out << record["Message"].extract<std::string>(); });
+    sink->set_formatter(
+        [](const logging::record_view& record, logging::formatting_ostream& out)
+        { out << record["Message"].extract<std::string>(); });
     logging::core::get()->add_sink(sink);
 }
 
--- a/process/control/include/lagoonquay/process/control_replica.hpp
+++ b/process/control/include/lagoonquay/process/control_replica.hpp
@@ -24,7 +24,7 @@
 struct control_replica_options
 {
     replica_id name;
-    std::string address;            //!< of the listener for replicas
+    std::string address; //!< of the listener for replicas
     //! Addresses of the other replicas that start a cluster.
     std::vector<std::string> peers;
     bool may_bootstrap = false; //!< operators start a new cluster
--- a/process/control/src/control_replica_core.cpp
+++ b/process/control/src/control_replica_core.cpp
@@ -205,7 +205,8 @@
     const auto& id = (*asked)->id;
     const bool first = !applied_.outcome_of(id);
     const auto outcome = applied_.apply(*asked);
-    if (first && !std::holds_alternative<read_barrier>((*asked)->what))
+    if (first && decisions_.caught_up() &&
+        !std::holds_alternative<read_barrier>((*asked)->what))
         write_event(
             log_level::info, part, {}, "command_applied",
             {{"command", id.text()},
--- a/process/entry/include/lagoonquay/process/dispatcher.hpp
+++ b/process/entry/include/lagoonquay/process/dispatcher.hpp
@@ -5,8 +5,8 @@
 #include "lagoonquay/process/retry_budget.hpp"
 #include "lagoonquay/process/run_times.hpp"
 #include "lagoonquay/process/task_queue.hpp"
-#include "lagoonquay/request/job.hpp"
 #include "lagoonquay/request/dispatch.hpp"
+#include "lagoonquay/request/job.hpp"
 #include "lagoonquay/request/routing.hpp"
 
 #include <atomic>
--- a/process/entry/include/lagoonquay/process/entry_node.hpp
+++ b/process/entry/include/lagoonquay/process/entry_node.hpp
@@ -49,8 +49,8 @@
     void reload(const entry_settings& settings);
 
     //! Takes jobs for the notice of the settings, in which the balancer learns
-    //! that this entry leaves, and none after it; blocks until every accepted one is answered and every
-    //! response of `callers` is written.
+    //! that this entry leaves, and none after it; blocks until every accepted
+    //! one is answered and every response of `callers` is written.
     void drain(http_server& callers);
 
 private:
--- a/process/entry/src/agent_health.cpp
+++ b/process/entry/src/agent_health.cpp
@@ -52,9 +52,10 @@
     probation_ = true;
 }
 
-// One task at a time on probation and while the worker is slow. After a return the share of the slots grows
-// over the ramp, and each failure in a row halves it, so that a worker that
-// fails everything at once harms few tasks before it is set aside.
+// One task at a time on probation and while the worker is slow. After a return
+// the share of the slots grows over the ramp, and each failure in a row halves
+// it, so that a worker that fails everything at once harms few tasks before it
+// is set aside.
 std::uint32_t agent_health::allowed(const agent_health_options& options,
                                     std::uint32_t slots,
                                     instant now) const noexcept
--- a/process/entry/src/dispatcher.cpp
+++ b/process/entry/src/dispatcher.cpp
@@ -1,5 +1,5 @@
-#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/dispatcher.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 
 #include "lagoonquay/connection/message_link.hpp"
 
@@ -26,13 +26,12 @@
 void log_placed(const queued_task& next, const route_candidate& chosen,
                 const taken_credit& credit, instant now)
 {
-    write_event(
-        log_level::info, "entry", next.key.submission, "placed",
-        {{"task", static_cast<std::int64_t>(next.key.index.number())},
-         {"agent", chosen.agent.text()},
-         {"free_milli", std::int64_t{chosen.free.processors_milli}},
-         {"waited_ms", milliseconds_of(now - next.since)},
-         {"news_age_ms", milliseconds_of(now - credit.heard)}});
+    write_event(log_level::info, "entry", next.key.submission, "placed",
+                {{"task", static_cast<std::int64_t>(next.key.index.number())},
+                 {"agent", chosen.agent.text()},
+                 {"free_milli", std::int64_t{chosen.free.processors_milli}},
+                 {"waited_ms", milliseconds_of(now - next.since)},
+                 {"news_age_ms", milliseconds_of(now - credit.heard)}});
 }
 
 job_aim aim_of(const std::vector<task_to_queue>& job_tasks)
@@ -176,9 +175,8 @@
     }
     const auto slots = std::max(agents_.usable_slots(), 1U);
     const auto alone = std::max(longest, work / slots);
-    const auto span = aim.stretch > 0
-                          ? scale(longest, aim.stretch) + aim.target
-                          : options_.stretch * alone;
+    const auto span = aim.stretch > 0 ? scale(longest, aim.stretch) + aim.target
+                                      : options_.stretch * alone;
     for (auto& it : job_tasks)
     {
         const auto due = std::min(it.start_by, now + span);
--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -1,6 +1,6 @@
 // Tasks of an entry on their way to an agent and back.
-#include "lagoonquay/process/log.hpp"
 #include "entry_job.hpp"
+#include "lagoonquay/process/log.hpp"
 
 namespace lagoonquay
 {
@@ -11,11 +11,11 @@
 // Only a proof that the attempt never starts lets a task move.
 bool may_move(const task_result& result) noexcept
 {
-    const bool declined = result->reason == failure_reason::no_permit ||
-                          result->reason == failure_reason::not_startable ||
-                          result->reason == failure_reason::draining ||
-                          result->reason ==
-                              failure_reason::upstream_unreachable;
+    const bool declined =
+        result->reason == failure_reason::no_permit ||
+        result->reason == failure_reason::not_startable ||
+        result->reason == failure_reason::draining ||
+        result->reason == failure_reason::upstream_unreachable;
     return declined && result->ran == effect::not_run;
 }
 
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -112,25 +112,32 @@
 
     ledger_recovery_hooks recovery_hooks()
     {
-        return {.now = steady_now,
-                .peers = [this] { return recovery_peers(); },
-                .ask = [this](const endpoint& peer, const held_claims_hook& done)
-                { ask_held_claims(client, peer, done); },
-                .remember = [this](const claim_request& it)
-                { ledger.remember(it); },
-                .done =
-                    [this]
-                {
-                    write_log(log_level::info, part, "Ledger is complete.");
-                    ledger.set_complete();
-                }};
+        return {
+            .now = steady_now,
+            .peers = [this] { return recovery_peers(); },
+            .ask = [this](const endpoint& peer, const held_claims_hook& done)
+            { ask_held_claims(client, peer, done); },
+            .remember = [this](const claim_request& it)
+            { ledger.remember(it); },
+            .done =
+                [this]
+            {
+                write_log(log_level::info, part, "Ledger is complete.");
+                ledger.set_complete();
+            }};
     }
 
     ledger_peers_hook peers_hook()
     {
         if (options.follow_entries)
-            return [this] { return peers.current(); };
-        return [it = settings.ledger_peers] { return it; };
+            return [this]
+            {
+                return peers.current();
+            };
+        return [it = settings.ledger_peers]
+        {
+            return it;
+        };
     }
 
     entry_hooks service_hooks()
@@ -226,9 +233,9 @@
     auto peers = http_server::listen(
         it.io.context(), listener_options(process, it.settings.peers),
         peer_routes(it.service, it.ledger, it.settings.jobs));
-    auto operators = http_server::listen(
-        it.io.context(), operator_listener_options(process),
-        entry_operator_routes(it.service, it.answers));
+    auto operators =
+        http_server::listen(it.io.context(), operator_listener_options(process),
+                            entry_operator_routes(it.service, it.answers));
     BOOST_OUTCOME_TRY(require_listening({&peers, &operators}));
     it.peer_listener.emplace(std::move(peers).value());
     it.operator_listener.emplace(std::move(operators).value());
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -32,8 +32,8 @@
 {
     const auto now = now_();
     const std::lock_guard lock(mutex_);
-    std::erase_if(named_, [&](const auto& it)
-                  { return now - it.second > keep_; });
+    std::erase_if(named_,
+                  [&](const auto& it) { return now - it.second > keep_; });
     std::vector<endpoint> found;
     for (const auto& [address, named] : named_)
         found.push_back(address);
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -1,5 +1,5 @@
-#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/entry_service.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 
 #include "entry_job.hpp"
 #include "lagoonquay/connection/message_link.hpp"
@@ -68,12 +68,12 @@
     if (!state)
         return;
     ++accepted_;
-    write_event(log_level::info, part, state->id, "accepted",
-                {{"customer", submitted->customer.text()},
-                 {"tasks", static_cast<std::int64_t>(submitted->tasks.size())},
-                 {"limit_ms", milliseconds_of(submitted->time_limit)},
-                 {"version", static_cast<std::int64_t>(
-                                 view()->version.number())}});
+    write_event(
+        log_level::info, part, state->id, "accepted",
+        {{"customer", submitted->customer.text()},
+         {"tasks", static_cast<std::int64_t>(submitted->tasks.size())},
+         {"limit_ms", milliseconds_of(submitted->time_limit)},
+         {"version", static_cast<std::int64_t>(view()->version.number())}});
     ask_claim(state, claim_round());
 }
 
@@ -324,8 +324,7 @@
                                               answer_hook& done)
 {
     auto fresh = std::make_shared<job_state>(
-        submitted, digest, hooks_.now(),
-        hooks_.now() + submitted->time_limit);
+        submitted, digest, hooks_.now(), hooks_.now() + submitted->time_limit);
     const bool added =
         jobs_.with_shard(fresh->id,
                          [&](auto& values)
--- a/process/entry/src/ledger_recovery.cpp
+++ b/process/entry/src/ledger_recovery.cpp
@@ -56,7 +56,8 @@
 bool ledger_recovery::complete(const std::vector<endpoint>& peers) const
 {
     return hooks_.now() - began_ >= options_.settle &&
-           std::all_of(peers.begin(), peers.end(), [this](const endpoint& it)
+           std::all_of(peers.begin(), peers.end(),
+                       [this](const endpoint& it)
                        { return answered_.contains(it); });
 }
 
--- a/process/ledger/include/lagoonquay/process/claim.hpp
+++ b/process/ledger/include/lagoonquay/process/claim.hpp
@@ -64,7 +64,12 @@
     //! @return the outcome with the vote that decides it, once.
     std::optional<claim_outcome> add(const std::optional<claim_vote>& vote);
 
+    //! Notes that a replica's process has ended, and its memory with it.
+    //! @return as add().
+    std::optional<claim_outcome> add_gone();
+
 private:
+    std::optional<claim_outcome> decide_once();
     std::optional<claim_outcome> decide();
     claim_outcome granted() const;
     claim_outcome refused() const;
@@ -75,6 +80,7 @@
     duration lease_;
     instant sent_;
     std::size_t answered_ = 0;
+    std::size_t gone_ = 0;
     std::vector<claim_vote> votes_;
     bool decided_ = false;
 };
--- a/process/ledger/src/claim.cpp
+++ b/process/ledger/src/claim.cpp
@@ -52,6 +52,18 @@
     ++answered_;
     if (vote)
         votes_.push_back(*vote);
+    return decide_once();
+}
+
+std::optional<claim_outcome> claim_tally::add_gone()
+{
+    ++answered_;
+    ++gone_;
+    return decide_once();
+}
+
+std::optional<claim_outcome> claim_tally::decide_once()
+{
     if (decided_)
         return std::nullopt;
     auto outcome = decide();
@@ -138,9 +150,18 @@
     return std::nullopt;
 }
 
+// Of a claim in force, a majority of all replicas was told, its holder among
+// them. Those of them that are gone take no part any more, and come back only
+// after they have heard of it again; so at least `told` of the rest know it,
+// and one more than the others is enough to meet one of these.
 std::size_t claim_tally::quorum() const noexcept
 {
-    return replicas_ / 2 + 1;
+    const auto majority = replicas_ / 2 + 1;
+    if (gone_ == 0)
+        return majority;
+    const auto left = replicas_ - gone_;
+    const auto told = majority > gone_ ? majority - gone_ : 1;
+    return left - told + 1;
 }
 
 } // namespace lagoonquay
--- a/process/ledger/src/ledger_client.cpp
+++ b/process/ledger/src/ledger_client.cpp
@@ -13,6 +13,16 @@
 namespace
 {
 
+std::optional<claim_vote> read_vote(connection_result<http_response> answer)
+{
+    if (!answer || answer.value().status != http_status::ok)
+        return std::nullopt;
+    auto vote = decode_claim_vote(answer.value().body);
+    if (!vote)
+        return std::nullopt;
+    return std::move(vote).value();
+}
+
 //! One claim on its way; shared by the callbacks of its replicas.
 class claim_exchange
 {
@@ -23,32 +33,36 @@
     }
 
     void add(const std::optional<claim_vote>& vote)
+    {
+        finish([&] { return tally_.add(vote); });
+    }
+
+    // A port where nothing listens proves that the process has ended.
+    void add(connection_result<http_response> answer)
+    {
+        if (!answer && answer.error().code == connection_errc::refused)
+            return finish([this] { return tally_.add_gone(); });
+        add(read_vote(std::move(answer)));
+    }
+
+private:
+    template <typename Count>
+    void finish(Count count)
     {
         std::optional<claim_outcome> outcome;
         {
             const std::lock_guard lock(mutex_);
-            outcome = tally_.add(vote);
+            outcome = count();
         }
         if (outcome)
             done_(*outcome);
     }
 
-private:
     std::mutex mutex_;
     claim_tally tally_;
     claim_callback done_;
 };
 
-std::optional<claim_vote> read_vote(connection_result<http_response> answer)
-{
-    if (!answer || answer.value().status != http_status::ok)
-        return std::nullopt;
-    auto vote = decode_claim_vote(answer.value().body);
-    if (!vote)
-        return std::nullopt;
-    return std::move(vote).value();
-}
-
 } // namespace
 
 claim_hook claim_over_http(http_client& client, ledger_replica& local,
@@ -70,7 +84,7 @@
         {
             client.send(peer, request, it.timeout,
                         [exchange](connection_result<http_response> answer)
-                        { exchange->add(read_vote(std::move(answer))); });
+                        { exchange->add(std::move(answer)); });
         }
         exchange->add(local.claim(asked));
     };
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -61,20 +61,19 @@
 
 json::object claim_to_json(const claim_request& asked)
 {
-    return {
-        {"submission", asked->submission.text()},
-        {"digest", std::to_string(asked->digest.number())},
-        {"created_ms", asked->created.time_since_epoch().count()},
-        {"dated", asked->dated},
-        {"holder", asked->holder.text()},
-        {"holder_run", std::to_string(asked->holder_run.number())},
-        {"holder_address", asked->holder_address},
-        {"round", asked->round.number()},
-        {"ask", asked->ask.number()},
-        {"close", asked->close},
-        {"release", asked->release},
-        {"lease_us", asked->lease.count()},
-        {"reach", reach_to_json(asked->reach)}};
+    return {{"submission", asked->submission.text()},
+            {"digest", std::to_string(asked->digest.number())},
+            {"created_ms", asked->created.time_since_epoch().count()},
+            {"dated", asked->dated},
+            {"holder", asked->holder.text()},
+            {"holder_run", std::to_string(asked->holder_run.number())},
+            {"holder_address", asked->holder_address},
+            {"round", asked->round.number()},
+            {"ask", asked->ask.number()},
+            {"close", asked->close},
+            {"release", asked->release},
+            {"lease_us", asked->lease.count()},
+            {"reach", reach_to_json(asked->reach)}};
 }
 
 claim_request claim_from_json(json_fields& fields)
--- a/process/ledger/src/ledger_replica.cpp
+++ b/process/ledger/src/ledger_replica.cpp
@@ -15,9 +15,9 @@
 {
     if (asked->submission.empty())
     {
-        const bool past = asked->dated
-                              ? past_fence(options_, wall_())
-                              : complete_ || past_undated_fence(options_, now_());
+        const bool past =
+            asked->dated ? past_fence(options_, wall_())
+                         : complete_ || past_undated_fence(options_, now_());
         return claim_vote(
             {.verdict = past ? claim_verdict::granted : claim_verdict::fenced});
     }
--- a/process/ledger/tests/ledger_test.cpp
+++ b/process/ledger/tests/ledger_test.cpp
@@ -118,6 +118,50 @@
     EXPECT_EQ(refused->holder_address, "a");
 }
 
+claim_vote grant()
+{
+    return claim_vote(
+        {.verdict = claim_verdict::granted, .round = claim_round(1)});
+}
+
+claim_vote not_remembering()
+{
+    return claim_vote({.verdict = claim_verdict::fenced});
+}
+
+TEST(claim_tally, a_process_that_has_ended_is_not_waited_for)
+{
+    claim_tally tally(4, lease, now);
+    EXPECT_FALSE(tally.add(grant()));
+    EXPECT_FALSE(tally.add(not_remembering()));
+    EXPECT_FALSE(tally.add(grant()));
+    const auto outcome = tally.add_gone();
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ((*outcome)->status, claim_status::held);
+}
+
+TEST(claim_tally, with_many_gone_all_others_must_agree)
+{
+    claim_tally tally(5, lease, now);
+    tally.add_gone();
+    tally.add_gone();
+    EXPECT_FALSE(tally.add(grant()));
+    EXPECT_FALSE(tally.add(grant()));
+    const auto outcome = tally.add(not_remembering());
+    ASSERT_TRUE(outcome);
+    EXPECT_NE((*outcome)->status, claim_status::held);
+}
+
+TEST(claim_tally, a_silent_replica_still_counts)
+{
+    claim_tally tally(3, lease, now);
+    EXPECT_FALSE(tally.add(grant()));
+    EXPECT_FALSE(tally.add(std::nullopt));
+    const auto outcome = tally.add(std::nullopt);
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ((*outcome)->status, claim_status::unavailable);
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -32,7 +32,7 @@
     std::uint64_t credits_total = 0; //!< credits granted since the link opened
     std::uint32_t slots = 0;         //!< slots of the worker
     resources capacity;
-    resources used; //!< by tasks that run or wait at the agent
+    resources used;         //!< by tasks that run or wait at the agent
     bool accepting = false; //!< false without permit or upstream
     bool draining = false;  //!< asks for every unused credit
 
--- a/request/include/lagoonquay/request/job.hpp
+++ b/request/include/lagoonquay/request/job.hpp
@@ -40,12 +40,12 @@
 {
     submission_id submission;
     customer_id customer;
-    wall_time created{};     //!< repeated unchanged by a resubmission
+    wall_time created{}; //!< repeated unchanged by a resubmission
     //! Whether the caller told the creation time. If not, the entry stamps the
     //! job itself, and resubmissions may differ in it and in the time limit.
     bool dated = true;
     std::uint32_t attempts = 1; //!< runs of one task that may end as failed
-    duration time_limit{};   //!< from acceptance to the deadline
+    duration time_limit{};      //!< from acceptance to the deadline
     job_aim aim;
     bool idempotent = false; //!< whether a task may run more than once
     std::vector<task> tasks;
--- a/request/include/lagoonquay/request/job_run.hpp
+++ b/request/include/lagoonquay/request/job_run.hpp
@@ -104,7 +104,7 @@
         task_phase phase = task_phase::waiting;
         attempt_key key;
         task_result result;
-        bool may_have_run = false; //!< in an earlier attempt
+        bool may_have_run = false;  //!< in an earlier attempt
         std::uint32_t failures = 0; //!< attempts that ended as failed
     };
 
--- a/request/include/lagoonquay/request/time.hpp
+++ b/request/include/lagoonquay/request/time.hpp
@@ -30,8 +30,8 @@
 //! @return a multiple of a span.
 inline duration scale(duration span, double factor) noexcept
 {
-    return duration(static_cast<duration::rep>(
-        static_cast<double>(span.count()) * factor));
+    return duration(
+        static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
 }
 
 //! Reads the monotonic clock. May be called from any thread.
--- a/request/src/admission.cpp
+++ b/request/src/admission.cpp
@@ -44,8 +44,8 @@
         return failure_reason::quota;
     if (load.all_tasks + asked.tasks > load.most_tasks)
         return failure_reason::overloaded;
-    const auto most_wait = static_cast<double>(asked.slack.count()) *
-                           waited_part;
+    const auto most_wait =
+        static_cast<double>(asked.slack.count()) * waited_part;
     if (asked.slack > duration::zero() &&
         static_cast<double>(load.waited.count()) > most_wait)
         return failure_reason::overloaded;
--- a/request/src/job_codec.cpp
+++ b/request/src/job_codec.cpp
@@ -69,10 +69,9 @@
     options.time_limit = std::chrono::milliseconds(fields.number_or(
         "time_limit_ms", milliseconds_of(limits.default_time_limit), 1,
         milliseconds_of(limits.longest_time_limit)));
-    options.aim.stretch =
-        static_cast<double>(
-            fields.number_or("stretch_milli", 0, 0, most_stretch_milli)) /
-        thousandths;
+    options.aim.stretch = static_cast<double>(fields.number_or(
+                              "stretch_milli", 0, 0, most_stretch_milli)) /
+                          thousandths;
     options.aim.target = std::chrono::milliseconds(fields.number_or(
         "target_ms", 0, 0, milliseconds_of(limits.longest_time_limit)));
     options.idempotent = fields.flag_or("idempotent", false);
@@ -89,8 +88,8 @@
     BOOST_OUTCOME_TRY(const auto document, parse_outside_json(text));
     json_fields fields(document, "");
     fields.only({"submission", "customer", "created_ms", "time_limit_ms",
-                 "idempotent", "dated", "attempts", "stretch_milli", "target_ms",
-                 "tasks"});
+                 "idempotent", "dated", "attempts", "stretch_milli",
+                 "target_ms", "tasks"});
     auto options = read_job(fields, limits);
     options.tasks = read_tasks(fields, limits);
     if (fields.failed())
@@ -104,8 +103,8 @@
     BOOST_OUTCOME_TRY(const auto document, parse_outside_json(text));
     json_fields fields(document, "");
     fields.only({"submission", "customer", "created_ms", "time_limit_ms",
-                 "idempotent", "dated", "attempts", "stretch_milli", "target_ms",
-                 "kind", "payload", "need", "declared_run_ms"});
+                 "idempotent", "dated", "attempts", "stretch_milli",
+                 "target_ms", "kind", "payload", "need", "declared_run_ms"});
     auto options = read_job(fields, limits);
     options.tasks.push_back(read_task(fields, limits));
     if (fields.member("idempotent") == nullptr)
@@ -125,8 +124,8 @@
         {"customer", submitted->customer.text()},
         {"created_ms", submitted->created.time_since_epoch().count()},
         {"time_limit_ms", milliseconds_of(submitted->time_limit)},
-        {"stretch_milli", static_cast<std::uint64_t>(
-                              submitted->aim.stretch * thousandths)},
+        {"stretch_milli",
+         static_cast<std::uint64_t>(submitted->aim.stretch * thousandths)},
         {"target_ms", milliseconds_of(submitted->aim.target)},
         {"idempotent", submitted->idempotent},
         {"dated", submitted->dated},
--- a/request/src/routing.cpp
+++ b/request/src/routing.cpp
@@ -116,10 +116,10 @@
 known_load load_of(const route_candidate& it) noexcept
 {
     const known_load slots{std::uint64_t{it.outstanding} + it.others, it.slots};
-    const known_load processors{std::uint64_t{it.capacity.processors_milli} -
-                                    std::min(it.capacity.processors_milli,
-                                             it.free.processors_milli),
-                                it.capacity.processors_milli};
+    const known_load processors{
+        std::uint64_t{it.capacity.processors_milli} -
+            std::min(it.capacity.processors_milli, it.free.processors_milli),
+        it.capacity.processors_milli};
     const bool known = it.capacity.processors_milli > 0;
     return known && less_loaded(slots, processors) ? processors : slots;
 }
--- a/version/include/lagoonquay/version/member.hpp
+++ b/version/include/lagoonquay/version/member.hpp
@@ -44,7 +44,7 @@
 struct permit_request
 {
     member sender;
-    version_number known; //!< newest version the sender has applied
+    version_number known;     //!< newest version the sender has applied
     log_index known_replicas; //!< of the newest replica_set it has heard of
 
     friend bool operator==(const permit_request&,
--- a/version/include/lagoonquay/version/queue_catalog.hpp
+++ b/version/include/lagoonquay/version/queue_catalog.hpp
@@ -26,12 +26,12 @@
 struct job_queue
 {
     queue_id id;
-    std::string host;        //!< of the callers' requests, without a port
-    std::string prefix; //!< ends where the submission id begins
-    service_id service;      //!< whose workers run the tasks
-    duration time_limit{};   //!< from acceptance to the answer
-    duration target{};       //!< of a job beyond its stretched work
-    std::uint32_t priority = 0;     //!< 0 goes first
+    std::string host;           //!< of the callers' requests, without a port
+    std::string prefix;         //!< ends where the submission id begins
+    service_id service;         //!< whose workers run the tasks
+    duration time_limit{};      //!< from acceptance to the answer
+    duration target{};          //!< of a job beyond its stretched work
+    std::uint32_t priority = 0; //!< 0 goes first
     std::uint32_t max_attempts = 1; //!< failed runs of one task
     double stretch = 1; //!< of a job's longest chain of work, for its target
 
--- a/version/src/catalog_json.cpp
+++ b/version/src/catalog_json.cpp
@@ -75,9 +75,8 @@
         queues.push_back(queue_to_json(it));
     json::array services;
     for (const auto& it : catalog->services)
-        services.push_back(
-            json::object{{"id", it.id.text()},
-                         {"guards_capacity", it.guards_capacity}});
+        services.push_back(json::object{
+            {"id", it.id.text()}, {"guards_capacity", it.guards_capacity}});
     return {{"revision", catalog->revision.number()},
             {"queues", std::move(queues)},
             {"services", std::move(services)},
--- a/version/src/queue_catalog.cpp
+++ b/version/src/queue_catalog.cpp
@@ -52,8 +52,7 @@
     {
         if (queue.host != name || !path.starts_with(queue.prefix))
             continue;
-        if (found == nullptr ||
-            found->prefix.size() < queue.prefix.size())
+        if (found == nullptr || found->prefix.size() < queue.prefix.size())
             found = &queue;
     }
     return found;
--- a/version/src/version_codec.cpp
+++ b/version/src/version_codec.cpp
@@ -327,10 +327,10 @@
 
 std::string encode_permit_request(const permit_request& request)
 {
-    const json::object object{{"sender", member_to_json(request.sender)},
-                              {"known", request.known.number()},
-                              {"known_replicas",
-                               request.known_replicas.number()}};
+    const json::object object{
+        {"sender", member_to_json(request.sender)},
+        {"known", request.known.number()},
+        {"known_replicas", request.known_replicas.number()}};
     return json::serialize(object);
 }
 
@@ -374,9 +374,9 @@
     if (const auto* replicas = fields.member("replicas"))
     {
         json_fields nested(*replicas, "replicas");
-        reply.replicas = replica_set{
-            log_index(nested.number("index", 0, json_exact_limit)),
-            members_from_json(nested, "members")};
+        reply.replicas =
+            replica_set{log_index(nested.number("index", 0, json_exact_limit)),
+                        members_from_json(nested, "members")};
         fields.absorb(nested);
     }
     reply.agents = fleet_members_from_json(fields, "agents");
