--- a/process/agent/include/lagoonquay/process/agent_node.hpp
+++ b/process/agent/include/lagoonquay/process/agent_node.hpp
@@ -25,8 +25,8 @@
 class agent_node
 {
 public:
-    agent_node(const agent_settings& settings, agent_node_options options,
-               io_threads& io);
+    agent_node(const agent_settings& settings,
+               const agent_node_options& options, io_threads& io);
     ~agent_node();
     agent_node(const agent_node&) = delete;
     agent_node& operator=(const agent_node&) = delete;
--- a/process/agent/src/agent_node.cpp
+++ b/process/agent/src/agent_node.cpp
@@ -56,7 +56,7 @@
 
 struct agent_node::parts
 {
-    parts(const agent_settings& given, agent_node_options node,
+    parts(const agent_settings& given, const agent_node_options& node,
           io_threads& threads)
         : settings(given), io(threads), client(io.context(), {}),
           service(service_options(given, node),
@@ -87,8 +87,8 @@
 };
 
 agent_node::agent_node(const agent_settings& settings,
-                       agent_node_options options, io_threads& io)
-    : parts_(std::make_unique<parts>(settings, std::move(options), io))
+                       const agent_node_options& options, io_threads& io)
+    : parts_(std::make_unique<parts>(settings, options, io))
 {
 }
 
--- a/process/common/src/operator_http.cpp
+++ b/process/common/src/operator_http.cpp
@@ -1,5 +1,7 @@
 #include "lagoonquay/process/operator_http.hpp"
 
+#include "lagoonquay/process/log.hpp"
+
 namespace lagoonquay
 {
 
@@ -11,7 +13,11 @@
     };
     const auto metrics = [view]() -> http_response
     {
-        return {.body = encode_metrics(view.metrics()),
+        auto all = view.metrics();
+        all.samples.push_back({"lagoonquay_log_lines_dropped_total",
+                               "Lines of the log that found no room.",
+                               metric_kind::counter, dropped_log_lines()});
+        return {.body = encode_metrics(all),
                 .content_type = metrics_content_type};
     };
     return {health_route(),
--- a/process/entry/include/lagoonquay/process/agent_table.hpp
+++ b/process/entry/include/lagoonquay/process/agent_table.hpp
@@ -67,6 +67,9 @@
     //! @return the agent whose worker holds the need and has most room left.
     std::optional<agent_id> best_fit(const resources& need, instant now);
 
+    //! @return whether the agent's present incarnation takes tasks.
+    bool accepts(const agent_id& agent);
+
     //! @return slots that this entry uses or could use at once.
     std::uint32_t usable_slots();
 
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -219,7 +220,9 @@
     void check_lost(instant now);
     std::vector<attempt_key> lost_attempts(job_state& state,
                                            const linked_runs& links,
+                                           const std::set<agent_id>& accepting,
                                            instant now) const;
+    std::set<agent_id> accepting_agents(const linked_runs& links);
 
     // entry_answers.cpp: answers and deadlines
     void finish_if_complete(const job_pointer& state);
--- a/process/entry/src/agent_table.cpp
+++ b/process/entry/src/agent_table.cpp
@@ -193,6 +193,15 @@
     return best;
 }
 
+bool agent_table::accepts(const agent_id& agent)
+{
+    return agents_.with(agent,
+                        [](const entry* it) {
+                            return it != nullptr && it->link && it->last &&
+                                   it->last->accepting;
+                        });
+}
+
 std::uint32_t agent_table::usable_slots()
 {
     std::uint32_t slots = 0;
--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -208,9 +208,21 @@
     enqueue_waiting(state);
 }
 
+std::set<agent_id> entry_service::accepting_agents(const linked_runs& links)
+{
+    std::set<agent_id> found;
+    for (const auto& [agent, run] : links)
+    {
+        if (dispatcher_.agents().accepts(agent))
+            found.insert(agent);
+    }
+    return found;
+}
+
 void entry_service::check_lost(instant now)
 {
     const auto links = linked();
+    const auto accepting = accepting_agents(links);
     for (const auto& state : open_jobs())
     {
         std::vector<attempt_key> lost;
@@ -219,7 +231,7 @@
                  [&](job_state& it)
                  {
                      adopting = it.stage == job_stage::adopting;
-                     lost = lost_attempts(it, links, now);
+                     lost = lost_attempts(it, links, accepting, now);
                  });
         for (const auto& key : lost)
             settle(state, key, lost_result(key));
@@ -230,10 +242,12 @@
 
 // @return the attempts whose agent is given up: it came back as another
 // incarnation, or did not come back within the grace period. A task that may
-// run again waits in any case: its old run may go on for that long.
-std::vector<attempt_key> entry_service::lost_attempts(job_state& state,
-                                                      const linked_runs& links,
-                                                      instant now) const
+// run again waits until the new incarnation takes tasks, and so has ended what
+// the old one left.
+std::vector<attempt_key>
+entry_service::lost_attempts(job_state& state, const linked_runs& links,
+                             const std::set<agent_id>& accepting,
+                             instant now) const
 {
     std::vector<attempt_key> lost;
     for (const auto& key : state.run.dispatched())
@@ -249,7 +263,8 @@
             state.lost.try_emplace(agent, now + options_.link_grace)
                 .first->second;
         const bool restarted = link != links.end();
-        const bool settled = restarted && !state.submitted->idempotent;
+        const bool settled = restarted && (!state.submitted->idempotent ||
+                                           accepting.contains(key.agent));
         if (settled || now >= until)
             lost.push_back(key);
     }
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -39,8 +39,10 @@
     argv.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_path.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, log_mode);
+    for (const int stream : {STDOUT_FILENO, STDERR_FILENO})
+        posix_spawn_file_actions_addopen(&actions, stream, log_path.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND,
+                                         log_mode);
     const int failed = posix_spawn(&id_, path.c_str(), &actions, nullptr,
                                    argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -14,7 +14,7 @@
 {
 public:
     //! @param program   name in the build's bin folder.
-    //! @param log_path  file that its standard error is appended to.
+    //! @param log_path  file that its output is appended to.
     child_process(const std::string& program,
                   const std::vector<std::string>& arguments,
                   const std::string& log_path);
