--- /dev/null
+++ b/process/agent/src/run_reports.cpp
@@ -0,0 +1,138 @@
+// What a worker's reports say of its runs.
+#include "run_table.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+void run_table::stop_unknown(const std::vector<running_run>& running,
+                             instant now)
+{
+    std::map<task_run, instant> still;
+    for (const auto& each : running)
+    {
+        const auto& id = each.run;
+        if (runs_.contains(id))
+            continue;
+        const auto known = foreign_.find(id);
+        const bool told = known != foreign_.end() &&
+                          now - known->second < options_.stop_retry;
+        still.emplace(id, told ? known->second : now);
+        if (!told)
+            output_.stops.push_back({id, fence_});
+    }
+    foreign_ = std::move(still);
+    if (!foreign_.empty())
+        foreign_seen_ = now;
+}
+
+void run_table::note_ends(const std::vector<ended_run>& ended)
+{
+    for (const auto& it : ended)
+    {
+        if (it.number <= seen_)
+            continue;
+        seen_ = it.number;
+        switch (it.how)
+        {
+        case run_end::done:
+            finish(it.run, failure_reason::none, effect::ran, {});
+            break;
+        case run_end::failed:
+            finish(it.run, failure_reason::upstream_failed, effect::ran,
+                   "the run failed at the worker");
+            break;
+        case run_end::stopped:
+            note_stopped(it);
+            break;
+        case run_end::lapsed:
+            finish(it.run, failure_reason::upstream_unreachable,
+                   effect::unknown, "the run's lease ran out");
+            break;
+        }
+    }
+}
+
+// A run that was stopped only because its start got no answer may start anew.
+void run_table::note_stopped(const ended_run& ended)
+{
+    const auto found = runs_.find(ended.run);
+    if (found == runs_.end())
+        return;
+    if (found->second.cancelled)
+        return finish(ended.run, failure_reason::cancelled, effect::ran,
+                      "the run was stopped");
+    finish(ended.run, failure_reason::upstream_unreachable, effect::unknown,
+           "the worker did not answer the start");
+}
+
+// A report speaks of a run only if it was asked for after the last answer
+// about that run: answers on different connections overtake each other. A
+// start without an answer that is not there may still arrive, so it is stopped
+// first.
+void run_table::note_running(const std::vector<running_run>& running,
+                             std::uint64_t number, instant asked_at,
+                             instant now)
+{
+    std::set<task_run> there;
+    for (const auto& it : running)
+        there.insert(it.run);
+    std::vector<task_run> missing;
+    for (auto& [id, it] : runs_)
+    {
+        if (number <= it.settled)
+            continue;
+        const bool is_there = there.contains(id);
+        const bool settled =
+            it.at == phase::running ||
+            (it.at == phase::gone && asked_at > it.stopped + stop_time());
+        if (settled && !is_there)
+            missing.push_back(id);
+        if (it.at == phase::starting && is_there)
+            it.at = phase::running;
+        if (it.at != phase::doubtful)
+            continue;
+        it.at = is_there ? phase::running : phase::stopping;
+        if (!is_there)
+            send_stop(id, it, now);
+    }
+    for (const auto& id : missing)
+        finish(id, failure_reason::upstream_unreachable, effect::unknown,
+               "the run is no longer at the worker");
+}
+
+// A run that makes no progress is stopped, so that it may run elsewhere. Slow
+// workers show progress in longer steps: the longest so far bounds the next.
+void run_table::note_progress(const std::vector<running_run>& running,
+                              instant now)
+{
+    for (const auto& it : running)
+    {
+        const auto found = runs_.find(it.run);
+        if (found == runs_.end() || found->second.at != phase::running)
+            continue;
+        auto& known = found->second;
+        if (known.progressed == instant() || it.percent > known.percent)
+        {
+            if (known.progressed != instant())
+                known.longest_gap =
+                    std::max(known.longest_gap, now - known.progressed);
+            known.progressed = now;
+            known.percent = it.percent;
+        }
+        if (!stands_still(known, now))
+            continue;
+        known.at = phase::stopping;
+        send_stop(it.run, known, now);
+    }
+}
+
+bool run_table::stands_still(const run& it, instant now) const
+{
+    constexpr int longer_gap = 4;
+    const auto most = std::max(options_.stall, longer_gap * it.longest_gap);
+    return now - it.progressed > most;
+}
+
+} // namespace lagoonquay
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -158,10 +158,7 @@
     if (!refused)
         return refused;
     ++refused_;
-    write_event(log_level::info, part, state->id, "refused",
-                {{"reason", to_text((*refused)->reason)},
-                 {"ran", to_text((*refused)->ran)},
-                 {"detail", (*refused)->detail}});
+    log_refusal(*refused);
     return refused;
 }
 
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -18,6 +18,9 @@
     forwarded, //!< handed to the holder
 };
 
+//! Writes that a job was refused, and why.
+void log_refusal(const job_answer& refused);
+
 //! Attempts that one claim round leaves room for.
 constexpr std::uint64_t attempts_per_round = 1ULL << 16U;
 
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::string_view part = "entry";
 
+} // namespace
+
 void log_refusal(const job_answer& refused)
 {
     write_event(log_level::info, part, refused->submission, "refused",
@@ -27,8 +29,6 @@
                  {"detail", refused->detail}});
 }
 
-} // namespace
-
 entry_service::entry_service(entry_options options, entry_hooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks)),
       settings_(hooks_.draw),
