--- /dev/null
+++ b/process/entry/tests/fake_fleet_calls.cpp
@@ -0,0 +1,198 @@
+// What the processes of the fake fleet ask of each other.
+#include "fake_fleet_parts.hpp"
+
+namespace lagoonquay
+{
+
+void fake_fleet::tick_entry(std::size_t n)
+{
+    auto& host = *entries_[n];
+    for (const auto& it : host.service->agents().unlinked())
+        link(n, std::stoul(it->id.substr(std::string("agent-").size())));
+    host.service->tick();
+    const auto process = host.process;
+    time_.after(tick_period, [this, n, process]
+                { deliver(process, [this, n] { tick_entry(n); }); });
+}
+
+void fake_fleet::tick_agent(std::size_t n)
+{
+    agents_[n]->service->tick();
+    const auto process = agents_[n]->process;
+    time_.after(tick_period, [this, n, process]
+                { deliver(process, [this, n] { tick_agent(n); }); });
+}
+
+// A lost message counts as no answer at the timeout, and so does a vote that
+// comes later; the replica may have recorded the claim all the same.
+void fake_fleet::claim(std::size_t from, const claim_request& asked,
+                       claim_callback done)
+{
+    struct exchange
+    {
+        claim_tally tally;
+        std::vector<bool> counted;
+    };
+    const auto shared = std::make_shared<exchange>(
+        exchange{claim_tally(options_.entries, asked->lease, time_.now()),
+                 std::vector<bool>(options_.entries)});
+    const auto sender = entries_[from]->process;
+    for (std::size_t n = 0; n < options_.entries; ++n)
+    {
+        const auto count =
+            [shared, n, done](const std::optional<claim_vote>& vote)
+        {
+            if (shared->counted[n])
+                return;
+            shared->counted[n] = true;
+            if (const auto outcome = shared->tally.add(vote))
+                done(*outcome);
+        };
+        time_.after(claim_timeout, [this, sender, count]
+                    { deliver(sender, [count] { count(std::nullopt); }); });
+        if (draw(100) < options_.claim_loss_percent)
+            continue;
+        const bool lost = draw(100) < options_.claim_loss_percent;
+        const auto process = entries_[n]->process;
+        const auto late = duration(
+            lost ? draw(2000000) : 0); // a late claim may still be recorded
+        time_.after(
+            late,
+            [this, n, process, sender, asked, count, lost]
+            {
+                send(process,
+                     [this, n, sender, asked, count, lost]
+                     {
+                         const auto vote = entries_[n]->ledger->claim(asked);
+                         if (!lost)
+                             send(sender, [count, vote] { count(vote); });
+                     });
+            });
+    }
+}
+
+void fake_fleet::forward(std::size_t from, const std::string& address,
+                         const job& work, const forwarded_hook& done)
+{
+    const auto sender = entries_[from]->process;
+    const auto n = std::stoul(address.substr(std::string("entry-").size()));
+    const auto process = entries_[n]->process;
+    const auto answered = std::make_shared<bool>(false);
+    const auto finish =
+        [answered, done](const std::optional<job_answer>& answer)
+    {
+        if (*answered)
+            return;
+        *answered = true;
+        done(answer);
+    };
+    if (!process->alive)
+        return send(sender, [finish] { finish(std::nullopt); });
+    send(process,
+         [this, n, sender, work, finish]
+         {
+             entries_[n]->service->submit(
+                 work, [this, sender, finish](const job_answer& answer)
+                 { send(sender, [finish, answer] { finish(answer); }); });
+         });
+    time_.after(work->time_limit, [this, sender, finish]
+                { deliver(sender, [finish] { finish(std::nullopt); }); });
+}
+
+void fake_fleet::call_upstream(std::size_t agent, const upstream_call& call,
+                               const upstream_callback& done)
+{
+    const auto& id = call.submission;
+    const task_key key{id, call.index};
+    const auto n = ++record_.starts[key];
+    if (n > 1 && !idempotent_[id])
+        complain(id, "task " + std::to_string(call.index.number()) +
+                         " started twice");
+    auto& denied = denied_[id];
+    if (denied.contains(call.index.number()))
+        complain(id, "task " + std::to_string(call.index.number()) +
+                         " started after 'not run'");
+    if (on_start)
+        on_start(call);
+    const auto process = agents_[agent]->process;
+    const auto span =
+        run_time ? run_time(call) : duration(std::chrono::milliseconds(50));
+    const task_result result({.index = call.index,
+                              .reason = failure_reason::none,
+                              .ran = effect::ran,
+                              .body = body_of(id, call.index),
+                              .detail = {}});
+    time_.after(span, [this, process, done, result]
+                { deliver(process, [done, result] { done(result); }); });
+}
+
+void fake_fleet::check_answer(const job& work, const job_answer& answer)
+{
+    record_.answers.push_back(answer);
+    const auto& id = work->submission;
+    auto& denied = denied_[id];
+    if (answer->submission != id)
+        complain(id, "got the answer of " + answer->submission.text());
+    if (succeeded(answer))
+    {
+        if (answer->results.size() != work->tasks.size())
+            complain(id, "partial answer");
+        for (std::uint64_t n = 0; n < answer->results.size(); ++n)
+        {
+            if (answer->results[n]->body != body_of(id, task_index(n)))
+                complain(id, "crossed result " + std::to_string(n));
+        }
+        return;
+    }
+    if (!answer->results.empty())
+        complain(id, "a failed job shows results");
+    // Admission turns one request away; the submission may be sent again.
+    const bool admission = answer->reason == failure_reason::overloaded ||
+                           answer->reason == failure_reason::quota ||
+                           answer->reason == failure_reason::impossible_need;
+    if (admission)
+        turned_away_.insert(id);
+    const bool wanted = admission && open_calls(id) > 0;
+    const auto deny = [&](std::uint64_t n)
+    {
+        if (record_.starts[{id, task_index(n)}] > 0)
+            complain(id, "task " + std::to_string(n) + " ran but is 'not run'");
+        if (!wanted)
+            denied.insert(n);
+    };
+    for (const auto& it : answer->failures)
+    {
+        if (it->ran == effect::not_run)
+            deny(it->index.number());
+    }
+    if (answer->ran != effect::not_run)
+        return;
+    for (std::uint64_t n = 0; n < work->tasks.size(); ++n)
+        deny(n);
+}
+
+std::uint64_t fake_fleet::open_calls(const submission_id& submission) const
+{
+    std::uint64_t total = 0;
+    for (const auto& it : entries_)
+    {
+        const auto calls = it->calls.find(submission);
+        total += calls == it->calls.end() ? 0 : calls->second;
+    }
+    return total;
+}
+
+void fake_fleet::complain(const submission_id& submission,
+                          const std::string& what)
+{
+    record_.violations.push_back(submission.text() + ": " + what);
+}
+
+permit fake_fleet::endless_permit() const
+{
+    permit_options options;
+    options.valid_until = instant::max();
+    return permit(options);
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/entry/tests/fake_fleet_parts.hpp
@@ -0,0 +1,155 @@
+//! Links and hosts of the fake fleet, shared by its sources.
+#pragma once
+
+#include "fake_fleet.hpp"
+#include "lagoonquay/request/dispatch_codec.hpp"
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+constexpr duration tick_period = std::chrono::milliseconds(50);
+constexpr duration claim_timeout = std::chrono::milliseconds(200);
+constexpr duration link_silence = std::chrono::milliseconds(600);
+constexpr wall_time wall_start(std::chrono::hours(400000));
+
+inline std::string agent_name(std::size_t n)
+{
+    return "agent-" + std::to_string(n);
+}
+
+inline std::string entry_name(std::size_t n)
+{
+    return "entry-" + std::to_string(n);
+}
+
+inline std::string body_of(const submission_id& submission, task_index index)
+{
+    return submission.text() + "/" + std::to_string(index.number());
+}
+
+//! One end of a link; messages pass through the codec.
+class fake_fleet::fake_link : public message_link
+{
+public:
+    fake_link(fake_fleet& fleet, process_pointer owner)
+        : fleet_(fleet), owner_(std::move(owner))
+    {
+    }
+
+    void join(const std::shared_ptr<fake_link>& peer)
+    {
+        peer_ = peer;
+    }
+
+    void start(link_hooks hooks) override
+    {
+        hooks_ = std::move(hooks);
+    }
+
+    void send(link_message message) override
+    {
+        const auto peer = peer_.lock();
+        if (!peer || closed_)
+            return;
+        const auto frame = encode_frame({message});
+        peer->arrive([peer, frame] { peer->receive(frame); });
+    }
+
+    // What is under way is lost, or still arrives before the end.
+    void close() override
+    {
+        if (closed_)
+            return;
+        const auto peer = peer_.lock();
+        for (const auto& it : {self.lock(), peer})
+        {
+            if (!it)
+                continue;
+            it->closed_ = true;
+            it->lost_ = lost_;
+            it->arrive([it] { it->end(); });
+        }
+    }
+
+    //! Loses what is under way when the link closes.
+    void lose() noexcept
+    {
+        lost_ = true;
+    }
+
+    //! Holds back whatever comes to this end.
+    void stall(duration span)
+    {
+        stalled_ = fleet_.time_.now() + span;
+    }
+
+    const process_pointer& owner() const noexcept
+    {
+        return owner_;
+    }
+
+    link_counts counts() const noexcept override
+    {
+        return {};
+    }
+
+    std::weak_ptr<fake_link> self;
+    std::size_t entry = 0;
+    std::size_t agent = 0;
+
+private:
+    void arrive(const virtual_time::event& run)
+    {
+        const auto now = fleet_.time_.now();
+        const auto at = std::max(now + fleet_.options_.latency, stalled_);
+        fleet_.time_.after(at - now, [this, owner = owner_, run]
+                           { fleet_.deliver(owner, run); });
+    }
+
+    void receive(const std::string& frame)
+    {
+        if (lost_ || !hooks_.on_messages)
+            return;
+        const auto decoded = decode_frame(frame);
+        if (!decoded)
+            fleet_.record_.violations.push_back("codec: " +
+                                                decoded.error().detail);
+        else
+            hooks_.on_messages(decoded.value());
+    }
+
+    void end()
+    {
+        if (hooks_.on_close)
+            hooks_.on_close();
+        hooks_ = {};
+    }
+
+    fake_fleet& fleet_;
+    process_pointer owner_;
+    std::weak_ptr<fake_link> peer_;
+    link_hooks hooks_;
+    instant stalled_{};
+    bool closed_ = false;
+    bool lost_ = false;
+};
+
+struct fake_fleet::entry_host
+{
+    process_pointer process;
+    std::unique_ptr<ledger_replica> ledger;
+    std::unique_ptr<entry_service> service;
+    std::vector<std::shared_ptr<fake_link>> links;
+    std::map<submission_id, std::uint64_t> calls;
+};
+
+struct fake_fleet::agent_host
+{
+    process_pointer process;
+    std::unique_ptr<agent_service> service;
+    std::vector<std::shared_ptr<fake_link>> links;
+    duration clock_offset{};
+};
+
+} // namespace lagoonquay
