Log every request that an entry or a control replica turns away

An entry without queues answered 503, and unknown queues, paths without an id, other methods and unknown jobs were answered 404, 400, 405 and 410, all without a line; a refused claim, a holder's answer and a joined submission had none either; control refused reads without one.

Change: request_refused with reason, status and the revision of the queues in force; refused also for claims; joined; answered says by whom. The fake reader of the log is shared by two tests.

--- a/process/common/src/decision_log.cpp
+++ b/process/common/src/decision_log.cpp
@@ -3,6 +3,15 @@
 namespace lagoonquay
 {
 
+void log_refused_request(std::string_view part, const refused_request& it)
+{
+    write_event(log_level::info, part, it.submission, "request_refused",
+                {{"reason", it.reason},
+                 {"status", static_cast<std::int64_t>(it.status)},
+                 {"queues", static_cast<std::int64_t>(it.queues.number())},
+                 {"detail", it.detail}});
+}
+
 void log_version(std::string_view part, const permit& granted)
 {
     const auto& view = *granted->view;
--- a/process/common/tests/log_test.cpp
+++ b/process/common/tests/log_test.cpp
@@ -1,10 +1,9 @@
+#include "fake_log_reader.hpp"
 #include "lagoonquay/process/log.hpp"
 
 #include <boost/json.hpp>
 #include <chrono>
-#include <condition_variable>
 #include <gtest/gtest.h>
-#include <mutex>
 #include <string>
 
 namespace lagoonquay
@@ -13,46 +12,6 @@
 namespace
 {
 
-//! A reader that keeps what it gets, and can stop to read.
-class fake_reader
-{
-public:
-    log_output output()
-    {
-        return [this](std::string_view lines)
-        {
-            std::unique_lock lock(mutex_);
-            changed_.wait(lock, [this] { return !stopped_; });
-            text_.append(lines);
-        };
-    }
-
-    void stop()
-    {
-        const std::lock_guard lock(mutex_);
-        stopped_ = true;
-    }
-
-    void go_on()
-    {
-        const std::lock_guard lock(mutex_);
-        stopped_ = false;
-        changed_.notify_all();
-    }
-
-    std::string text()
-    {
-        const std::lock_guard lock(mutex_);
-        return text_;
-    }
-
-private:
-    std::mutex mutex_;
-    std::condition_variable changed_;
-    bool stopped_ = false;
-    std::string text_;
-};
-
 log_options json_options()
 {
     return {.level = log_level::info,
@@ -62,7 +21,7 @@
 
 TEST(log, writes_json_lines_of_the_level_with_the_submission)
 {
-    fake_reader reader;
+    fake_log_reader reader;
     open_log(json_options(), reader.output());
     write_log(log_level::debug, "entry", "Not written.");
     write_log(log_level::warning, "entry", submission_id("s1"),
@@ -81,7 +40,7 @@
 
 TEST(log, an_event_has_its_inputs_as_fields)
 {
-    fake_reader reader;
+    fake_log_reader reader;
     open_log(json_options(), reader.output());
     write_event(log_level::info, "entry", submission_id("s1"), "refused",
                 {{"reason", "overloaded"}, {"waited_ms", std::int64_t{70}}});
@@ -94,7 +53,7 @@
 
 TEST(log, a_reader_that_stops_delays_no_writer_and_hears_what_it_missed)
 {
-    fake_reader reader;
+    fake_log_reader reader;
     auto options = json_options();
     options.waiting_bytes = 4096;
     open_log(options, reader.output());
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -230,6 +230,9 @@
                      const job_answer& answer);
     void publish(const job_pointer& state, const job_answer& answer);
     void refuse(const job_pointer& state, const job_answer& answer);
+    void forget(const job_pointer& state, const job_answer& answer);
+    void log_answered(const job_pointer& state, const job_answer& answer,
+                      std::string_view by) const;
     void expire_jobs(instant now);
     effect waiting_effect(const job_state& state, instant now) const;
 
--- a/process/entry/src/entry_answers.cpp
+++ b/process/entry/src/entry_answers.cpp
@@ -106,19 +106,34 @@
     if (!fresh)
         return;
     ++(succeeded(answer) ? completed_ : failed_);
+    log_answered(state, answer, "entry");
+    for (const auto& it : waiters)
+        it(answer);
+}
+
+//! @param by  whose answer it is: this entry's, or the claim's holder's.
+void entry_service::log_answered(const job_pointer& state,
+                                 const job_answer& answer,
+                                 std::string_view by) const
+{
     write_event(log_level::info, part, state->id, "answered",
                 {{"outcome", succeeded(answer) ? "complete" : "failed"},
                  {"reason", to_text(answer->reason)},
                  {"ran", to_text(answer->ran)},
                  {"after_ms", milliseconds_of(hooks_.now() - state->accepted)},
+                 {"by", by},
                  {"detail", answer->detail}});
-    for (const auto& it : waiters)
-        it(answer);
+}
+
+void entry_service::refuse(const job_pointer& state, const job_answer& answer)
+{
+    log_refusal(answer);
+    forget(state, answer);
 }
 
 // Answers a job that this entry does not hold, with its holder's answer or a
 // refusal. It is forgotten, so that a resubmission is looked into afresh.
-void entry_service::refuse(const job_pointer& state, const job_answer& answer)
+void entry_service::forget(const job_pointer& state, const job_answer& answer)
 {
     std::vector<answer_hook> waiters;
     bool known = false;
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -155,10 +155,8 @@
 entry_service::refuse_admission(const job_pointer& state)
 {
     auto refused = admission_.refuse(state->submitted, effect::not_run);
-    if (!refused)
-        return refused;
-    ++refused_;
-    log_refusal(*refused);
+    if (refused)
+        ++refused_;
     return refused;
 }
 
@@ -246,8 +244,10 @@
                  if (!use && it.stage == job_stage::forwarded && !it.asking)
                      it.ask_again = hooks_.now() + options_.claim_retry;
              });
-    if (use)
-        refuse(state, *answer);
+    if (!use)
+        return;
+    log_answered(state, *answer, "holder");
+    forget(state, *answer);
 }
 
 std::vector<claim_request> entry_service::held_claims()
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -2,6 +2,7 @@
 
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/connection/http_routes.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
 #include "lagoonquay/process/operator_http.hpp"
@@ -18,6 +19,7 @@
 namespace
 {
 
+constexpr std::string_view part = "caller";
 constexpr std::string_view jobs_path = "/v1/jobs";
 constexpr std::uint32_t retry_after_s = 1;
 constexpr duration held_claims_timeout = std::chrono::milliseconds(500);
@@ -130,7 +132,13 @@
     {
         auto decoded = decode(request.body, limits);
         if (!decoded)
+        {
+            log_refused_request(part,
+                                {.reason = "malformed",
+                                 .detail = decoded.error().detail,
+                                 .queues = service.view()->catalog->revision});
             return respond(malformed_response(decoded.error()));
+        }
         const auto submitted = std::move(decoded).value();
         if (query_value(request.query, "wait") == "false")
             return submit_and_poll(service, submitted, respond);
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -312,7 +312,12 @@
                        return true;
                    });
     if (known)
+    {
         ++joined_;
+        write_event(log_level::info, part, id, "joined",
+                    {{"answer", at_once ? to_text((*at_once)->reason)
+                                        : std::string_view("awaited")}});
+    }
     if (at_once)
         done(*at_once);
     return known;
