Count answers by reason, waits, permits, elections and syncs; log their inputs

Cause: metrics had one total of refusals and none of queue ages, permits, elections or syncs, so a scraper could not tell why jobs failed. A refusal by admission gave its conclusion without what it weighed, and control wrote no line when its leader or a member was lost.

Ruled out: a metrics library with its own registry (the text format and the histograms stand already, and labels were all that was missing).

Change: reason_counts with one counter a reason (answers of an entry, declines of an agent); histograms of task waits and of syncs; gauges of what is left of the permit, of leads, votes, term and log index; a counter of leader changes. not_admitted has the inputs of admission, leader_known and leader_lost the term, member_seen and member_lost the role and domain; the two sentences on leading that were written before are gone.

--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/connection/agent_slots.hpp"
 #include "lagoonquay/connection/grant_pacing.hpp"
 #include "lagoonquay/connection/upstream.hpp"
+#include "lagoonquay/process/reason_counts.hpp"
 #include "lagoonquay/process/sharded_map.hpp"
 #include "lagoonquay/request/start_guard.hpp"
 #include "lagoonquay/version/member.hpp"
@@ -102,6 +103,12 @@
 
     agent_counts counts() const noexcept;
 
+    //! @return declined dispatches by reason.
+    const reason_counts& declines_by_reason() const noexcept;
+
+    //! @return what is left of the permit; zero without one.
+    duration permit_left() const;
+
     //! @return the whole state as JSON.
     std::string dump() const;
 
@@ -202,6 +209,7 @@
 
     std::array<std::unique_ptr<guard_shard>, shard_count> guards_;
 
+    reason_counts declines_by_reason_;
     std::atomic<std::uint64_t> started_{0};
     std::atomic<std::uint64_t> finished_{0};
     std::atomic<std::uint64_t> declined_{0};
--- a/process/agent/src/agent_http.cpp
+++ b/process/agent/src/agent_http.cpp
@@ -5,6 +5,8 @@
 #include "lagoonquay/process/agent_service.hpp"
 #include "lagoonquay/process/operator_http.hpp"
 
+#include <iterator>
+
 namespace lagoonquay
 {
 
@@ -42,7 +44,12 @@
         {"lagoonquay_slots", "Slots of the upstream.", gauge,
          service.self()->slots},
         {"lagoonquay_fleet_version", "Version of the fleet's state in use.",
-         gauge, service.view()->version.number()}};
+         gauge, service.view()->version.number()},
+        permit_left_sample(service.permit_left())};
+    auto reasons = service.declines_by_reason().samples(
+        "lagoonquay_declines_total", "Declined dispatches by reason.");
+    std::move(reasons.begin(), reasons.end(),
+              std::back_inserter(metrics.samples));
     metrics.latencies = {{"lagoonquay_upstream_seconds",
                           "Time of a call of the upstream.", calls.summary()}};
     return metrics;
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -163,6 +163,17 @@
     return {started_, finished_, declined_, cancelled_};
 }
 
+const reason_counts& agent_service::declines_by_reason() const noexcept
+{
+    return declines_by_reason_;
+}
+
+duration agent_service::permit_left() const
+{
+    const std::lock_guard lock(standing_mutex_);
+    return left_of(standing_.held, hooks_.now());
+}
+
 std::string agent_service::dump() const
 {
     const auto me = self();
--- a/process/agent/src/agent_starts.cpp
+++ b/process/agent/src/agent_starts.cpp
@@ -212,6 +212,7 @@
                             std::uint64_t credits_total)
 {
     ++declined_;
+    declines_by_reason_.add(reason);
     const task_key key{it.submission, it.key.index};
     std::optional<attempt_number> started;
     {
--- a/process/common/include/lagoonquay/process/metrics_text.hpp
+++ b/process/common/include/lagoonquay/process/metrics_text.hpp
@@ -23,6 +23,8 @@
     std::string help;
     metric_kind kind = metric_kind::counter;
     std::uint64_t value = 0;
+    //! As `name="text"`, or empty. Samples of one name follow each other.
+    std::string label = {};
 
     friend bool operator==(const metric_sample&,
                            const metric_sample&) = default;
@@ -49,6 +51,9 @@
                            const process_metrics&) = default;
 };
 
+//! @return what is left of a process's permit from control.
+metric_sample permit_left_sample(duration left);
+
 //! Media type of encode_metrics().
 constexpr const char* metrics_content_type = "text/plain; version=0.0.4";
 
--- a/process/common/src/metrics_text.cpp
+++ b/process/common/src/metrics_text.cpp
@@ -24,11 +24,16 @@
     out << "# TYPE " << name << " " << type << "\n";
 }
 
-void write_sample(std::ostream& out, const metric_sample& it)
+void write_sample(std::ostream& out, const metric_sample& it,
+                  std::string_view previous)
 {
-    write_header(out, it.name, it.help,
-                 it.kind == metric_kind::counter ? "counter" : "gauge");
-    out << it.name << " " << it.value << "\n";
+    if (it.name != previous)
+        write_header(out, it.name, it.help,
+                     it.kind == metric_kind::counter ? "counter" : "gauge");
+    out << it.name;
+    if (!it.label.empty())
+        out << "{" << it.label << "}";
+    out << " " << it.value << "\n";
 }
 
 void write_latency(std::ostream& out, const latency_sample& it)
@@ -53,13 +58,27 @@
 
 } // namespace
 
+metric_sample permit_left_sample(duration left)
+{
+    const auto whole =
+        std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+    return {.name = "lagoonquay_permit_left_milliseconds",
+            .help = "What is left of the permit from control.",
+            .kind = metric_kind::gauge,
+            .value = static_cast<std::uint64_t>(whole)};
+}
+
 std::string encode_metrics(const process_metrics& metrics)
 {
     constexpr int digits = 12;
     std::ostringstream out;
     out << std::setprecision(digits);
+    std::string_view previous;
     for (const auto& it : metrics.samples)
-        write_sample(out, it);
+    {
+        write_sample(out, it, previous);
+        previous = it.name;
+    }
     for (const auto& it : metrics.latencies)
         write_latency(out, it);
     return out.str();
--- a/process/common/tests/metrics_test.cpp
+++ b/process/common/tests/metrics_test.cpp
@@ -1,5 +1,6 @@
 #include "lagoonquay/process/latency_statistics.hpp"
 #include "lagoonquay/process/metrics_text.hpp"
+#include "lagoonquay/process/reason_counts.hpp"
 
 #include <gtest/gtest.h>
 #include <thread>
@@ -61,6 +62,22 @@
               R"({"count":1,"mean_us":3000,"longest_us":3000}}})");
 }
 
+TEST(reason_counts, are_samples_of_one_name_with_one_header)
+{
+    reason_counts counts;
+    counts.add(failure_reason::overloaded);
+    counts.add(failure_reason::overloaded);
+    const auto text =
+        encode_metrics({counts.samples("answers_total", "Answers."), {}});
+    EXPECT_TRUE(text.starts_with("# HELP answers_total Answers.\n"
+                                 "# TYPE answers_total counter\n"
+                                 "answers_total{reason=\"none\"} 0\n"))
+        << text;
+    EXPECT_NE(text.find("answers_total{reason=\"overloaded\"} 2\n"),
+              std::string::npos);
+    EXPECT_EQ(text.find("# HELP"), text.rfind("# HELP"));
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/process/control/include/lagoonquay/process/control_http.hpp
+++ b/process/control/include/lagoonquay/process/control_http.hpp
@@ -7,13 +7,16 @@
 {
 
 class control_service;
+class latency_statistics;
 
 //! @return the routes for members and other replicas.
 //! @param token  required of replicas that pass on commands; empty admits all.
 //! The service must outlive the handler.
 http_handler member_routes(control_service& service, std::string token);
 
-//! @return the routes for operators. The service must outlive the handler.
-http_handler control_operator_routes(control_service& service);
+//! @return the routes for operators. Both must outlive the handler.
+//! @param syncs  how long writes to the disk took.
+http_handler control_operator_routes(control_service& service,
+                                     const latency_statistics& syncs);
 
 } // namespace lagoonquay
--- a/process/control/include/lagoonquay/process/control_node.hpp
+++ b/process/control/include/lagoonquay/process/control_node.hpp
@@ -10,6 +10,7 @@
 {
 
 class io_threads;
+class latency_statistics;
 
 //! How a program's replica differs from the product's own.
 struct control_node_options
@@ -38,6 +39,9 @@
 
     control_service& service() noexcept;
 
+    //! @return how long writes to the disk took, syncs included.
+    const latency_statistics& syncs() const noexcept;
+
     //! Starts the timers; call once the listener for replicas is open.
     void start();
 
--- a/process/control/include/lagoonquay/process/control_replica.hpp
+++ b/process/control/include/lagoonquay/process/control_replica.hpp
@@ -73,7 +73,8 @@
     duration in_force_after{}; //!< until all applied changes are in force
     bool votes = false;        //!< answers permit requests
     bool whole = false;        //!< every replica is a voter and has the log
-    std::string storage_error; //!< empty while the storage works
+    std::uint64_t leader_changes = 0; //!< since the process started
+    std::string storage_error;        //!< empty while the storage works
 };
 
 //! One replica. Thread-safe.
--- a/process/control/include/lagoonquay/process/control_service.hpp
+++ b/process/control/include/lagoonquay/process/control_service.hpp
@@ -64,6 +64,7 @@
     };
 
     void add_members(permit_reply& reply);
+    bool silent(const known_member& it, instant now) const;
 
     const control_options options_;
     control_replica& replica_;
--- a/process/control/src/control_http.cpp
+++ b/process/control/src/control_http.cpp
@@ -94,9 +94,12 @@
     run_command(service, request.body, false, respond);
 }
 
-process_metrics metrics_of(control_service& service)
+process_metrics metrics_of(control_service& service,
+                           const latency_statistics& syncs)
 {
     const auto view = service.view();
+    const auto replica = service.replica().state();
+    const auto& decisions = replica.decisions;
     process_metrics metrics;
     metrics.samples = {
         {"lagoonquay_fleet_version", "Version of the fleet's state.",
@@ -104,7 +107,21 @@
         {"lagoonquay_domains_out", "Failure domains out of service.",
          metric_kind::gauge, view->out_domains.size()},
         {"lagoonquay_members", "Entries and agents heard of lately.",
-         metric_kind::gauge, service.members().size()}};
+         metric_kind::gauge, service.members().size()},
+        {"lagoonquay_leads", "1 while this replica leads.", metric_kind::gauge,
+         decisions.role == replica_role::leader ? 1U : 0U},
+        {"lagoonquay_votes", "1 while this replica votes for permits.",
+         metric_kind::gauge, replica.votes ? 1U : 0U},
+        {"lagoonquay_term", "Term of the replicated log.", metric_kind::gauge,
+         decisions.state.term.number()},
+        {"lagoonquay_leader_changes_total",
+         "Leaders found and lost by this replica.", metric_kind::counter,
+         replica.leader_changes},
+        {"lagoonquay_log_index", "Last entry that is committed.",
+         metric_kind::gauge, decisions.commit.number()}};
+    metrics.latencies = {{"lagoonquay_sync_seconds",
+                          "Time of a write to the disk with its sync.",
+                          syncs.summary()}};
     return metrics;
 }
 
@@ -135,14 +152,15 @@
          {post, "/v1/replica/commands", passed_on}});
 }
 
-http_handler control_operator_routes(control_service& service)
+http_handler control_operator_routes(control_service& service,
+                                     const latency_statistics& syncs)
 {
     auto routes =
         operator_routes({.dump = [&service] { return service.dump(); },
                          .metrics =
-                             [&service]
+                             [&service, &syncs]
                          {
-                             return metrics_of(service);
+                             return metrics_of(service, syncs);
                          }});
     const auto run = [&service](const http_request& request, std::string_view,
                                 const http_responder& respond)
--- a/process/control/src/control_node.cpp
+++ b/process/control/src/control_node.cpp
@@ -3,6 +3,7 @@
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/process/durable_log.hpp"
 #include "lagoonquay/process/io_threads.hpp"
+#include "lagoonquay/process/latency_statistics.hpp"
 #include "lagoonquay/process/program.hpp"
 #include "lagoonquay/process/replica_transport.hpp"
 
@@ -79,7 +80,10 @@
         };
         given.store = [this](const std::vector<log_write>& writes)
         {
-            return storage.write(writes);
+            const auto began = steady_now();
+            auto written = storage.write(writes);
+            syncs.add(steady_now() - began);
+            return written;
         };
         given.send = [this](const std::string& to, const replica_message& it)
         {
@@ -103,6 +107,7 @@
     http_client client;
     replica_transport transport;
     durable_log storage;
+    latency_statistics syncs;
     control_replica replica;
     control_service service;
 };
@@ -141,6 +146,11 @@
     return parts_->service;
 }
 
+const latency_statistics& control_node::syncs() const noexcept
+{
+    return parts_->syncs;
+}
+
 void control_node::start()
 {
     auto& it = *parts_;
--- a/process/control/src/control_replica_core.cpp
+++ b/process/control/src/control_replica_core.cpp
@@ -50,13 +50,10 @@
 {
     if (!storage_error_.empty())
         return;
-    const bool led = decisions_.leads();
     decisions_.tick();
     if (decisions_.leads() && quorum(decisions_.log().members()) == 1)
         leader_heard_ = hooks_->now();
     carry_out(calls);
-    if (led && !decisions_.leads())
-        write_log(log_level::warning, part, "Stepped down: no quorum.");
     if (++ticks_ % greeting_ticks == 0 && looks_for_cluster())
         greet_peers(calls);
     expire(calls);
@@ -70,14 +67,9 @@
     for (const auto& it : batch.messages)
     {
         addresses_.insert_or_assign(it.from, batch.address);
-        const bool led = decisions_.leads();
         decisions_.receive(it);
         note_contact(it);
         carry_out(calls);
-        if (!led && decisions_.leads())
-            write_log(log_level::info, part,
-                      "Leads in term " +
-                          std::to_string(decisions_.term().number()) + ".");
     }
 }
 
@@ -177,6 +169,24 @@
         apply(it, calls);
     if (!output.committed.empty())
         compact_if_long();
+    note_leader();
+}
+
+// A change to no leader is a lost dependency, a change to another a new one.
+void control_replica_core::note_leader()
+{
+    if (decisions_.leader() == leader_)
+        return;
+    leader_ = decisions_.leader();
+    ++leader_changes_;
+    const auto* it =
+        leader_ ? find_node(decisions_.log().members(), *leader_) : nullptr;
+    write_event(
+        leader_ ? log_level::info : log_level::warning, part, {},
+        leader_ ? "leader_known" : "leader_lost",
+        {{"leader", it == nullptr ? std::string_view() : it->name.text()},
+         {"leads", decisions_.leads() ? "yes" : "no"},
+         {"term", static_cast<std::int64_t>(decisions_.term().number())}});
 }
 
 void control_replica_core::send(const replica_message& message,
@@ -382,6 +392,7 @@
         found.in_force_after =
             std::max(settling_.back().in_force - now, duration());
     found.votes = may_vote();
+    found.leader_changes = leader_changes_;
     found.whole = whole();
     found.storage_error = storage_error_;
     return found;
--- a/process/control/src/control_replica_core.hpp
+++ b/process/control/src/control_replica_core.hpp
@@ -64,6 +64,7 @@
     bool is_peer(const std::string& address) const;
     std::vector<std::string> member_addresses() const;
     void bootstrap_if_all_agree();
+    void note_leader();
     void note_contact(const replica_message& message);
     void expire(deferred_calls& calls);
     void fail_all(version_errc code, const std::string& detail,
@@ -88,6 +89,8 @@
     std::map<replica_id, replica_greeting> greetings_;
     std::set<std::string> greeted_; //!< where to ask for the cluster
     std::optional<instant> leader_heard_;
+    std::optional<node_id> leader_; //!< last written to the log
+    std::uint64_t leader_changes_ = 0;
     std::uint32_t ticks_ = 0;
     std::string storage_error_;
 };
--- a/process/control/src/control_service.cpp
+++ b/process/control/src/control_service.cpp
@@ -1,10 +1,25 @@
 #include "lagoonquay/process/control_service.hpp"
 
 #include "control_dump.hpp"
+#include "lagoonquay/process/log.hpp"
 
 namespace lagoonquay
 {
 
+namespace
+{
+
+void log_member(const member_options& it, std::string_view event)
+{
+    write_event(log_level::info, "members", {}, event,
+                {{"member", it.id},
+                 {"role", it.role == member_role::agent ? "agent" : "entry"},
+                 {"domain", it.domain.text()},
+                 {"address", it.address}});
+}
+
+} // namespace
+
 control_service::control_service(control_options options,
                                  control_replica& replica, clock_hook now)
     : options_(options), replica_(replica), now_(std::move(now))
@@ -16,13 +31,19 @@
 permit_reply control_service::on_heartbeat(const permit_request& request)
 {
     const auto& sender = request.sender;
-    members_.with_shard(sender->id,
-                        [&](auto& values)
-                        {
-                            values.insert_or_assign(
-                                sender->id,
-                                known_member{{sender, request.known}, now_()});
-                        });
+    bool fresh = false;
+    members_.with_shard(
+        sender->id,
+        [&](auto& values)
+        {
+            const auto found = values.find(sender->id);
+            fresh = found == values.end() ||
+                    found->second.report.about->run != sender->run;
+            values.insert_or_assign(
+                sender->id, known_member{{sender, request.known}, now_()});
+        });
+    if (fresh)
+        log_member(*sender, "member_seen");
     permit_reply reply;
     reply.vote = replica_.vote(request.known);
     if (auto replicas = replica_.replicas();
@@ -61,15 +82,22 @@
     members_.for_each_shard(
         [&](auto& values)
         {
-            std::erase_if(
-                values, [&](const auto& it)
-                { return now - it.second.heard > options_.member_silence; });
+            std::erase_if(values, [&](const auto& it)
+                          { return silent(it.second, now); });
             for (const auto& [id, it] : values)
                 found.push_back(it.report);
         });
     return found;
 }
 
+bool control_service::silent(const known_member& it, instant now) const
+{
+    if (now - it.heard <= options_.member_silence)
+        return false;
+    log_member(*it.report.about, "member_lost");
+    return true;
+}
+
 std::string control_service::dump()
 {
     return dump_control(replica_.state(), members());
--- a/process/control/tests/control_replica_test.cpp
+++ b/process/control/tests/control_replica_test.cpp
@@ -1,5 +1,7 @@
 #include "lagoonquay/process/control_replica.hpp"
 
+#include "fake_log_reader.hpp"
+
 #include <condition_variable>
 #include <gtest/gtest.h>
 #include <mutex>
@@ -176,6 +178,21 @@
     EXPECT_FALSE(replica_.vote({}));
 }
 
+TEST_F(control_replica_test, a_leader_that_is_found_is_logged_and_counted)
+{
+    fake_log_reader log;
+    open_log({.format = log_format::json_lines, .process = "a"}, log.output());
+    hear_leader({}, 1, 1);
+    hear_leader({}, 1, 1);
+    close_log();
+    const auto lines = log.events("leader_known");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_EQ(lines[0].at("leader"), "b");
+    EXPECT_EQ(lines[0].at("leads"), "no");
+    EXPECT_EQ(lines[0].at("term"), "2");
+    EXPECT_EQ(replica_.state().leader_changes, 1U);
+}
+
 TEST_F(control_replica_test, passes_commands_on_once)
 {
     version_result<command_answer> answer = command_answer{};
--- a/process/entry/include/lagoonquay/process/dispatcher.hpp
+++ b/process/entry/include/lagoonquay/process/dispatcher.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "lagoonquay/process/agent_table.hpp"
+#include "lagoonquay/process/latency_statistics.hpp"
 #include "lagoonquay/process/retry_budget.hpp"
 #include "lagoonquay/process/run_times.hpp"
 #include "lagoonquay/process/task_queue.hpp"
@@ -106,6 +107,9 @@
     std::size_t queued() const noexcept;
     std::uint64_t dispatched() const noexcept;
 
+    //! @return how long tasks waited before they were dispatched.
+    latency_summary waits() const;
+
 private:
     enum class step
     {
@@ -157,6 +161,7 @@
     std::optional<hold> hold_;
     std::atomic<std::uint64_t> credit_epoch_{0};
     std::atomic<std::uint64_t> dispatched_{0};
+    latency_statistics waits_;
 };
 
 } // namespace lagoonquay
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -5,6 +5,7 @@
 #include "lagoonquay/process/dispatcher.hpp"
 #include "lagoonquay/process/job_admission.hpp"
 #include "lagoonquay/process/live_settings.hpp"
+#include "lagoonquay/process/reason_counts.hpp"
 #include "lagoonquay/process/sharded_map.hpp"
 #include "lagoonquay/request/answer.hpp"
 #include "lagoonquay/request/job_run.hpp"
@@ -152,6 +153,15 @@
     fleet_view view() const;
     entry_counts counts() const noexcept;
 
+    //! @return answers and refusals by reason.
+    const reason_counts& answers_by_reason() const noexcept;
+
+    //! @return how long tasks waited here before they were dispatched.
+    latency_summary waits() const;
+
+    //! @return what is left of the permit; zero without one.
+    duration permit_left() const;
+
     //! @return the whole state as JSON.
     std::string dump();
 
@@ -254,6 +264,8 @@
     std::atomic<bool> ledger_ready_{false};
     std::atomic<std::uint64_t> asks_{0};
 
+    reason_counts answers_by_reason_;
+
     std::atomic<bool> leaving_{false};
     std::atomic<bool> draining_{false};
     std::atomic<std::uint64_t> accepted_{0};
--- a/process/entry/src/dispatcher.cpp
+++ b/process/entry/src/dispatcher.cpp
@@ -149,6 +149,11 @@
     return dispatched_;
 }
 
+latency_summary dispatcher::waits() const
+{
+    return waits_.summary();
+}
+
 queued_task dispatcher::to_queued(const task_to_queue& it, instant now)
 {
     return {.customer = it.customer,
@@ -280,7 +285,9 @@
     retries_.earn(next.customer);
     drop_hold(next.key);
     ++dispatched_;
-    log_placed(next, chosen, credit, hooks_.now());
+    const auto now = hooks_.now();
+    waits_.add(now - next.since);
+    log_placed(next, chosen, credit, now);
     credit.link->send(std::move(message));
 }
 
--- a/process/entry/src/entry_answers.cpp
+++ b/process/entry/src/entry_answers.cpp
@@ -106,6 +106,7 @@
     if (!fresh)
         return;
     ++(succeeded(answer) ? completed_ : failed_);
+    answers_by_reason_.add(answer->reason);
     log_answered(state, answer, "entry");
     for (const auto& it : waiters)
         it(answer);
@@ -152,6 +153,7 @@
     if (!known)
         return;
     ++(succeeded(answer) ? completed_ : failed_);
+    answers_by_reason_.add(answer->reason);
     for (const auto& it : waiters)
         it(answer);
 }
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <boost/json.hpp>
+#include <iterator>
 
 namespace json = boost::json;
 
@@ -224,10 +225,18 @@
         {"lagoonquay_ready", "1 while the entry takes jobs.", gauge,
          service.ready() ? 1U : 0U},
         {"lagoonquay_fleet_version", "Version of the fleet's state in use.",
-         gauge, service.view()->version.number()}};
-    metrics.latencies = {{"lagoonquay_job_seconds",
-                          "Time from a submission to its answer.",
-                          answers.summary()}};
+         gauge, service.view()->version.number()},
+        permit_left_sample(service.permit_left())};
+    auto reasons = service.answers_by_reason().samples(
+        "lagoonquay_answers_total", "Answers and refusals by reason.");
+    std::move(reasons.begin(), reasons.end(),
+              std::back_inserter(metrics.samples));
+    metrics.latencies = {
+        {"lagoonquay_job_seconds", "Time from a submission to its answer.",
+         answers.summary()},
+        {"lagoonquay_task_wait_seconds",
+         "Time that a task waited before it was sent to an agent.",
+         service.waits()}};
     return metrics;
 }
 
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -61,6 +61,7 @@
     if (auto refused = refuse_early(submitted))
     {
         ++refused_;
+        answers_by_reason_.add((*refused)->reason);
         log_refusal(*refused);
         return done(*refused);
     }
@@ -229,6 +230,22 @@
             adopted_,   recovered_};
 }
 
+const reason_counts& entry_service::answers_by_reason() const noexcept
+{
+    return answers_by_reason_;
+}
+
+latency_summary entry_service::waits() const
+{
+    return dispatcher_.waits();
+}
+
+duration entry_service::permit_left() const
+{
+    const std::lock_guard lock(permit_mutex_);
+    return left_of(permit_, hooks_.now());
+}
+
 std::string entry_service::dump()
 {
     const auto n = counts();
--- a/process/entry/src/job_admission.cpp
+++ b/process/entry/src/job_admission.cpp
@@ -1,5 +1,7 @@
 #include "lagoonquay/process/job_admission.hpp"
 
+#include "lagoonquay/process/decision_log.hpp"
+
 #include <algorithm>
 #include <string>
 
@@ -16,6 +18,23 @@
     return "the job can't end before its deadline";
 }
 
+void log_not_admitted(const submission_id& submission,
+                      const admission_request& asked,
+                      const admission_load& load)
+{
+    write_event(
+        log_level::info, "entry", submission, "not_admitted",
+        {{"work_ms", milliseconds_of(asked.work)},
+         {"longest_ms", milliseconds_of(asked.longest)},
+         {"slack_ms", milliseconds_of(asked.slack)},
+         {"limit_ms", milliseconds_of(asked.time_limit)},
+         {"waited_ms", milliseconds_of(load.waited)},
+         {"queued_tasks", static_cast<std::int64_t>(load.all_tasks)},
+         {"queued_ms", milliseconds_of(load.all_work)},
+         {"customer_tasks", static_cast<std::int64_t>(load.customer_tasks)},
+         {"slots", std::int64_t{load.slots}}});
+}
+
 } // namespace
 
 job_admission::job_admission(job_admission_options options, dispatcher& tasks,
@@ -30,10 +49,12 @@
 {
     if (auto refused = refuse_impossible(submitted, ran))
         return refused;
-    const auto reason =
-        lagoonquay::refuse(describe(submitted), load_for(submitted));
+    const auto asked = describe(submitted);
+    const auto load = load_for(submitted);
+    const auto reason = lagoonquay::refuse(asked, load);
     if (!reason)
         return std::nullopt;
+    log_not_admitted(submitted->submission, asked, load);
     return refusal(submitted->submission, *reason, ran, explain(*reason));
 }
 
--- a/process/programs/control_main.cpp
+++ b/process/programs/control_main.cpp
@@ -22,7 +22,7 @@
         member_routes(node->service(), settings.process.operator_token));
     auto operators = http_server::listen(
         io.context(), operator_listener_options(settings.process),
-        control_operator_routes(node->service()));
+        control_operator_routes(node->service(), node->syncs()));
     BOOST_OUTCOME_TRY(require_listening({&members, &operators}));
     node->start();
     follow_settings<control_settings>(
--- a/request/include/lagoonquay/request/answer.hpp
+++ b/request/include/lagoonquay/request/answer.hpp
@@ -42,6 +42,10 @@
     already_failed,       //!< the submission was answered with a failure
 };
 
+//! Number of reasons.
+constexpr std::size_t failure_reasons =
+    static_cast<std::size_t>(failure_reason::already_failed) + 1;
+
 //! @return the stable lower-case name used in messages and logs.
 std::string_view to_text(effect value) noexcept;
 std::string_view to_text(failure_reason value) noexcept;
--- a/version/include/lagoonquay/version/permit.hpp
+++ b/version/include/lagoonquay/version/permit.hpp
@@ -54,6 +54,9 @@
 instant permit_time(const permit& held, permit_policy policy,
                     instant now) noexcept;
 
+//! @return what is left of a permit; zero without one.
+duration left_of(const std::optional<permit>& held, instant now) noexcept;
+
 //! Merges the replicas' words.
 //! @param known  the newest view that this process has applied.
 //! @param sent   when the request for the votes was sent.
--- a/version/src/permit.cpp
+++ b/version/src/permit.cpp
@@ -31,6 +31,13 @@
 
 } // namespace
 
+duration left_of(const std::optional<permit>& held, instant now) noexcept
+{
+    if (!held)
+        return duration::zero();
+    return std::max((*held)->valid_until - now, duration::zero());
+}
+
 instant permit_time(const permit& held, permit_policy policy,
                     instant now) noexcept
 {
