Let idle connections give way, and tell a caller whose request is too slow

A request that did not arrive in time was cut by the stream's own timeout, which closes the socket before a 408 can be written; one that ended half way was cut too.

Ruled out: higher limits (descriptors of the machine bind) and a shorter idle timeout (callers that keep connections would pay for it always).

Change: listeners know their idle connections in the order of their wait; at the limit the oldest is closed for the new one, and its place is free at once. The read timeout is a timer of the session, so the peer gets 408; a message that ends early gets 400. What a listener turns away before a handler sees it has a line. The session has a file of its own.

Tests: closes_idle_... expected a silent end of a slow request and now the 408 (stricter); refuses_... held the place with an idle connection, which now gives way, so it is held by a request in progress, and the refusal's hook is checked too. New: the oldest gives way and the newer is served; five times the limit of silent connections keep nobody out.

--- a/connection/include/lagoonquay/connection/http_message.hpp
+++ b/connection/include/lagoonquay/connection/http_message.hpp
@@ -52,6 +52,7 @@
     unauthorized = 401,
     not_found = 404,
     method_not_allowed = 405,
+    request_timeout = 408,
     conflict = 409,
     gone = 410,
     payload_too_large = 413,
--- a/connection/include/lagoonquay/connection/http_server.hpp
+++ b/connection/include/lagoonquay/connection/http_server.hpp
@@ -1,6 +1,7 @@
 //! HTTP listener with limits on all input, and WebSocket links on one path.
-//! A connection over the limit gets a response with status 503 and is closed;
-//! one that is idle, or whose request does not arrive in time, is closed.
+//! At the limit of connections the longest idle one is closed for a new one;
+//! where none is idle, the new one gets status 503 and is closed. A request
+//! that does not arrive in time gets status 408; an idle connection is closed.
 #pragma once
 
 #include "lagoonquay/connection/endpoint.hpp"
@@ -34,6 +35,8 @@
     //! Names of the headers that handlers see.
     std::vector<std::string> kept_headers = {};
     std::string link_path; //!< path of WebSocket upgrades; empty for none
+    //! Hears of what was turned away before a handler saw it; may be empty.
+    std::function<void(http_status, std::string_view detail)> on_refused = {};
 };
 
 //! Takes over a link that a peer opened. Called from any I/O thread.
--- /dev/null
+++ b/connection/src/http_session.cpp
@@ -0,0 +1,294 @@
+#include "http_session.hpp"
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+http_method method_of(http::verb verb) noexcept
+{
+    switch (verb)
+    {
+    case http::verb::get:
+        return http_method::get;
+    case http::verb::post:
+        return http_method::post;
+    case http::verb::put:
+        return http_method::put;
+    case http::verb::delete_:
+        return http_method::remove;
+    default:
+        return http_method::other;
+    }
+}
+
+std::string bearer_of(std::string_view header)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    if (header.substr(0, scheme.size()) != scheme)
+        return {};
+    return std::string(header.substr(scheme.size()));
+}
+
+http_request to_request(http::request<http::string_body>&& raw,
+                        const std::vector<std::string>& kept)
+{
+    const std::string target(raw.target());
+    const auto mark = target.find('?');
+    http_request request;
+    request.method = method_of(raw.method());
+    request.path = target.substr(0, mark);
+    if (mark != std::string::npos)
+        request.query = target.substr(mark + 1);
+    const auto authorization = raw[http::field::authorization];
+    request.bearer = bearer_of({authorization.data(), authorization.size()});
+    const auto host = raw[http::field::host];
+    request.host.assign(host.data(), host.size());
+    for (const auto& name : kept)
+    {
+        const auto value = raw[name];
+        if (!value.empty())
+            request.headers.push_back(
+                {name, std::string(value.data(), value.size())});
+    }
+    request.body = std::move(raw.body());
+    return request;
+}
+
+} // namespace
+
+http_session::http_session(tcp::socket socket,
+                           std::shared_ptr<listener_state> listener)
+    : stream_(std::move(socket)), read_timer_(stream_.get_executor()),
+      listener_(std::move(listener)), place_(listener_)
+{
+}
+
+void http_session::run()
+{
+    error_code ec;
+    stream_.socket().set_option(tcp::no_delay(true), ec);
+    wait_for_request();
+}
+
+void http_session::refuse()
+{
+    ++listener_->in_progress;
+    reject(http_status::unavailable, "too_many_connections",
+           "the connection limit is reached; nothing was run");
+}
+
+// The idle timeout runs until the first byte, the read timeout from it. While
+// it is idle the connection gives way to a new one at the limit.
+void http_session::wait_for_request()
+{
+    if (buffer_.size() > 0)
+        return read();
+    const std::weak_ptr<http_session> weak = weak_from_this();
+    idle_ = listener_->idle.add(
+        [weak]
+        {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->place_.release();
+            net::post(self->stream_.get_executor(),
+                      [self] { self->give_way(); });
+        });
+    stream_.expires_after(listener_->options.idle_timeout);
+    stream_.async_read_some(
+        buffer_.prepare(listener_->options.header_bytes),
+        [self = shared_from_this()](error_code ec, std::size_t n)
+        { self->on_first_bytes(ec, n); });
+}
+
+void http_session::on_first_bytes(error_code ec, std::size_t size)
+{
+    listener_->idle.remove(idle_);
+    if (ec || gave_way_)
+        return close();
+    buffer_.commit(size);
+    read();
+}
+
+// A request that has just begun to arrive is served in spite of it.
+void http_session::give_way()
+{
+    if (reading_)
+        return;
+    gave_way_ = true;
+    close();
+}
+
+void http_session::read()
+{
+    reading_ = true;
+    timed_out_ = false;
+    parser_.emplace();
+    parser_->header_limit(listener_->options.header_bytes);
+    parser_->body_limit(listener_->options.body_bytes);
+    start_read_timer();
+    http::async_read(stream_, buffer_, *parser_,
+                     [self = shared_from_this()](error_code ec, std::size_t)
+                     { self->on_read(ec); });
+}
+
+// The stream's own timeout closes the socket, and the peer would not be told.
+void http_session::start_read_timer()
+{
+    stream_.expires_never();
+    read_timer_.expires_after(listener_->options.read_timeout);
+    read_timer_.async_wait(
+        [weak = weak_from_this(), read = ++reads_](error_code ec)
+        {
+            const auto self = weak.lock();
+            if (ec || !self || !self->reading_ || self->reads_ != read)
+                return;
+            self->timed_out_ = true;
+            self->stream_.cancel();
+        });
+}
+
+void http_session::on_read(error_code ec)
+{
+    reading_ = false;
+    read_timer_.cancel();
+    ++listener_->in_progress;
+    if (ec)
+        return refuse_request(ec);
+    if (websocket::is_upgrade(parser_->get()))
+        return upgrade();
+    serve();
+}
+
+void http_session::refuse_request(error_code ec)
+{
+    if (timed_out_)
+        return reject(http_status::request_timeout, "too_slow",
+                      "the request did not arrive in time; nothing was run");
+    if (ec == http::error::body_limit)
+        return reject(http_status::payload_too_large, "too_large",
+                      "the body is over the limit");
+    if (ec == http::error::header_limit)
+        return reject(http_status::bad_request, "too_large",
+                      "the header is over the limit");
+    if (ec == http::error::end_of_stream || ec == net::error::connection_reset)
+    {
+        --listener_->in_progress;
+        return close();
+    }
+    reject(http_status::bad_request, "malformed",
+           "not an HTTP request: " + ec.message());
+}
+
+void http_session::serve()
+{
+    keep_alive_ = parser_->get().keep_alive();
+    const auto request =
+        to_request(parser_->release(), listener_->options.kept_headers);
+    if (!admitted(request))
+        return respond(error_response(http_status::unauthorized, "unauthorized",
+                                      "a valid bearer token is needed"));
+    listener_->handler(request,
+                       [self = shared_from_this()](http_response answer)
+                       {
+                           net::post(self->stream_.get_executor(),
+                                     [self, it = std::move(answer)]() mutable
+                                     { self->respond(std::move(it)); });
+                       });
+}
+
+bool http_session::admitted(const http_request& request) const noexcept
+{
+    const auto& expected = listener_->options.bearer;
+    return expected.empty() || same_token(expected, request.bearer);
+}
+
+void http_session::upgrade()
+{
+    const auto& path = listener_->options.link_path;
+    if (path.empty() || parser_->get().target() != path)
+        return reject(http_status::not_found, "not_found",
+                      "no link is served here");
+    const message_link_options options;
+    socket_.emplace(std::move(stream_));
+    websocket_link::prepare(*socket_, options);
+    --listener_->in_progress;
+    socket_->async_accept(parser_->get(),
+                          [self = shared_from_this(), options](error_code ec)
+                          {
+                              if (ec)
+                                  return;
+                              self->listener_->on_link(
+                                  std::make_shared<websocket_link>(
+                                      std::move(*self->socket_), options));
+                          });
+}
+
+void http_session::reject(http_status status, std::string_view code,
+                          std::string_view detail)
+{
+    keep_alive_ = false;
+    if (listener_->options.on_refused)
+        listener_->options.on_refused(status, detail);
+    respond(error_response(status, code, detail));
+}
+
+void http_session::respond(http_response answer)
+{
+    response_ = {};
+    response_.version(11);
+    response_.result(static_cast<unsigned>(answer.status));
+    response_.set(http::field::content_type, answer.content_type);
+    if (answer.retry_after_s)
+        response_.set(http::field::retry_after,
+                      std::to_string(*answer.retry_after_s));
+    if (!answer.allow.empty())
+        response_.set(http::field::allow, answer.allow);
+    keep_alive_ = keep_alive_ && !listener_->closing;
+    response_.keep_alive(keep_alive_);
+    response_.body() = std::move(answer.body);
+    response_.prepare_payload();
+    stream_.expires_after(listener_->options.read_timeout);
+    http::async_write(stream_, response_,
+                      [self = shared_from_this()](error_code ec, std::size_t)
+                      {
+                          --self->listener_->in_progress;
+                          if (ec)
+                              return self->close();
+                          if (!self->keep_alive_)
+                              return self->finish_sending();
+                          self->wait_for_request();
+                      });
+}
+
+// A socket that is closed with unread input is reset, and the peer may
+// lose the response: so the input is read to its end, up to the timeout.
+void http_session::finish_sending()
+{
+    error_code ec;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+    buffer_.consume(buffer_.size());
+    discard();
+}
+
+void http_session::discard()
+{
+    stream_.async_read_some(
+        buffer_.prepare(listener_->options.header_bytes),
+        [self = shared_from_this()](error_code ec, std::size_t)
+        {
+            if (ec)
+                return self->close();
+            self->discard();
+        });
+}
+
+void http_session::close()
+{
+    error_code ec;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ec);
+}
+
+} // namespace lagoonquay
--- a/connection/tests/http_server_test.cpp
+++ b/connection/tests/http_server_test.cpp
@@ -9,7 +9,9 @@
 #include <boost/asio/io_context.hpp>
 #include <future>
 #include <gtest/gtest.h>
+#include <memory>
 #include <thread>
+#include <vector>
 
 namespace lagoonquay
 {
@@ -194,7 +196,7 @@
     EXPECT_EQ(server.requests_in_progress(), 0U);
 }
 
-TEST_F(http_server_test, closes_idle_and_slow_connections)
+TEST_F(http_server_test, closes_idle_connections_and_tells_slow_ones)
 {
     const auto server = start(limited(
         [](auto& it)
@@ -206,23 +208,67 @@
     EXPECT_EQ(idle.read_to_end(), "");
     const raw_connection slow(server.port());
     slow.send("POST /echo HT");
-    EXPECT_EQ(slow.read_to_end(), "");
+    EXPECT_TRUE(has_status(slow.read_to_end(), "408"));
     const raw_connection cut(server.port());
     cut.send(post + "Content-Length: 5\r\n\r\nhe");
-    EXPECT_EQ(cut.read_to_end(), "");
+    EXPECT_TRUE(has_status(cut.read_to_end(), "408"));
+    EXPECT_EQ(server.requests_in_progress(), 0U);
 }
 
 TEST_F(http_server_test, refuses_a_connection_over_the_limit)
 {
-    const auto server = start(limited([](auto& it) { it.connections = 1; }));
+    std::promise<http_responder> held;
+    std::promise<http_status> refused;
+    const auto server =
+        start(limited(
+                  [&](auto& it)
+                  {
+                      it.connections = 1;
+                      it.on_refused = [&](http_status status, std::string_view)
+                      {
+                          refused.set_value(status);
+                      };
+                  }),
+              [&](const http_request&, const http_responder& respond)
+              { held.set_value(respond); });
     const raw_connection first(server.port());
     first.send(post_hello);
-    EXPECT_TRUE(has_status(first.read_until("hello"), "200"));
+    const auto respond = held.get_future().get();
     const raw_connection second(server.port());
     second.finish_sending();
     EXPECT_TRUE(has_status(second.read_to_end(), "503"));
-    first.send(post_hello);
-    EXPECT_TRUE(has_status(first.read_until("hello"), "200"));
+    EXPECT_EQ(refused.get_future().get(), http_status::unavailable);
+    respond({.body = "done"});
+    EXPECT_TRUE(has_status(first.read_until("done"), "200"));
+}
+
+TEST_F(http_server_test, the_longest_idle_connection_gives_way_at_the_limit)
+{
+    const auto server = start(limited([](auto& it) { it.connections = 2; }));
+    const raw_connection oldest(server.port());
+    oldest.send(post_hello);
+    EXPECT_TRUE(has_status(oldest.read_until("hello"), "200"));
+    const raw_connection newer(server.port());
+    newer.send(post_hello);
+    EXPECT_TRUE(has_status(newer.read_until("hello"), "200"));
+    const raw_connection added(server.port());
+    added.send(post_hello);
+    EXPECT_TRUE(has_status(added.read_until("hello"), "200"));
+    EXPECT_EQ(oldest.read_to_end(), "");
+    newer.send(post_hello);
+    EXPECT_TRUE(has_status(newer.read_until("hello"), "200"));
+}
+
+TEST_F(http_server_test, many_silent_connections_keep_no_caller_out)
+{
+    constexpr std::size_t limit = 20;
+    const auto server =
+        start(limited([](auto& it) { it.connections = limit; }));
+    std::vector<std::unique_ptr<raw_connection>> silent;
+    for (std::size_t n = 0; n < 5 * limit; ++n)
+        silent.push_back(std::make_unique<raw_connection>(server.port()));
+    EXPECT_TRUE(has_status(answer(server, post_hello), "200"));
+    EXPECT_LE(server.open_connections(), limit + 1);
 }
 
 TEST_F(http_server_test, needs_the_bearer_token)
--- a/process/common/src/program.cpp
+++ b/process/common/src/program.cpp
@@ -112,6 +112,14 @@
     options.connections = limits.connections;
     options.idle_timeout = limits.idle_timeout;
     options.read_timeout = limits.read_timeout;
+    options.on_refused =
+        [port = listen.port](http_status status, std::string_view detail)
+    {
+        write_event(log_level::warning, "listener", {}, "message_refused",
+                    {{"port", std::int64_t{port}},
+                     {"status", static_cast<std::int64_t>(status)},
+                     {"detail", detail}});
+    };
     return options;
 }
 
