Count the time that a machine is suspended in every lease and permit

Cause: steady_now() read CLOCK_MONOTONIC, which stands still while a machine is suspended.

Ruled out: the wall clock (it jumps).

Change: CLOCK_BOOTTIME in its place; all decisions read this one hook. The timers of the I/O library still run on the steady clock, so work that is due comes late after a suspension, and then sees the true time.

--- a/request/include/lagoonquay/request/time.hpp
+++ b/request/include/lagoonquay/request/time.hpp
@@ -40,7 +40,8 @@
 //! Reads the wall clock. May be called from any thread.
 using wall_clock_hook = std::function<wall_time()>;
 
-//! @return the monotonic clock of this machine.
+//! @return the monotonic clock of this machine, which counts also the time
+//! that the machine is suspended.
 instant steady_now() noexcept;
 
 //! @return the wall clock of this machine.
--- a/request/src/time.cpp
+++ b/request/src/time.cpp
@@ -1,12 +1,19 @@
 #include "lagoonquay/request/time.hpp"
 
+#include <ctime>
+
 namespace lagoonquay
 {
 
+// A lease must run out while the machine is suspended, which CLOCK_MONOTONIC
+// does not count.
 instant steady_now() noexcept
 {
-    const auto now = std::chrono::steady_clock::now().time_since_epoch();
-    return instant(std::chrono::duration_cast<duration>(now));
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    const auto whole = std::chrono::seconds(now.tv_sec);
+    const auto rest = std::chrono::nanoseconds(now.tv_nsec);
+    return instant(std::chrono::duration_cast<duration>(whole + rest));
 }
 
 wall_time wall_now() noexcept
