Elect and hear from control sooner after a start

Change: the first election of a process comes after 0.3 to 1.2 s; a leader that lives sends each 100 ms and is heard before, and pre-vote protects it. heartbeat_pacing asks each 100 ms until the first permit, then each 500 ms.

--- a/process/agent/src/agent_node.cpp
+++ b/process/agent/src/agent_node.cpp
@@ -19,7 +19,6 @@
 {
 
 constexpr std::string_view part = "main";
-constexpr duration heartbeat_period = std::chrono::milliseconds(500);
 constexpr duration grant_period = std::chrono::milliseconds(100);
 
 //! Counts how long the calls of the upstream take.
@@ -120,7 +119,7 @@
     it.entry_listener.emplace(std::move(entries).value());
     it.operator_listener.emplace(std::move(operators).value());
     it.permits.tick();
-    it.io.every(heartbeat_period, [&it] { it.permits.tick(); });
+    it.io.every(permit_client::tick_period, [&it] { it.permits.tick(); });
     it.io.every(grant_period, [&it] { it.service.tick(); });
     write_log(log_level::info, part, "Agent started.");
     return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/process/common/include/lagoonquay/process/permit_client.hpp
+++ b/process/common/include/lagoonquay/process/permit_client.hpp
@@ -47,7 +47,10 @@
     permit_client(const permit_client&) = delete;
     permit_client& operator=(const permit_client&) = delete;
 
-    //! Sends one heartbeat to every replica. Call about twice a second.
+    //! Period of tick().
+    static constexpr duration tick_period = std::chrono::milliseconds(100);
+
+    //! Sends one heartbeat to every replica if a round is due.
     void tick();
 
     //! Replaces the replicas to ask first.
--- a/process/common/src/permit_client.cpp
+++ b/process/common/src/permit_client.cpp
@@ -2,6 +2,7 @@
 
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/process/decision_log.hpp"
+#include "lagoonquay/process/heartbeat_pacing.hpp"
 #include "lagoonquay/version/version_codec.hpp"
 
 #include <algorithm>
@@ -78,6 +79,12 @@
         return {found.begin(), found.end()};
     }
 
+    bool take_round()
+    {
+        const std::lock_guard lock(mutex_);
+        return pacing_.take(hooks_.now());
+    }
+
     void learn(const replica_set& heard)
     {
         const std::lock_guard lock(mutex_);
@@ -97,6 +104,7 @@
         {
             const std::lock_guard lock(mutex_);
             granted_ = std::max(granted_.value_or(sent), sent);
+            pacing_.granted();
             regained = std::exchange(lost_, false);
         }
         if (regained)
@@ -125,6 +133,7 @@
     mutable std::mutex mutex_;
     std::vector<endpoint> first_;
     replica_set replicas_;
+    heartbeat_pacing pacing_;
     std::optional<instant> granted_;
     bool lost_ = false;
 };
@@ -206,6 +215,8 @@
 void permit_client::tick()
 {
     rounds_->notice_loss();
+    if (!rounds_->take_round())
+        return;
     const auto& hooks = rounds_->hooks();
     const permit_request asked{hooks.self(), hooks.known()->version,
                                rounds_->known_replicas()};
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -22,7 +22,6 @@
 {
 
 constexpr std::string_view part = "main";
-constexpr duration heartbeat_period = std::chrono::milliseconds(500);
 constexpr duration link_period = std::chrono::milliseconds(100);
 constexpr duration tick_period = std::chrono::milliseconds(50);
 constexpr duration expiry_period = std::chrono::seconds(1);
@@ -240,7 +239,7 @@
     it.peer_listener.emplace(std::move(peers).value());
     it.operator_listener.emplace(std::move(operators).value());
     it.permits.tick();
-    it.io.every(heartbeat_period, [&it] { it.permits.tick(); });
+    it.io.every(permit_client::tick_period, [&it] { it.permits.tick(); });
     it.io.every(link_period, [&it] { it.link_agents(); });
     it.io.every(tick_period, [&it] { it.service.tick(); });
     it.io.every(link_period, [&it] { it.recovery.tick(); });
--- a/version/include/lagoonquay/version/replica.hpp
+++ b/version/include/lagoonquay/version/replica.hpp
@@ -17,6 +17,9 @@
 {
     node_id self;
     std::uint32_t election_ticks = 10; //!< shortest; the longest is twice that
+    //! Shortest silence before the first election of a process: a leader that
+    //! lives is heard by then. The longest is election_ticks more.
+    std::uint32_t first_election_ticks = 3;
     //! Silence after which a member may be replaced from another address.
     std::uint32_t replace_ticks = 200;
     //! Voters that the log grows to as replicas ask to be let in; zero keeps
--- a/version/src/replica.cpp
+++ b/version/src/replica.cpp
@@ -21,7 +21,8 @@
         commit_ = stored.base->index;
         output_.restore = stored.base;
     }
-    reset_timeout();
+    timeout_ticks_ =
+        options_.first_election_ticks + hooks_.draw(options_.election_ticks);
 }
 
 // Every first member writes the same entry, so the logs agree from the start.
--- a/version/tests/replica_rules_test.cpp
+++ b/version/tests/replica_rules_test.cpp
@@ -72,6 +72,34 @@
     return {term_number(3), true, log_index(index), log_index(index)};
 }
 
+// A process that has just started hears a living leader within two ticks.
+TEST(replica_rules, the_first_election_of_a_process_comes_soon)
+{
+    one_replica it;
+    (*it).tick();
+    (*it).tick();
+    EXPECT_TRUE((*it).take_output().messages.empty());
+    (*it).tick();
+    EXPECT_EQ((*it).take_output().messages.size(), 2U);
+    (*it).tick();
+    (*it).tick();
+    (*it).tick();
+    EXPECT_TRUE((*it).take_output().messages.empty());
+}
+
+TEST(replica_rules, a_leader_that_is_heard_is_given_the_whole_time)
+{
+    one_replica it;
+    it.receive(second, append_request{.term = term_number(2),
+                                      .previous = log_index(2),
+                                      .previous_term = term_number(2)});
+    for (int n = 0; n < 9; ++n)
+        (*it).tick();
+    EXPECT_TRUE((*it).take_output().messages.empty());
+    (*it).tick();
+    EXPECT_EQ((*it).take_output().messages.size(), 2U);
+}
+
 TEST(replica_rules, an_old_term_commits_only_with_an_entry_of_the_new)
 {
     one_replica it;
