Let a young ledger replica vote once no stray run is left

Cause: a ledger replica that has just started votes on undated jobs only after 1.5 s, in which runs of entries that died have ended.

Ruled out: a shorter fixed wait. Agents miss an entry that lost power only after 1.2 s of silence and stop its runs 0.6 s later, so 1.5 s after the restart is what a fixed wait needs.

Change: agents say in their grants how many runs they have of entries that are gone, at least one while they can't tell. A hello of a new incarnation, ignored before, closes the entry's old link and ends the grace of its runs. A replica is complete when 0.7 s have passed, every agent is linked and has no stray run, and every peer says the same of itself or is complete. The long wait now begins when a peer was found gone, not at the own start: an entry could have died in between and its runs gone on (found by reading).

--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -117,10 +117,12 @@
     {
         std::shared_ptr<message_link> link;
         grant_pacing pacing;
+        std::optional<hello_message> peer; //!< absent until it says hello
     };
     struct orphaned_run
     {
         attempt_number attempt;
+        hello_message owner; //!< the entry whose link closed last
         instant since{};
     };
     struct guard_shard
@@ -131,7 +133,8 @@
 
         std::mutex mutex;
         start_guard guard;
-        //! Links that wait for the result of a running task.
+        //! Links that wait for the result of a running task; empty for a run
+        //! whose entry is gone.
         std::map<task_key, std::set<link_number>> watchers;
         //! Repeatable tasks that run for nobody.
         std::map<task_key, orphaned_run> orphans;
@@ -150,6 +153,7 @@
     void on_messages(link_number link,
                      const std::vector<link_message>& messages);
     void on_close(link_number link);
+    void close_link(link_number link, const hello_message& peer);
     void on_dispatch(link_number link, const dispatch_message& it);
     start_verdict try_start(link_number link, const dispatch_message& it);
     void on_cancel(link_number link, const cancel_message& it);
@@ -170,7 +174,13 @@
     void give_up(const std::vector<waiting_start>& waiting,
                  failure_reason reason, const std::string& detail);
     void decline_waiting();
-    void orphan_runs(link_number link);
+    void on_hello(link_number link, const hello_message& it);
+    std::map<link_number, open_link>
+    take_earlier_links(const hello_message& it);
+    void end_grace(const hello_message& it);
+    void orphan_runs(link_number link, const hello_message& owner);
+    void watch(guard_shard& shard, const task_key& key, link_number link);
+    std::uint32_t stray_runs() const;
     void stop_orphans(instant now);
     void stop_run(const task_key& key, attempt_number attempt);
     bool has_started(const dispatch_message& it);
@@ -209,6 +219,7 @@
 
     std::array<std::unique_ptr<guard_shard>, shard_count> guards_;
 
+    std::atomic<std::uint32_t> unwatched_{0}; //!< runs without a watcher
     reason_counts declines_by_reason_;
     std::atomic<std::uint64_t> started_{0};
     std::atomic<std::uint64_t> finished_{0};
--- a/process/agent/src/agent_recovery.cpp
+++ b/process/agent/src/agent_recovery.cpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/process/log.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace lagoonquay
 {
@@ -41,8 +42,7 @@
             const auto found = shard.guard.query(key, item.last, hooks_.now());
             if (found.state == start_state::running)
             {
-                shard.watchers[key].insert(link);
-                shard.orphans.erase(key);
+                watch(shard, key, link);
             }
             status.items.push_back(found);
         }
@@ -54,9 +54,71 @@
     send(link, std::move(status));
 }
 
+// Call under the lock of the task's shard.
+void agent_service::watch(guard_shard& shard, const task_key& key,
+                          link_number link)
+{
+    const auto [found, fresh] = shard.watchers.try_emplace(key);
+    if (!fresh && found->second.empty())
+        --unwatched_;
+    found->second.insert(link);
+    shard.orphans.erase(key);
+}
+
+// An entry that starts again has lost the jobs of its earlier life: nobody will
+// ask for their runs, and what is left of an old link is only silence.
+void agent_service::on_hello(link_number link, const hello_message& it)
+{
+    for (const auto& [number, earlier] : take_earlier_links(it))
+    {
+        earlier.link->close();
+        close_link(number, *earlier.peer);
+    }
+    {
+        const std::lock_guard lock(links_mutex_);
+        const auto found = links_.find(link);
+        if (found != links_.end())
+            found->second.peer = it;
+    }
+    end_grace(it);
+    stop_orphans(hooks_.now());
+    send_all_grants();
+}
+
+std::map<link_number, agent_service::open_link>
+agent_service::take_earlier_links(const hello_message& it)
+{
+    std::map<link_number, open_link> taken;
+    const std::lock_guard lock(links_mutex_);
+    for (auto each = links_.begin(); each != links_.end();)
+    {
+        const auto& peer = each->second.peer;
+        const auto next = std::next(each);
+        if (peer && peer->entry == it.entry && peer->entry_run != it.entry_run)
+            taken.insert(links_.extract(each));
+        each = next;
+    }
+    return taken;
+}
+
+void agent_service::end_grace(const hello_message& it)
+{
+    for (const auto& guarded : guards_)
+    {
+        const std::lock_guard lock(guarded->mutex);
+        for (auto& [key, run] : guarded->orphans)
+        {
+            if (run.owner.entry == it.entry &&
+                run.owner.entry_run != it.entry_run)
+                run.since =
+                    std::min(run.since, hooks_.now() - options_.orphan_grace);
+        }
+    }
+}
+
 // An entry that lost its link soon opens a new one and asks for its tasks. A
 // run that nobody asks for is stopped: its caller may already have another.
-void agent_service::orphan_runs(link_number link)
+void agent_service::orphan_runs(link_number link, const hello_message& owner)
 {
     const auto now = hooks_.now();
     for (const auto& it : guards_)
@@ -66,13 +128,23 @@
         {
             if (links.erase(link) == 0 || !links.empty())
                 continue;
+            ++unwatched_;
             const auto found = it->repeatable.find(key);
             if (found != it->repeatable.end())
-                it->orphans.emplace(key, orphaned_run{found->second, now});
+                it->orphans.emplace(key,
+                                    orphaned_run{found->second, owner, now});
         }
     }
 }
 
+// Until the worker is ready, runs of an earlier agent may be under way there.
+std::uint32_t agent_service::stray_runs() const
+{
+    const std::lock_guard lock(standing_mutex_);
+    const bool known = standing_.upstream && !standing_.upstream->leaving;
+    return unwatched_ + (known ? 0 : 1);
+}
+
 void agent_service::stop_orphans(instant now)
 {
     if (!hooks_.stop_upstream)
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -214,6 +214,8 @@
 {
     for (const auto& it : messages)
     {
+        if (const auto* hello = std::get_if<hello_message>(&it))
+            on_hello(link, *hello);
         if (const auto* returned = std::get_if<return_message>(&it))
         {
             const std::lock_guard lock(grants_mutex_);
@@ -229,14 +231,24 @@
     send_changed_grants();
 }
 
-// What waits was never started, and the tombstones say so to a later query. A
-// task that runs stays; its result is kept for whoever asks.
 void agent_service::on_close(link_number link)
 {
+    hello_message peer;
     {
         const std::lock_guard lock(links_mutex_);
-        links_.erase(link);
+        const auto found = links_.find(link);
+        if (found == links_.end())
+            return;
+        peer = found->second.peer.value_or(peer);
+        links_.erase(found);
     }
+    close_link(link, peer);
+}
+
+// What waits was never started, and the tombstones say so to a later query. A
+// task that runs stays; its result is kept for whoever asks.
+void agent_service::close_link(link_number link, const hello_message& peer)
+{
     std::vector<waiting_start> waiting;
     {
         const std::lock_guard lock(grants_mutex_);
@@ -245,7 +257,7 @@
                                       { return it.link == link; });
     }
     give_up(waiting, failure_reason::not_startable, "the link closed");
-    orphan_runs(link);
+    orphan_runs(link, peer);
     send_changed_grants();
 }
 
@@ -298,15 +310,18 @@
     }
 }
 
+// A link whose entry has not said hello may have an earlier life on another.
 void agent_service::send_grant(const link_grant& totals, bool only_if_due)
 {
-    const auto grant = grant_for(totals);
+    auto grant = grant_for(totals);
+    grant.stray_runs = stray_runs();
     std::shared_ptr<message_link> target;
     {
         const std::lock_guard lock(links_mutex_);
         const auto it = links_.find(totals.link);
         if (it == links_.end())
             return;
+        grant.stray_runs += it->second.peer ? 0 : 1;
         if (only_if_due && !grant.draining && !it->second.pacing.due(grant))
             return;
         it->second.pacing.sent(grant);
--- a/process/agent/src/agent_starts.cpp
+++ b/process/agent/src/agent_starts.cpp
@@ -141,7 +141,7 @@
     if (verdict == start_verdict::start)
     {
         const task_key key{it.submission, it.key.index};
-        shard.watchers[key].insert(link);
+        watch(shard, key, link);
         if (it.repeatable)
             shard.repeatable[key] = it.key.attempt;
     }
@@ -182,6 +182,7 @@
             watchers = waiting->second;
         if (last)
         {
+            unwatched_ -= waiting != shard.watchers.end() && watchers.empty();
             shard.watchers.erase(key);
             shard.orphans.erase(key);
             shard.repeatable.erase(key);
--- a/process/agent/tests/agent_service_test.cpp
+++ b/process/agent/tests/agent_service_test.cpp
@@ -103,6 +103,52 @@
          }}};
 };
 
+//! @return the strays that the agent told last on a link.
+std::uint32_t last_strays(const fake_link& link)
+{
+    std::uint32_t found = 0;
+    for (const auto& it : link.sent)
+    {
+        if (const auto* grant = std::get_if<grant_message>(&it))
+            found = grant->stray_runs;
+    }
+    return found;
+}
+
+TEST_F(waiting_tasks, a_run_is_stray_until_it_ends_or_is_asked_for)
+{
+    second_link->deliver(hello_message{entry_id("e2"), incarnation(1)});
+    EXPECT_EQ(last_strays(*second_link), 0U);
+    first->end();
+    service.tick();
+    EXPECT_EQ(last_strays(*second_link), 1U);
+    query(*second_link, 0, 1);
+    service.tick();
+    EXPECT_EQ(last_strays(*second_link), 0U);
+    second_link->end();
+    const auto third = std::make_shared<fake_link>();
+    service.on_link(third);
+    third->deliver(hello_message{entry_id("e3"), incarnation(1)});
+    EXPECT_GE(last_strays(*third), 1U);
+    end_call();
+    service.tick();
+    EXPECT_EQ(last_strays(*third), 0U);
+}
+
+TEST_F(waiting_tasks, an_entry_that_starts_again_leaves_strays_on_a_silent_link)
+{
+    first->deliver(hello_message{entry_id("e1"), incarnation(1)});
+    const auto again = std::make_shared<fake_link>();
+    service.on_link(again);
+    EXPECT_GE(last_strays(*again), 1U) << "it has not said who it is";
+    again->deliver(hello_message{entry_id("e1"), incarnation(2)});
+    EXPECT_EQ(last_strays(*again), 1U);
+    end_call();
+    service.tick();
+    EXPECT_EQ(last_strays(*again), 0U);
+    EXPECT_TRUE(results(*first).empty());
+}
+
 TEST_F(waiting_tasks, start_when_a_slot_is_free)
 {
     dispatch(*second_link, 1);
--- a/process/entry/include/lagoonquay/process/agent_table.hpp
+++ b/process/entry/include/lagoonquay/process/agent_table.hpp
@@ -70,6 +70,10 @@
     //! @return whether the agent's present incarnation takes tasks.
     bool accepts(const agent_id& agent);
 
+    //! @return whether agents are known, all are linked, and none has a run of
+    //! an entry that is gone.
+    bool none_stray();
+
     //! @return slots that this entry uses or could use at once.
     std::uint32_t usable_slots();
 
--- a/process/entry/include/lagoonquay/process/ledger_recovery.hpp
+++ b/process/entry/include/lagoonquay/process/ledger_recovery.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "lagoonquay/connection/endpoint.hpp"
-#include "lagoonquay/process/ledger_shard.hpp"
+#include "lagoonquay/process/held_claims.hpp"
 
 #include <functional>
 #include <mutex>
@@ -16,24 +16,15 @@
 
 struct ledger_recovery_options
 {
-    //! Time from the start of this process in which the runs of entries that
-    //! died before it have ended.
+    //! Time after the end of an entry in which its runs have ended.
     duration settle = std::chrono::milliseconds(1500);
+    //! Time in which every entry and agent that lives is named by control.
+    duration naming = std::chrono::milliseconds(700);
 
     friend bool operator==(const ledger_recovery_options&,
                            const ledger_recovery_options&) = default;
 };
 
-//! What another entry said about its claims.
-struct held_claims
-{
-    //! The peer's process is gone, so that it holds none.
-    bool gone = false;
-    std::vector<claim_request> claims;
-
-    friend bool operator==(const held_claims&, const held_claims&) = default;
-};
-
 //! Gets the claims once, or nothing if the peer did not answer.
 using held_claims_hook = std::function<void(const std::optional<held_claims>&)>;
 
@@ -44,6 +35,9 @@
     std::function<std::optional<std::vector<endpoint>>()> peers;
     std::function<void(const endpoint&, held_claims_hook)> ask;
     std::function<void(const claim_request&)> remember;
+    //! @return whether every agent says that no run of an entry that is gone
+    //! is left.
+    std::function<bool()> none_stray;
     //! Every live claim is remembered. Called once.
     std::function<void()> done;
 };
@@ -62,14 +56,18 @@
     void on_answer(const endpoint& peer,
                    const std::optional<held_claims>& answer);
     bool complete(const std::vector<endpoint>& peers) const;
+    bool settled(const std::vector<endpoint>& peers) const;
 
     const ledger_recovery_options options_;
     const ledger_recovery_hooks hooks_;
+
     const instant began_;
 
     mutable std::mutex mutex_;
+    instant ended_; //!< when the last entry that is known to be gone had ended
     std::set<endpoint> asked_; //!< no answer yet
     std::set<endpoint> answered_;
+    std::set<endpoint> settled_; //!< of these, whose old runs have ended
     bool done_ = false;
 };
 
--- a/process/entry/src/agent_table.cpp
+++ b/process/entry/src/agent_table.cpp
@@ -399,6 +399,23 @@
     it.others_need = {};
 }
 
+bool agent_table::none_stray()
+{
+    bool known = false;
+    bool stray = false;
+    agents_.for_each_shard(
+        [&](const auto& values)
+        {
+            for (const auto& [id, it] : values)
+            {
+                known = true;
+                stray =
+                    stray || !it.link || !it.last || it.last->stray_runs > 0;
+            }
+        });
+    return known && !stray;
+}
+
 agent_health_options agent_table::health_options() const
 {
     const std::lock_guard lock(health_mutex_);
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -275,9 +275,12 @@
     {
         respond(claim_response(ledger, request.body));
     };
-    const auto held = [&service]() -> http_response
+    const auto held = [&service, &ledger]() -> http_response
     {
-        return {.body = encode_held_claims(service.held_claims())};
+        return {
+            .body = encode_held_claims(
+                {.settled = ledger.complete() || service.agents().none_stray(),
+                 .claims = service.held_claims()})};
     };
     return route_requests(
         {{http_method::post, "/v1/ledger/claim", claim},
@@ -308,14 +311,13 @@
                 {
                     if (!answer &&
                         answer.error().code == connection_errc::refused)
-                        return done(held_claims{.gone = true, .claims = {}});
+                        return done(held_claims{.gone = true});
                     if (!answer || answer.value().status != http_status::ok)
                         return done(std::nullopt);
                     auto claims = decode_held_claims(answer.value().body);
                     if (!claims)
                         return done(std::nullopt);
-                    done(held_claims{.gone = false,
-                                     .claims = std::move(claims).value()});
+                    done(std::move(claims).value());
                 });
 }
 
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -118,6 +118,7 @@
             { ask_held_claims(client, peer, done); },
             .remember = [this](const claim_request& it)
             { ledger.remember(it); },
+            .none_stray = [this] { return service.agents().none_stray(); },
             .done =
                 [this]
             {
--- a/process/entry/src/ledger_recovery.cpp
+++ b/process/entry/src/ledger_recovery.cpp
@@ -7,7 +7,8 @@
 
 ledger_recovery::ledger_recovery(ledger_recovery_options options,
                                  ledger_recovery_hooks hooks)
-    : options_(options), hooks_(std::move(hooks)), began_(hooks_.now())
+    : options_(options), hooks_(std::move(hooks)), began_(hooks_.now()),
+      ended_(began_)
 {
 }
 
@@ -26,7 +27,7 @@
             return;
         for (const auto& it : *peers)
         {
-            if (!answered_.contains(it) && asked_.insert(it).second)
+            if (!settled_.contains(it) && asked_.insert(it).second)
                 to_ask.push_back(it);
         }
         finished = complete(*peers);
@@ -49,16 +50,34 @@
     }
     const std::lock_guard lock(mutex_);
     asked_.erase(peer);
-    if (answer)
-        answered_.insert(peer);
+    if (!answer)
+        return;
+    if (answer->gone && !answered_.contains(peer))
+        ended_ = hooks_.now();
+    answered_.insert(peer);
+    if (answer->settled)
+        settled_.insert(peer);
 }
 
 bool ledger_recovery::complete(const std::vector<endpoint>& peers) const
 {
-    return hooks_.now() - began_ >= options_.settle &&
+    if (settled(peers))
+        return true;
+    return hooks_.now() - ended_ >= options_.settle &&
            std::all_of(peers.begin(), peers.end(),
                        [this](const endpoint& it)
                        { return answered_.contains(it); });
 }
 
+// A peer that is gone may have runs that its agents have not missed yet; only
+// its next life can tell that they have ended.
+bool ledger_recovery::settled(const std::vector<endpoint>& peers) const
+{
+    return hooks_.now() - began_ >= options_.naming &&
+           std::all_of(peers.begin(), peers.end(),
+                       [this](const endpoint& it)
+                       { return settled_.contains(it); }) &&
+           hooks_.none_stray();
+}
+
 } // namespace lagoonquay
--- a/process/entry/tests/ledger_recovery_test.cpp
+++ b/process/entry/tests/ledger_recovery_test.cpp
@@ -28,6 +28,7 @@
                 { asked[it] = std::move(answer); },
                 .remember = [this](const claim_request& it)
                 { remembered.push_back(it); },
+                .none_stray = [this] { return none_stray; },
                 .done =
                     [this]
                 {
@@ -39,6 +40,7 @@
     std::optional<std::vector<endpoint>> peers;
     std::map<endpoint, held_claims_hook> asked;
     std::vector<claim_request> remembered;
+    bool none_stray = false;
     int done = 0;
     ledger_recovery recovery{{}, hooks()};
 };
@@ -55,6 +57,9 @@
     EXPECT_EQ(done, 0);
     asked[second_peer](held_claims{.gone = true, .claims = {}});
     recovery.tick();
+    EXPECT_EQ(done, 0);
+    now += milliseconds(1500);
+    recovery.tick();
     EXPECT_EQ(done, 1);
     EXPECT_EQ(remembered, std::vector<claim_request>{claim});
     recovery.tick();
@@ -91,6 +96,52 @@
     EXPECT_EQ(done, 0);
 }
 
+TEST_F(recovering, is_soon_complete_once_no_run_of_an_earlier_life_is_left)
+{
+    peers = {first_peer};
+    recovery.tick();
+    asked[first_peer](held_claims{.settled = false});
+    now += milliseconds(800);
+    none_stray = true;
+    recovery.tick();
+    EXPECT_EQ(done, 0) << "an old life of the peer may have runs";
+    asked[first_peer](held_claims{.settled = true});
+    none_stray = false;
+    recovery.tick();
+    EXPECT_EQ(done, 0) << "an agent has a run of an entry that is gone";
+    none_stray = true;
+    recovery.tick();
+    EXPECT_EQ(done, 1);
+}
+
+TEST_F(recovering, waits_until_control_can_have_named_everyone)
+{
+    peers = {first_peer};
+    none_stray = true;
+    recovery.tick();
+    asked[first_peer](held_claims{.settled = true});
+    now += milliseconds(600);
+    recovery.tick();
+    EXPECT_EQ(done, 0);
+    now += milliseconds(100);
+    recovery.tick();
+    EXPECT_EQ(done, 1);
+}
+
+TEST_F(recovering, of_a_peer_that_is_gone_waits_for_the_end_of_its_runs)
+{
+    peers = {first_peer};
+    none_stray = true;
+    recovery.tick();
+    asked[first_peer](held_claims{.gone = true});
+    now += milliseconds(1400);
+    recovery.tick();
+    EXPECT_EQ(done, 0);
+    now += milliseconds(100);
+    recovery.tick();
+    EXPECT_EQ(done, 1);
+}
+
 TEST(entry_peers, keeps_a_peer_for_longer_than_its_claims_hold)
 {
     instant now{};
--- a/process/ledger/include/lagoonquay/process/ledger_codec.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_codec.hpp
@@ -1,6 +1,7 @@
 //! JSON encoding of claims and votes.
 #pragma once
 
+#include "lagoonquay/process/held_claims.hpp"
 #include "lagoonquay/process/ledger_shard.hpp"
 #include "lagoonquay/request/error.hpp"
 
@@ -16,10 +17,10 @@
 request_result<claim_request> decode_claim_request(std::string_view text);
 
 //! Claims that an entry holds; the lease of each is what is left of it.
-std::string encode_held_claims(const std::vector<claim_request>& claims);
+//! `gone` is not written.
+std::string encode_held_claims(const held_claims& held);
 //! @return the claims, or malformed / out_of_range.
-request_result<std::vector<claim_request>>
-decode_held_claims(std::string_view text);
+request_result<held_claims> decode_held_claims(std::string_view text);
 
 std::string encode_claim_vote(const claim_vote& vote);
 //! @return the vote, or malformed / out_of_range.
--- a/process/ledger/include/lagoonquay/process/ledger_replica.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_replica.hpp
@@ -26,6 +26,9 @@
     void remember(const claim_request& held);
     //! Every live claim is remembered now.
     void set_complete();
+
+    //! @return whether set_complete() was called.
+    bool complete() const noexcept;
     void expire();
     std::size_t size();
 
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -113,32 +113,33 @@
     return asked;
 }
 
-std::string encode_held_claims(const std::vector<claim_request>& claims)
+std::string encode_held_claims(const held_claims& held)
 {
     json::array array;
-    for (const auto& it : claims)
+    for (const auto& it : held.claims)
         array.push_back(claim_to_json(it));
-    return json::serialize(json::object{{"claims", std::move(array)}});
+    return json::serialize(
+        json::object{{"claims", std::move(array)}, {"settled", held.settled}});
 }
 
-request_result<std::vector<claim_request>>
-decode_held_claims(std::string_view text)
+request_result<held_claims> decode_held_claims(std::string_view text)
 {
     BOOST_OUTCOME_TRY(const auto document, parse_json(text));
     json_fields fields(document, "");
-    std::vector<claim_request> claims;
+    held_claims held;
+    held.settled = fields.flag_or("settled", false);
     if (const auto* source = fields.array("claims"))
     {
         for (const auto& it : *source)
         {
             json_fields claim(it, "claims");
-            claims.push_back(claim_from_json(claim));
+            held.claims.push_back(claim_from_json(claim));
             fields.absorb(claim);
         }
     }
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
-    return claims;
+    return held;
 }
 
 std::string encode_claim_vote(const claim_vote& vote)
--- a/process/ledger/src/ledger_replica.cpp
+++ b/process/ledger/src/ledger_replica.cpp
@@ -49,6 +49,11 @@
     complete_ = true;
 }
 
+bool ledger_replica::complete() const noexcept
+{
+    return complete_;
+}
+
 void ledger_replica::expire()
 {
     for (auto& it : shards_)
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -35,6 +35,9 @@
     resources used;         //!< by tasks that run or wait at the agent
     bool accepting = false; //!< false without permit or upstream
     bool draining = false;  //!< asks for every unused credit
+    //! Runs there of entries that are gone; at least one while the agent can't
+    //! tell.
+    std::uint32_t stray_runs = 0;
 
     friend bool operator==(const grant_message&,
                            const grant_message&) = default;
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -73,7 +73,8 @@
             {"capacity", resources_to_json(it.capacity)},
             {"used", resources_to_json(it.used)},
             {"accepting", it.accepting},
-            {"draining", it.draining}};
+            {"draining", it.draining},
+            {"stray_runs", it.stray_runs}};
 }
 
 json::object to_json(const return_message& it)
@@ -166,6 +167,8 @@
     it.used = resources_from_json(fields, "used");
     it.accepting = fields.flag_or("accepting", false);
     it.draining = fields.flag_or("draining", false);
+    it.stray_runs =
+        static_cast<std::uint32_t>(fields.number("stray_runs", 0, count_limit));
     return it;
 }
 
