An agent without a worker has no stray runs once a lease has passed

An agent whose worker had left for good can't become ready, so it counted a run that nobody can see for ever, and no young replica could be complete early beside it.

Ruled out: leaving such agents out (a worker that is merely silent may run tasks of the earlier agent) and links that fail to open (all were open).

--- a/process/agent/include/lagoonquay/process/agent_node.hpp
+++ b/process/agent/include/lagoonquay/process/agent_node.hpp
@@ -19,6 +19,8 @@
     permit_policy permits = permit_policy::expire;
     upstream_hook call_upstream;
     upstream_stop_hook stop_upstream = {};
+    //! See agent_options.
+    duration earlier_runs_end = duration::zero();
 };
 
 //! Runs an agent until it is drained. Its threads outlive it.
--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -38,6 +38,9 @@
     //! How long a repeatable task runs on for an entry whose link closed,
     //! where the upstream's tasks can be stopped.
     duration orphan_grace = std::chrono::milliseconds(600);
+    //! Time after which nothing runs at the upstream that an earlier agent
+    //! started; zero if that can't be told.
+    duration earlier_runs_end = duration::zero();
 
     friend bool operator==(const agent_options&,
                            const agent_options&) = default;
@@ -206,6 +209,7 @@
 
     const agent_options options_;
     const agent_hooks hooks_;
+    const instant began_;
 
     mutable std::mutex standing_mutex_;
     standing standing_;
--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -36,6 +36,9 @@
                            const leased_runs_options&) = default;
 };
 
+//! @return the longest that a run goes on after its agent has ended.
+duration longest_alone(const leased_runs_options& options) noexcept;
+
 struct leased_runs_hooks
 {
     clock_hook now;
--- a/process/agent/src/agent_node.cpp
+++ b/process/agent/src/agent_node.cpp
@@ -48,6 +48,7 @@
     options.upstream_silence = settings.upstream_silence;
     options.record_retention = settings.record_retention;
     options.permits = node.permits;
+    options.earlier_runs_end = node.earlier_runs_end;
     return options;
 }
 
--- a/process/agent/src/agent_recovery.cpp
+++ b/process/agent/src/agent_recovery.cpp
@@ -137,12 +137,15 @@
     }
 }
 
-// Until the worker is ready, runs of an earlier agent may be under way there.
+// Until the worker is ready or a lease has passed, runs of an earlier agent may
+// be under way there.
 std::uint32_t agent_service::stray_runs() const
 {
+    const auto end = options_.earlier_runs_end;
+    const bool over = end > duration::zero() && hooks_.now() - began_ >= end;
     const std::lock_guard lock(standing_mutex_);
-    const bool known = standing_.upstream && !standing_.upstream->leaving;
-    return unwatched_ + (known ? 0 : 1);
+    const bool ready = standing_.upstream && !standing_.upstream->leaving;
+    return unwatched_ + (over || ready ? 0 : 1);
 }
 
 void agent_service::stop_orphans(instant now)
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -11,7 +11,8 @@
 {
 
 agent_service::agent_service(agent_options options, agent_hooks hooks)
-    : options_(std::move(options)), hooks_(std::move(hooks))
+    : options_(std::move(options)), hooks_(std::move(hooks)),
+      began_(hooks_.now())
 {
     for (auto& it : guards_)
         it = std::make_unique<guard_shard>(
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -18,6 +18,12 @@
 
 } // namespace
 
+duration longest_alone(const leased_runs_options& options) noexcept
+{
+    return options.lease + options.lease / clock_drift_part +
+           options.clock_margin;
+}
+
 run_table::run_table(leased_runs_options options) : options_(options)
 {
 }
--- a/process/agent/tests/agent_service_test.cpp
+++ b/process/agent/tests/agent_service_test.cpp
@@ -135,6 +135,22 @@
     EXPECT_EQ(last_strays(*third), 0U);
 }
 
+TEST_F(waiting_tasks, an_agent_without_a_worker_tells_when_leases_are_over)
+{
+    agent_service alone{{.id = agent, .earlier_runs_end = second},
+                        {.now = [this]
+                         {
+                             return now;
+                         }}};
+    const auto link = std::make_shared<fake_link>();
+    alone.on_link(link);
+    link->deliver(hello_message{entry_id("e1"), incarnation(1)});
+    EXPECT_GE(last_strays(*link), 1U);
+    now += second;
+    alone.tick();
+    EXPECT_EQ(last_strays(*link), 0U);
+}
+
 TEST_F(waiting_tasks, an_entry_that_starts_again_leaves_strays_on_a_silent_link)
 {
     first->deliver(hello_message{entry_id("e1"), incarnation(1)});
