Tell the story of one request: lagoonquayctl explain ID FILE...

Cause: finding why a request failed took one grep for each process, a sort by hand, and a second look for what its processes went through at that time.

Ruled out: a collector that follows logs (processes write to standard output only; files are what on-call engineers have).

Change: request_story reads JSON lines of any number of log files, orders those of the request, and adds in brackets what its own processes wrote from 2 s before its first line. Other requests are never parsed. The command needs no control replica; an unreadable file is a usage error, an id that no line names exits with 1.

--- a/process/operators/include/lagoonquay/process/operator_arguments.hpp
+++ b/process/operators/include/lagoonquay/process/operator_arguments.hpp
@@ -3,6 +3,7 @@
 
 #include "lagoonquay/connection/endpoint.hpp"
 #include "lagoonquay/process/error.hpp"
+#include "lagoonquay/request/ids.hpp"
 #include "lagoonquay/version/command.hpp"
 
 #include <optional>
@@ -50,6 +51,16 @@
     friend bool operator==(const dump_process&, const dump_process&) = default;
 };
 
+//! Tells the story of a request from log files.
+struct explain_request
+{
+    submission_id submission;
+    std::vector<std::string> logs; //!< paths
+
+    friend bool operator==(const explain_request&,
+                           const explain_request&) = default;
+};
+
 //! Sends a change to the replicas.
 struct send_change
 {
@@ -60,7 +71,7 @@
 
 using operator_action =
     std::variant<show_status, show_settings, replace_settings, list_exceptions,
-                 dump_process, send_change>;
+                 dump_process, explain_request, send_change>;
 
 //! One call of lagoonquayctl.
 struct operator_arguments
--- a/process/operators/src/operator_arguments.cpp
+++ b/process/operators/src/operator_arguments.cpp
@@ -35,6 +35,7 @@
     std::string_view details;
     std::size_t operand_count = 0;
     std::function<operator_action(const words&)> read;
+    bool takes_more = false; //!< operands beyond operand_count
 };
 
 change drain_change(const words& operands, bool drained)
@@ -121,6 +122,20 @@
          {
              return dump_process{read_endpoint(it[0])};
          }},
+        {"explain", "ID FILE...", "tell the story of one request from logs",
+         "Reads log files of several processes ([log] format = json) and "
+         "prints\n"
+         "the lines of the request in the order of their time. Between them, "
+         "in\n"
+         "brackets, stands what else the processes that served it wrote, from\n"
+         "2 s before. Clocks of several machines may differ.",
+         2,
+         [](const words& it) -> operator_action
+         {
+             return explain_request{submission_id(it[0]),
+                                    words(it.begin() + 1, it.end())};
+         },
+         true},
     };
     return all;
 }
@@ -242,7 +257,8 @@
     if (entry == nullptr)
         throw usage_error{"'" + given.front() + "' is not a command"};
     const words operands(given.begin() + 1, given.end());
-    if (operands.size() != entry->operand_count)
+    if (operands.size() < entry->operand_count ||
+        (operands.size() > entry->operand_count && !entry->takes_more))
         throw usage_error{"usage: " + std::string(tool_name) + " " +
                           std::string(entry->name) + " " +
                           std::string(entry->operands)};
@@ -259,7 +275,9 @@
     it.json = parsed.count("json") > 0;
     it.wait = parsed.count("no-wait") == 0;
     it.force = parsed.count("force") > 0;
-    const bool needs_control = !std::holds_alternative<dump_process>(it.action);
+    const bool needs_control =
+        !std::holds_alternative<dump_process>(it.action) &&
+        !std::holds_alternative<explain_request>(it.action);
     if (needs_control && it.control.empty())
         throw usage_error{"--control or $LAGOONQUAY_CONTROL is required"};
     return it;
--- a/process/programs/ctl_main.cpp
+++ b/process/programs/ctl_main.cpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/process/operator_arguments.hpp"
 #include "lagoonquay/process/operator_client.hpp"
 #include "lagoonquay/process/operator_output.hpp"
+#include "lagoonquay/process/request_story.hpp"
 #include "lagoonquay/version/fleet_settings.hpp"
 
 #include <algorithm>
@@ -157,6 +158,28 @@
         return exit_code::ok;
     }
 
+    exit_code operator()(const explain_request& it) const
+    {
+        request_story story(it.submission);
+        for (const auto& path : it.logs)
+        {
+            std::ifstream log(path);
+            if (!log)
+            {
+                std::cerr << "lagoonquayctl: " << path << " cannot be read\n";
+                return exit_code::usage;
+            }
+            story.read(log);
+        }
+        const auto told = story.tell();
+        std::cout << (arguments.json ? story_json(told) : story_text(told));
+        if (!told.empty())
+            return exit_code::ok;
+        std::cerr << "lagoonquayctl: no line names " << it.submission.text()
+                  << "\n";
+        return exit_code::failed;
+    }
+
 private:
     // Where no replica answers, the command itself tells.
     std::optional<std::string> find_slip(const change& what) const
