Follow settings, wait for a stop and drain in one place for six programs

Ruled out: one main for both kinds (their listeners and settings differ).

Change: serve_until_stopped() does the four steps; control_node::drain() holds what both control programs did by hand.

--- a/process/common/include/lagoonquay/process/program.hpp
+++ b/process/common/include/lagoonquay/process/program.hpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/connection/endpoint.hpp"
 #include "lagoonquay/connection/http_server.hpp"
 #include "lagoonquay/process/error.hpp"
+#include "lagoonquay/process/io_threads.hpp"
 #include "lagoonquay/process/log.hpp"
 #include "lagoonquay/process/process_settings.hpp"
 #include "lagoonquay/request/ids.hpp"
@@ -43,8 +44,6 @@
 //! @return a number for this run of the process, drawn at random.
 incarnation draw_incarnation();
 
-class io_threads;
-
 //! Calls `changed` whenever a file has changed.
 void watch_settings(io_threads& io, const std::string& path,
                     std::function<void()> changed);
@@ -81,6 +80,21 @@
                    });
 }
 
+//! Runs a program that has started until it is told to stop, and stops it.
+//! @param use   see follow_settings().
+//! @param stop  ends what is in progress; may block.
+template <typename Settings>
+void serve_until_stopped(
+    io_threads& io, const std::string& path,
+    std::function<process_result<Settings>(const std::string&)> load,
+    std::function<void(const Settings&)> use, const std::function<void()>& stop)
+{
+    follow_settings(io, path, std::move(load), std::move(use));
+    io.wait_for_stop_signal();
+    stop();
+    io.stop();
+}
+
 //! Runs a program from its command line to its end. With --check, only the
 //! settings are read. @return the code to leave with.
 template <typename Settings>
--- a/process/common/src/program.cpp
+++ b/process/common/src/program.cpp
@@ -1,6 +1,5 @@
 #include "lagoonquay/process/program.hpp"
 
-#include "lagoonquay/process/io_threads.hpp"
 #include "lagoonquay/process/settings_watch.hpp"
 
 #include <chrono>
--- a/process/control/include/lagoonquay/process/control_node.hpp
+++ b/process/control/include/lagoonquay/process/control_node.hpp
@@ -10,6 +10,7 @@
 {
 
 class io_threads;
+class http_server;
 class latency_statistics;
 
 //! How a program's replica differs from the product's own.
@@ -49,11 +50,13 @@
     //! the cluster.
     void reload(const control_settings& settings);
 
-    //! Gives leadership away; blocks until another leads, for 2 s at most.
-    void hand_over();
+    //! Gives leadership away, for 2 s at most, and blocks until every response
+    //! of `listener` is written.
+    void drain(const http_server& listener);
 
 private:
     struct parts;
+    void hand_over();
 
     explicit control_node(std::unique_ptr<parts> opened) noexcept;
 
--- a/process/control/src/control_node.cpp
+++ b/process/control/src/control_node.cpp
@@ -165,6 +165,13 @@
         parts_->replica.add_peer(to_text(it));
 }
 
+void control_node::drain(const http_server& listener)
+{
+    hand_over();
+    wait_until([&] { return listener.requests_in_progress() == 0; });
+    write_log(log_level::info, part, "Stopped.");
+}
+
 // Others go on without a pause when the leader hands over before it ends.
 void control_node::hand_over()
 {
--- a/process/programs/agent_main.cpp
+++ b/process/programs/agent_main.cpp
@@ -23,12 +23,10 @@
         upstream_routes(node.service()));
     BOOST_OUTCOME_TRY(require_listening({&upstream}));
     BOOST_OUTCOME_TRY(node.start());
-    follow_settings<agent_settings>(
+    serve_until_stopped<agent_settings>(
         io, settings.process.source, load_agent_settings,
-        [&node](const agent_settings& it) { node.reload(it); });
-    io.wait_for_stop_signal();
-    node.drain();
-    io.stop();
+        [&node](const agent_settings& it) { node.reload(it); },
+        [&] { node.drain(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/process/programs/control_main.cpp
+++ b/process/programs/control_main.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr std::string_view part = "main";
-
 process_result<void> run(const control_settings& settings)
 {
     io_threads io(settings.process.threads);
@@ -25,14 +23,10 @@
         control_operator_routes(node->service(), node->syncs()));
     BOOST_OUTCOME_TRY(require_listening({&members, &operators}));
     node->start();
-    follow_settings<control_settings>(
+    serve_until_stopped<control_settings>(
         io, settings.process.source, load_control_settings,
-        [&node](const control_settings& it) { node->reload(it); });
-    io.wait_for_stop_signal();
-    node->hand_over();
-    wait_until([&] { return operators.value().requests_in_progress() == 0; });
-    write_log(log_level::info, part, "Stopped.");
-    io.stop();
+        [&node](const control_settings& it) { node->reload(it); },
+        [&] { node->drain(operators.value()); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/process/programs/entry_main.cpp
+++ b/process/programs/entry_main.cpp
@@ -20,12 +20,10 @@
         caller_routes(node.service(), settings.jobs, node.answers()));
     BOOST_OUTCOME_TRY(require_listening({&callers}));
     BOOST_OUTCOME_TRY(node.start());
-    follow_settings<entry_settings>(
+    serve_until_stopped<entry_settings>(
         io, settings.process.source, load_entry_settings,
-        [&node](const entry_settings& it) { node.reload(it); });
-    io.wait_for_stop_signal();
-    node.drain(callers.value());
-    io.stop();
+        [&node](const entry_settings& it) { node.reload(it); },
+        [&] { node.drain(callers.value()); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
