A run that its agent stops may run again when its entry comes back

An entry was frozen for 4 s; an agent stopped its run after the grace and noted it as cancelled; the entry woke, asked for its task and took that as the caller's cancel.

Ruled out: the hello of a new incarnation, which is new (the entry's incarnation did not change), and the stall rule (it reports no cancel).

Change: the agent reports the end of a run that it gave up as link_lost with an unknown effect. An entry that asks for its tasks settles what ended in the meantime by the same rules as a result that comes on a link; before, it was recorded as it was and never ran again.

Before and after: a_run_that_nobody_asked_for_runs_again (virtual time; the fake fleet's upstreams can now be stopped) ends 'cancelled' after one start on the code before, and succeeds after two now.

--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -143,6 +143,8 @@
         std::map<task_key, orphaned_run> orphans;
         //! Attempts of repeatable tasks that run.
         std::map<task_key, attempt_number> repeatable;
+        //! Runs that this agent stops, and not their caller.
+        std::set<task_key> given_up;
     };
     //! State of the whole process, under its own lock.
     struct standing
@@ -164,7 +166,7 @@
     void run(link_number link, const dispatch_message& it,
              const endpoint& upstream);
     void on_result(link_number link, const dispatch_message& it,
-                   const task_result& result, instant started);
+                   const task_result& reported, instant started);
     void decline(link_number link, const dispatch_message& it,
                  failure_reason reason, const std::string& detail,
                  std::uint64_t credits_total = 0);
@@ -184,6 +186,7 @@
     void orphan_runs(link_number link, const hello_message& owner);
     void watch(guard_shard& shard, const task_key& key, link_number link);
     std::uint32_t stray_runs() const;
+    static task_result end_of_stopped(const task_result& result);
     void stop_orphans(instant now);
     void stop_run(const task_key& key, attempt_number attempt);
     bool has_started(const dispatch_message& it);
--- a/process/agent/src/agent_recovery.cpp
+++ b/process/agent/src/agent_recovery.cpp
@@ -158,14 +158,31 @@
         const std::lock_guard lock(it->mutex);
         for (const auto& [key, run] : it->orphans)
         {
-            if (now - run.since >= options_.orphan_grace)
-                late.emplace_back(key, run.attempt);
+            if (now - run.since < options_.orphan_grace)
+                continue;
+            late.emplace_back(key, run.attempt);
+            it->given_up.insert(key);
         }
     }
     for (const auto& [key, attempt] : late)
         stop_run(key, attempt);
 }
 
+// Its entry may come back and ask for it: it was not cancelled, and may run
+// again.
+task_result agent_service::end_of_stopped(const task_result& result)
+{
+    if (result->reason != failure_reason::cancelled)
+        return result;
+    return result.with(
+        [](task_result_options& it)
+        {
+            it.reason = failure_reason::link_lost;
+            it.ran = effect::unknown;
+            it.detail = "stopped while its entry was away";
+        });
+}
+
 void agent_service::stop_run(const task_key& key, attempt_number attempt)
 {
     if (!hooks_.stop_upstream)
--- a/process/agent/src/agent_starts.cpp
+++ b/process/agent/src/agent_starts.cpp
@@ -168,13 +168,16 @@
 // A result whose links are all closed stays with the guard and is sent when an
 // entry asks for it. The credit goes back to the link that spent it.
 void agent_service::on_result(link_number link, const dispatch_message& it,
-                              const task_result& result, instant started)
+                              const task_result& reported, instant started)
 {
     std::set<link_number> watchers;
+    auto result = reported;
     {
         const task_key key{it.submission, it.key.index};
         auto& shard = shard_of(it.submission);
         const std::lock_guard lock(shard.mutex);
+        if (shard.given_up.contains(key))
+            result = end_of_stopped(reported);
         const bool last =
             shard.guard.finish(key, it.key.attempt, result, hooks_.now());
         const auto waiting = shard.watchers.find(key);
@@ -185,6 +188,7 @@
             unwatched_ -= waiting != shard.watchers.end() && watchers.empty();
             shard.watchers.erase(key);
             shard.orphans.erase(key);
+            shard.given_up.erase(key);
             shard.repeatable.erase(key);
         }
     }
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -226,6 +226,7 @@
     void on_status(const agent_id& agent, const status_message& it);
     bool apply(job_state& state, const agent_run_id& agent,
                const status_item& it);
+    void settle_ended(const job_pointer& state, const status_message& it);
     void finish_adoption(const job_pointer& state);
     void check_lost(instant now);
     std::vector<attempt_key> lost_attempts(job_state& state,
--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -126,10 +126,24 @@
              });
     requeued_ += moved.size();
     enqueue(*state, moved);
+    settle_ended(state, it);
     finish_adoption(state);
     finish_if_complete(state);
 }
 
+// What ended while its agent was away ends as if its result came now: it may
+// run again.
+void entry_service::settle_ended(const job_pointer& state,
+                                 const status_message& it)
+{
+    for (const auto& item : it.items)
+    {
+        if (item.state == start_state::finished)
+            settle(state, {item.index, item.attempt, it.agent, it.agent_run},
+                   item.result);
+    }
+}
+
 // @return whether the task waits again.
 bool entry_service::apply(job_state& state, const agent_run_id& agent,
                           const status_item& it)
@@ -147,8 +161,6 @@
     if (!state.run.adopt(key))
         return false;
     ++recovered_;
-    if (it.state == start_state::finished)
-        state.run.record(key, it.result);
     return false;
 }
 
--- a/process/entry/tests/fake_fleet.cpp
+++ b/process/entry/tests/fake_fleet.cpp
@@ -167,15 +167,20 @@
     options.id = agent_id(agent_name(agent));
     options.run = incarnation(++runs_);
     options.upstream_silence = std::chrono::hours(100);
-    host.service = std::make_unique<agent_service>(
-        options,
-        agent_hooks{
-            .now = [this, &host] { return time_.now() + host.clock_offset; },
-            .call_upstream =
-                [this, agent](const upstream_call& call, upstream_callback done)
-            {
-                call_upstream(agent, call, done);
-            }});
+    agent_hooks hooks{
+        .now = [this, &host] { return time_.now() + host.clock_offset; },
+        .call_upstream =
+            [this, agent](const upstream_call& call, upstream_callback done)
+        {
+            call_upstream(agent, call, done);
+        }};
+    if (options_.upstreams_stop)
+        hooks.stop_upstream = [this](const submission_id& submission,
+                                     task_index index, attempt_number)
+        {
+            stop_upstream({submission, index});
+        };
+    host.service = std::make_unique<agent_service>(options, std::move(hooks));
     host.service->hold(endless_permit());
     host.service->announce(
         {.slots = options_.slots, .capacity = {1000, 1000, 0}});
--- a/process/entry/tests/fake_fleet.hpp
+++ b/process/entry/tests/fake_fleet.hpp
@@ -53,6 +53,7 @@
     duration latency = std::chrono::microseconds(1500);
     duration lease = std::chrono::seconds(1);
     std::uint64_t claim_loss_percent = 0; //!< of claim messages and votes
+    bool upstreams_stop = false;          //!< whether tasks can be stopped
 };
 
 //! What the callers and the upstreams saw.
@@ -119,6 +120,7 @@
                  const forwarded_hook& done);
     void call_upstream(std::size_t agent, const upstream_call& call,
                        const upstream_callback& done);
+    void stop_upstream(const task_key& key);
     void check_answer(const job& work, const job_answer& answer);
     std::uint64_t open_calls(const submission_id& submission) const;
     void complain(const submission_id& submission, const std::string& what);
@@ -135,6 +137,8 @@
     std::map<submission_id, std::set<std::uint64_t>> denied_;
     std::set<submission_id> turned_away_; //!< by admission, last
     std::map<submission_id, bool> idempotent_;
+    //! Ends a running call early.
+    std::map<task_key, std::function<void()>> stops_;
     std::uint64_t runs_ = 1;
     fleet_record record_;
 };
--- a/process/entry/tests/fake_fleet_calls.cpp
+++ b/process/entry/tests/fake_fleet_calls.cpp
@@ -122,8 +122,26 @@
                               .ran = effect::ran,
                               .body = body_of(id, call.index),
                               .detail = {}});
-    time_.after(span, [this, process, done, result]
-                { deliver(process, [done, result] { done(result); }); });
+    const auto ended = std::make_shared<bool>(false);
+    const auto end = [this, process, done, ended](const task_result& it)
+    {
+        if (!std::exchange(*ended, true))
+            deliver(process, [done, it] { done(it); });
+    };
+    const auto stopped = result.with(
+        [](task_result_options& it) { it.reason = failure_reason::cancelled; });
+    stops_[key] = [end, stopped]
+    {
+        end(stopped);
+    };
+    time_.after(span, [end, result] { end(result); });
+}
+
+void fake_fleet::stop_upstream(const task_key& key)
+{
+    const auto found = stops_.find(key);
+    if (found != stops_.end())
+        time_.after(options_.latency, found->second);
 }
 
 void fake_fleet::check_answer(const job& work, const job_answer& answer)
--- a/process/entry/tests/recovery_test.cpp
+++ b/process/entry/tests/recovery_test.cpp
@@ -323,6 +323,29 @@
     EXPECT_EQ(fleet.entry(1).counts().adopted, 0U);
 }
 
+// An agent stops the runs of an entry that is away, and the entry comes back.
+TEST(recovery_of_stopped_runs, a_run_that_nobody_asked_for_runs_again)
+{
+    fake_fleet fleet({.agents = 1, .upstreams_stop = true});
+    fleet.run_time = [](const upstream_call&)
+    {
+        return milliseconds(900);
+    };
+    fleet.run_for(milliseconds(100));
+    fleet.submit(0, job_of(fleet, 1, true));
+    fleet.run_for(milliseconds(100));
+    fleet.separate(0, 0, true);
+    fleet.cut(0, 0);
+    fleet.run_for(milliseconds(800));
+    fleet.separate(0, 0, false);
+    fleet.run_for(seconds(4));
+    ASSERT_EQ(fleet.record().answers.size(), 1U);
+    const auto& answer = fleet.record().answers.front();
+    EXPECT_TRUE(succeeded(answer)) << to_text(answer->reason);
+    EXPECT_EQ(fleet.record().starts.begin()->second, 2U);
+    EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
+}
+
 TEST_F(recovery, an_entry_waits_out_its_own_earlier_incarnation)
 {
     run_takes(milliseconds(1500));
