Of two replicas that ask for votes at once, one stands back

Processes that start together tick together; with equal draws two of them win the pre-vote, both stand, and neither gets three votes.

Ruled out: a lagging log (terms rose, so pre-votes were won) and slow disks (9 ms a sync). Longer draws only make it rarer and every start slower.

Change: a replica that asks itself gives no pre-vote to one with the same log and a higher id. Refusing a pre-vote is always safe.

Test: of_two_that_ask_at_once_the_lower_one_goes_first fails on the code before.

--- a/version/include/lagoonquay/version/replica.hpp
+++ b/version/include/lagoonquay/version/replica.hpp
@@ -170,6 +170,8 @@
     void on(const node_id& from, const vote_reply& reply);
     void on(const node_id& from, const hand_over_request& asked);
     bool knows_live_leader() const noexcept;
+    bool goes_first(const node_id& other,
+                    const vote_request& asked) const noexcept;
     bool holds_all_of(const vote_request& asked) const noexcept;
 
     // Replication
--- a/version/src/replica_election.cpp
+++ b/version/src/replica_election.cpp
@@ -80,7 +80,8 @@
     const bool newer_trial = asked.trial && asked.term > state_.term;
     const bool free_vote = !asked.trial && asked.term == state_.term &&
                            (!state_.vote || state_.vote == from);
-    const bool granted = (newer_trial || free_vote) && holds_all_of(asked);
+    const bool granted = (newer_trial || free_vote) && holds_all_of(asked) &&
+                         !goes_first(from, asked);
     if (granted && !asked.trial)
     {
         if (!state_.vote)
@@ -94,6 +95,16 @@
          true);
 }
 
+// Of two that ask at once with the same log, one stands back: where every vote
+// is needed, both would fail.
+bool replica::goes_first(const node_id& other,
+                         const vote_request& asked) const noexcept
+{
+    return asked.trial && role_ == replica_role::pre_candidate &&
+           asked.last == log_.last() && asked.last_term == log_.last_term() &&
+           options_.self < other;
+}
+
 void replica::on(const node_id& from, const vote_reply& reply)
 {
     if (!reply.granted)
--- a/version/tests/replica_rules_test.cpp
+++ b/version/tests/replica_rules_test.cpp
@@ -100,6 +100,32 @@
     EXPECT_EQ((*it).take_output().messages.size(), 2U);
 }
 
+vote_request trial_of(std::uint64_t last)
+{
+    return {.term = term_number(3),
+            .last = log_index(last),
+            .last_term = term_number(2),
+            .trial = true};
+}
+
+bool grants(const replica_output& output)
+{
+    const auto* reply =
+        std::get_if<vote_reply>(&output.messages.back().message.body);
+    return reply != nullptr && reply->granted;
+}
+
+TEST(replica_rules, of_two_that_ask_at_once_the_lower_one_goes_first)
+{
+    one_replica it;
+    EXPECT_TRUE(grants(it.receive(second, trial_of(2))));
+    for (int n = 0; n < 3; ++n)
+        (*it).tick();
+    (*it).take_output();
+    EXPECT_FALSE(grants(it.receive(second, trial_of(2))));
+    EXPECT_TRUE(grants(it.receive(second, trial_of(3))));
+}
+
 TEST(replica_rules, an_old_term_commits_only_with_an_entry_of_the_new)
 {
     one_replica it;
