--- a/process/entry/tests/recovery_test.cpp
+++ b/process/entry/tests/recovery_test.cpp
@@ -45,6 +45,22 @@
         return total;
     }
 
+    //! Submits a job through the first entry, and ends it.
+    job submit_and_end()
+    {
+        const auto work = job_of(fleet, 2);
+        fleet.submit(0, work);
+        fleet.run_for(milliseconds(500));
+        return work;
+    }
+
+    //! Starts an entry again, so that its replica forgets.
+    void restart_entry(std::size_t n)
+    {
+        fleet.kill_entry(n);
+        fleet.start_entry(n);
+    }
+
     void run_takes(duration span)
     {
         fleet.run_time = [span](const upstream_call&)
@@ -363,14 +379,9 @@
 
 TEST_F(recovery, a_submission_is_refused_when_every_replica_forgot_it)
 {
-    const auto work = job_of(fleet, 2);
-    fleet.submit(0, work);
-    fleet.run_for(milliseconds(500));
+    const auto work = submit_and_end();
     for (std::size_t n = 0; n < 3; ++n)
-    {
-        fleet.kill_entry(n);
-        fleet.start_entry(n);
-    }
+        restart_entry(n);
     fleet.run_for(seconds(2));
     EXPECT_TRUE(fleet.entry(1).ready());
     fleet.submit(1, work);
@@ -383,11 +394,8 @@
 
 TEST_F(recovery, one_replica_that_forgot_costs_nothing)
 {
-    const auto work = job_of(fleet, 2);
-    fleet.submit(0, work);
-    fleet.run_for(milliseconds(500));
-    fleet.kill_entry(0);
-    fleet.start_entry(0);
+    const auto work = submit_and_end();
+    restart_entry(0);
     fleet.run_for(seconds(1));
     fleet.submit(0, work);
     fleet.run_for(seconds(4));
@@ -398,13 +406,10 @@
 
 TEST_F(recovery, two_replicas_that_forgot_in_turn_start_nothing_twice)
 {
-    const auto work = job_of(fleet, 2);
-    fleet.submit(0, work);
-    fleet.run_for(milliseconds(500));
+    const auto work = submit_and_end();
     for (std::size_t n = 1; n < 3; ++n)
     {
-        fleet.kill_entry(n);
-        fleet.start_entry(n);
+        restart_entry(n);
         fleet.run_for(seconds(1));
     }
     fleet.submit(1, work);
