Give each settings watch test a file of its own

Cause: two tests of settings_watch_test.cpp wrote the same file. Ruled out: a fault of the watch, since each log line shows the other test's write. Change: the file's name carries the process id.

--- a/process/common/tests/settings_watch_test.cpp
+++ b/process/common/tests/settings_watch_test.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <string>
+#include <unistd.h>
 
 namespace lagoonquay
 {
@@ -28,7 +29,9 @@
         std::ofstream(path) << text;
     }
 
-    const std::string path = testing::TempDir() + "settings_watch.ini";
+    // CTest runs each test in a process of its own, several at a time.
+    const std::string path = testing::TempDir() + "settings-watch-" +
+                             std::to_string(::getpid()) + ".ini";
     int changes = 0;
 };
 
