Count a failed run once, though its agent tells of it again

The agent declined the task's second attempt; a decline tells how an earlier attempt ended there, and the entry took the kept end of the first attempt for that of the second. Before, only a drain or a lost permit could show it; tasks that are handed back make it likely. Change: a job remembers its failed attempts and adopts none of them again. A status says up to which attempt nothing else starts, so that the entry knows that the declined attempt is free to move. Test: recovery_of_failed_runs.a_failure_counts_once_though_it_is_told_again, seen to fail before the change.

--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -144,14 +144,17 @@
     }
 }
 
+// An agent keeps the end of a failed run, and tells it again when it declines a
+// later attempt; then it speaks only of the attempts after that one.
 // @return whether the task waits again.
 bool entry_service::apply(job_state& state, const agent_run_id& agent,
                           const status_item& it)
 {
     const attempt_key key{it.index, it.attempt, agent.agent, agent.run};
-    if (it.state == start_state::not_started)
+    if (it.state == start_state::not_started || state.run.has_failed(key))
     {
-        if (!state.run.requeue(key))
+        if (!state.run.requeue(
+                {it.index, it.forbidden, agent.agent, agent.run}))
             return false;
         if (state.cancelled)
             state.run.finish_waiting(it.index, failure_reason::cancelled,
--- a/process/entry/tests/recovery_test.cpp
+++ b/process/entry/tests/recovery_test.cpp
@@ -362,6 +362,40 @@
     EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
 }
 
+// The agent keeps the end of a failed run, and is full when the task comes
+// again.
+TEST(recovery_of_failed_runs, a_failure_counts_once_though_it_is_told_again)
+{
+    fake_fleet fleet({.agents = 1, .slots = 1});
+    const submission_id failing("failing");
+    fleet.run_time = [&](const upstream_call& call)
+    {
+        return call.submission == failing ? milliseconds(50)
+                                          : milliseconds(400);
+    };
+    fleet.fails = [&](const upstream_call& call)
+    {
+        return call.submission == failing && fleet.record().starts.size() < 2 &&
+               fleet.record().starts.begin()->second == 1;
+    };
+    fleet.run_for(milliseconds(100));
+    fleet.submit(0, job_of(fleet, 1, true)
+                        .with(
+                            [&](job_options& it)
+                            {
+                                it.submission = failing;
+                                it.attempts = 2;
+                            }));
+    fleet.run_for(milliseconds(45));
+    fleet.submit(1, job_of(fleet, 1));
+    fleet.run_for(seconds(2));
+    ASSERT_EQ(fleet.record().answers.size(), 2U);
+    for (const auto& it : fleet.record().answers)
+        EXPECT_TRUE(succeeded(it))
+            << it->submission.text() << " " << it->detail;
+    EXPECT_EQ(fleet.record().starts.at({failing, task_index(0)}), 2U);
+}
+
 TEST_F(recovery, an_entry_waits_out_its_own_earlier_incarnation)
 {
     run_takes(milliseconds(1500));
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -127,6 +127,8 @@
 {
     task_index index;
     attempt_number attempt; //!< that started, or the last one forbidden
+    //! No attempt after that one has started or will, up to this one.
+    attempt_number forbidden;
     start_state state = start_state::not_started;
     task_result result; //!< of a finished task
 
--- a/request/include/lagoonquay/request/job_run.hpp
+++ b/request/include/lagoonquay/request/job_run.hpp
@@ -65,6 +65,9 @@
     //! @return false if the key is not the current attempt, or was the last.
     bool retry_failed(const attempt_key& key);
 
+    //! @return whether the attempt was returned by retry_failed().
+    bool has_failed(const attempt_key& key) const;
+
     //! Notes that some earlier attempt of the task may have run.
     void doubt(task_index index);
 
@@ -104,8 +107,8 @@
         task_phase phase = task_phase::waiting;
         attempt_key key;
         task_result result;
-        bool may_have_run = false;  //!< in an earlier attempt
-        std::uint32_t failures = 0; //!< attempts that ended as failed
+        bool may_have_run = false;          //!< in an earlier attempt
+        std::vector<attempt_number> failed; //!< attempts that ended so
     };
 
     const slot* find(const attempt_key& key) const noexcept;
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -130,6 +130,7 @@
     const auto state = static_cast<std::size_t>(it.state);
     json::object object{{"index", it.index.number()},
                         {"attempt", it.attempt.number()},
+                        {"forbidden", it.forbidden.number()},
                         {"state", state_names.at(state)}};
     if (it.state == start_state::finished)
         object["result"] = result_to_json(it.result);
@@ -251,6 +252,8 @@
     item.index = task_index(fields.number("index", 0, count_limit));
     item.attempt =
         attempt_number(fields.number("attempt", 0, json_exact_limit));
+    item.forbidden =
+        attempt_number(fields.number("forbidden", 0, json_exact_limit));
     item.state = get_state(fields, limits);
     const auto* result = fields.member("result");
     if (result != nullptr)
--- a/request/src/job_run.cpp
+++ b/request/src/job_run.cpp
@@ -87,12 +87,20 @@
     if (find(key) == nullptr)
         return false;
     auto& target = slots_[key.index.number()];
-    if (target.failures + 1 >= job_->attempts)
+    if (target.failed.size() + 1 >= job_->attempts)
         return false;
-    ++target.failures;
+    target.failed.push_back(key.attempt);
     return retry(key);
 }
 
+bool job_run::has_failed(const attempt_key& key) const
+{
+    if (key.index.number() >= slots_.size())
+        return false;
+    const auto& failed = slots_[key.index.number()].failed;
+    return std::find(failed.begin(), failed.end(), key.attempt) != failed.end();
+}
+
 void job_run::doubt(task_index index)
 {
     slots_.at(index.number()).may_have_run = true;
@@ -107,7 +115,7 @@
     auto& target = slots_[started.index.number()];
     const bool same_agent = target.key.agent == started.agent &&
                             target.key.agent_run == started.agent_run;
-    if (target.phase == task_phase::finished ||
+    if (target.phase == task_phase::finished || has_failed(started) ||
         (target.phase == task_phase::dispatched && !same_agent))
         return false;
     target.phase = task_phase::dispatched;
--- a/request/src/start_guard.cpp
+++ b/request/src/start_guard.cpp
@@ -47,6 +47,7 @@
     status_item found;
     found.index = key.index;
     found.attempt = last;
+    found.forbidden = last;
     if (forbid(key, last, now))
         return found;
     const auto& it = records_.at(key);
--- a/request/tests/recovery_message_test.cpp
+++ b/request/tests/recovery_message_test.cpp
@@ -35,9 +35,18 @@
         key.submission,
         agent_id("a"),
         incarnation(3),
-        {{key.index, attempt_number(5), start_state::finished, body("x")},
-         {task_index(1), attempt_number(0), start_state::not_started, {}},
-         {task_index(2), attempt_number(7), start_state::running, {}}}};
+        {{key.index, attempt_number(5), attempt_number(6),
+          start_state::finished, body("x")},
+         {task_index(1),
+          attempt_number(0),
+          attempt_number(0),
+          start_state::not_started,
+          {}},
+         {task_index(2),
+          attempt_number(7),
+          attempt_number(8),
+          start_state::running,
+          {}}}};
     const std::vector<link_message> sent{query, status};
     const auto received = decode_frame(encode_frame(sent));
     ASSERT_TRUE(received) << received.error().detail;
@@ -48,7 +57,7 @@
 {
     const auto received = decode_frame(
         R"([{"type":"status","submission":"s","agent":"a","agent_run":"3",)"
-        R"("items":[{"index":0,"attempt":1,"state":"finished"}]}])");
+        R"("items":[{"index":0,"attempt":1,"forbidden":1,"state":"finished"}]}])");
     ASSERT_FALSE(received);
     EXPECT_EQ(received.error().code, request_errc::malformed);
 }
