--- a/version/tests/fake_cluster.cpp
+++ b/version/tests/fake_cluster.cpp
@@ -97,10 +97,19 @@
     compact_if_long(slot);
 }
 
+void fake_cluster::hang_disk(std::size_t slot, bool hangs)
+{
+    if (hangs)
+        hung_disks_.insert(slot);
+    else
+        hung_disks_.erase(slot);
+}
+
 void fake_cluster::sync(std::size_t slot)
 {
     auto& disk = disks_[slot];
-    if (disk.unsynced.empty() || chance(faults.slow_sync))
+    if (disk.unsynced.empty() || hung_disks_.contains(slot) ||
+        chance(faults.slow_sync))
         return;
     for (const auto& it : disk.unsynced)
         apply_write(disk, it);
--- a/version/tests/fake_cluster.hpp
+++ b/version/tests/fake_cluster.hpp
@@ -37,6 +37,7 @@
     void freeze(std::size_t slot);  //!< neither runs nor forgets
     void wake(std::size_t slot);
     void wipe(std::size_t slot); //!< crashes, and loses the disk
+    void hang_disk(std::size_t slot, bool hangs); //!< syncs nothing meanwhile
     void isolate(std::size_t slot);
     void heal();
 
@@ -109,6 +110,7 @@
     std::array<fake_disk, size> disks_;
     std::array<running_replica, size> replicas_;
     std::set<std::size_t> frozen_;
+    std::set<std::size_t> hung_disks_;
     std::set<std::size_t> isolated_;
     std::vector<flight> flights_;
     std::uint64_t now_ = 0;
--- a/version/tests/replica_test.cpp
+++ b/version/tests/replica_test.cpp
@@ -174,6 +174,29 @@
     }
 }
 
+// The others are a majority, and the leader counts itself only once synced.
+TEST(replica, commands_commit_under_a_leader_whose_disk_hangs)
+{
+    for (unsigned seed = 0; seed < 20; ++seed)
+    {
+        fake_cluster all(seed);
+        all.steps(long_enough);
+        const auto lead = *all.leader();
+        all.hang_disk(lead, true);
+        ASSERT_TRUE(all.propose(lead, take_out(1)));
+        all.steps(long_enough);
+        EXPECT_EQ(all.reported().size(), 1U) << "seed " << seed;
+        const auto acknowledged = all.reported();
+        all.crash(lead);
+        all.hang_disk(lead, false);
+        all.restart(lead);
+        all.steps(long_enough);
+        for (const auto& [id, outcome] : acknowledged)
+            EXPECT_EQ(all.state(lead).outcome_of(id), outcome);
+        EXPECT_EQ(all.broken(), "");
+    }
+}
+
 TEST(replica, all_crash_at_once_and_lose_nothing_acknowledged)
 {
     fake_cluster all(8);
