Tell how long each dependency is silent, and test three more log stories

Entries and agents now show lagoonquay_silence_milliseconds{dependency}, of control and of the worker. Tests tell from the lines alone: an id used with other content, a claim that another entry took over, a task that a full worker handed back. Quotas still have no such test.

--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -118,6 +118,13 @@
     //! @return what is left of the permit; zero without one.
     duration permit_left() const;
 
+    //! @return the time since control was heard; since the start if it never
+    //! was.
+    duration control_silence() const;
+
+    //! @return the same of the upstream.
+    duration upstream_silence() const;
+
     //! @return the whole state as JSON.
     std::string dump() const;
 
@@ -158,6 +165,7 @@
         std::optional<permit> held;
         std::optional<upstream_announcement> upstream;
         instant upstream_heard{};
+        instant control_heard{};
         bool draining = false;
     };
 
--- a/process/agent/src/agent_http.cpp
+++ b/process/agent/src/agent_http.cpp
@@ -45,7 +45,9 @@
          service.self()->slots},
         {"lagoonquay_fleet_version", "Version of the fleet's state in use.",
          gauge, service.view()->version.number()},
-        permit_left_sample(service.permit_left())};
+        permit_left_sample(service.permit_left()),
+        silence_sample("control", service.control_silence()),
+        silence_sample("upstream", service.upstream_silence())};
     auto reasons = service.declines_by_reason().samples(
         "lagoonquay_declines_total", "Declined dispatches by reason.");
     std::move(reasons.begin(), reasons.end(),
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -14,6 +14,8 @@
     : options_(std::move(options)), hooks_(std::move(hooks)),
       began_(hooks_.now())
 {
+    standing_.upstream_heard = began_;
+    standing_.control_heard = began_;
     for (auto& it : guards_)
         it = std::make_unique<guard_shard>(
             start_guard_options{options_.run, options_.record_retention});
@@ -72,6 +74,7 @@
     {
         const std::lock_guard lock(standing_mutex_);
         const auto& held = standing_.held;
+        standing_.control_heard = hooks_.now();
         if (held && granted->view->version < (*held)->view->version)
             return;
         newer = !held || (*held)->view->version < granted->view->version;
@@ -175,6 +178,18 @@
     return left_of(standing_.held, hooks_.now());
 }
 
+duration agent_service::control_silence() const
+{
+    const std::lock_guard lock(standing_mutex_);
+    return hooks_.now() - standing_.control_heard;
+}
+
+duration agent_service::upstream_silence() const
+{
+    const std::lock_guard lock(standing_mutex_);
+    return hooks_.now() - standing_.upstream_heard;
+}
+
 std::string agent_service::dump() const
 {
     const auto me = self();
--- a/process/agent/tests/agent_service_test.cpp
+++ b/process/agent/tests/agent_service_test.cpp
@@ -227,6 +227,20 @@
     EXPECT_EQ(results(*first).back().result->ran, effect::not_run);
 }
 
+using told_silence = waiting_tasks;
+
+TEST_F(told_silence, counts_from_what_was_heard_last)
+{
+    now += second;
+    EXPECT_EQ(service.control_silence(), second);
+    EXPECT_EQ(service.upstream_silence(), second);
+    service.announce({.slots = 1});
+    EXPECT_EQ(service.control_silence(), second);
+    EXPECT_EQ(service.upstream_silence(), duration::zero());
+    service.hold(permit({.valid_until = instant::max()}));
+    EXPECT_EQ(service.control_silence(), duration::zero());
+}
+
 TEST_F(waiting_tasks, go_back_once_they_have_waited_too_long)
 {
     dispatch(*second_link, 1);
--- a/process/common/include/lagoonquay/process/metrics_text.hpp
+++ b/process/common/include/lagoonquay/process/metrics_text.hpp
@@ -54,6 +54,10 @@
 //! @return what is left of a process's permit from control.
 metric_sample permit_left_sample(duration left);
 
+//! @return for how long a dependency has not been heard. One that never was
+//! counts from the start of the process.
+metric_sample silence_sample(const std::string& dependency, duration silence);
+
 //! Media type of encode_metrics().
 constexpr const char* metrics_content_type = "text/plain; version=0.0.4";
 
--- a/process/common/src/metrics_text.cpp
+++ b/process/common/src/metrics_text.cpp
@@ -56,16 +56,30 @@
             {"longest_us", it.longest.count()}};
 }
 
+std::uint64_t whole_milliseconds(duration span)
+{
+    const auto whole =
+        std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(whole, 0));
+}
+
 } // namespace
 
 metric_sample permit_left_sample(duration left)
 {
-    const auto whole =
-        std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
     return {.name = "lagoonquay_permit_left_milliseconds",
             .help = "What is left of the permit from control.",
             .kind = metric_kind::gauge,
-            .value = static_cast<std::uint64_t>(whole)};
+            .value = whole_milliseconds(left)};
+}
+
+metric_sample silence_sample(const std::string& dependency, duration silence)
+{
+    return {.name = "lagoonquay_silence_milliseconds",
+            .help = "Time since a dependency was last heard.",
+            .kind = metric_kind::gauge,
+            .value = whole_milliseconds(silence),
+            .label = "dependency=\"" + dependency + "\""};
 }
 
 std::string encode_metrics(const process_metrics& metrics)
--- a/process/common/tests/metrics_test.cpp
+++ b/process/common/tests/metrics_test.cpp
@@ -78,6 +78,21 @@
     EXPECT_EQ(text.find("# HELP"), text.rfind("# HELP"));
 }
 
+TEST(metrics_text, names_the_dependency_that_is_silent)
+{
+    const process_metrics metrics{
+        {silence_sample("control", std::chrono::milliseconds(1500)),
+         silence_sample("upstream", std::chrono::milliseconds(20))},
+        {}};
+    const auto text = encode_metrics(metrics);
+    EXPECT_NE(
+        text.find(
+            "lagoonquay_silence_milliseconds{dependency=\"control\"} 1500\n"
+            "lagoonquay_silence_milliseconds{dependency=\"upstream\"} 20\n"),
+        std::string::npos)
+        << text;
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -162,6 +162,10 @@
     //! @return what is left of the permit; zero without one.
     duration permit_left() const;
 
+    //! @return the time since control was heard; since the start if it never
+    //! was.
+    duration control_silence() const;
+
     //! @return the whole state as JSON.
     std::string dump();
 
@@ -255,6 +259,7 @@
 
     mutable std::mutex permit_mutex_;
     std::optional<permit> permit_;
+    instant control_heard_ = hooks_.now();
 
     live_settings settings_;
     dispatcher dispatcher_;
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -226,7 +226,8 @@
          service.ready() ? 1U : 0U},
         {"lagoonquay_fleet_version", "Version of the fleet's state in use.",
          gauge, service.view()->version.number()},
-        permit_left_sample(service.permit_left())};
+        permit_left_sample(service.permit_left()),
+        silence_sample("control", service.control_silence())};
     auto reasons = service.answers_by_reason().samples(
         "lagoonquay_answers_total", "Answers and refusals by reason.");
     std::move(reasons.begin(), reasons.end(),
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -143,6 +143,7 @@
     bool newer = false;
     {
         const std::lock_guard lock(permit_mutex_);
+        control_heard_ = hooks_.now();
         if (permit_ && granted->view->version < (*permit_)->view->version)
             return;
         newer = !permit_ || (*permit_)->view->version < granted->view->version;
@@ -249,6 +250,12 @@
     return left_of(permit_, hooks_.now());
 }
 
+duration entry_service::control_silence() const
+{
+    const std::lock_guard lock(permit_mutex_);
+    return hooks_.now() - control_heard_;
+}
+
 std::string entry_service::dump()
 {
     const auto n = counts();
--- a/process/entry/tests/explained_failures_test.cpp
+++ b/process/entry/tests/explained_failures_test.cpp
@@ -49,8 +49,8 @@
         close_log();
     }
 
-    //! @return the only line of an event about the job.
-    log_line line_of(const std::string& event)
+    //! @return the lines of an event about the job.
+    std::vector<log_line> lines_of(const std::string& event)
     {
         std::vector<log_line> own;
         for (auto& it : log_.events(event))
@@ -58,6 +58,13 @@
             if (it["submission"] == id)
                 own.push_back(it);
         }
+        return own;
+    }
+
+    //! @return the only one.
+    log_line line_of(const std::string& event)
+    {
+        const auto own = lines_of(event);
         EXPECT_EQ(own.size(), 1U) << event;
         return own.empty() ? log_line() : own.front();
     }
@@ -147,6 +154,68 @@
     EXPECT_EQ(line_of("answered")["reason"], "link_lost");
 }
 
+TEST_F(explained_failures, an_id_that_was_used_with_other_content)
+{
+    fleet.submit(1, job({.submission = submission_id(id),
+                         .customer = customer_id("c"),
+                         .created = fleet.wall(),
+                         .time_limit = seconds(4),
+                         .tasks = std::vector<task>(2)}));
+    fleet.run_for(milliseconds(200));
+    submit({.time_limit = seconds(5)});
+    const auto refused = line_of("refused");
+    EXPECT_EQ(refused.at("reason"), "content_mismatch");
+    EXPECT_EQ(line_of("not_claimed")["status"], "mismatch");
+}
+
+TEST_F(explained_failures, a_claim_that_another_entry_took_over)
+{
+    fleet.run_time = [](const upstream_call&)
+    {
+        return milliseconds(300);
+    };
+    const job work({.submission = submission_id(id),
+                    .customer = customer_id("c"),
+                    .created = fleet.wall(),
+                    .time_limit = seconds(10),
+                    .tasks = std::vector<task>(20)});
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(100));
+    fleet.freeze_entry(0, true);
+    fleet.submit(1, work);
+    fleet.run_for(milliseconds(2500));
+    fleet.freeze_entry(0, false);
+    fleet.run_for(seconds(8));
+    close_log();
+    const auto claims = lines_of("claimed");
+    ASSERT_EQ(claims.size(), 2U);
+    EXPECT_EQ(claims[0].at("adopts"), "no");
+    EXPECT_EQ(claims[1].at("adopts"), "yes");
+    EXPECT_LT(claims[0].at("round"), claims[1].at("round"));
+    EXPECT_FALSE(lines_of("not_claimed").empty());
+}
+
+TEST_F(explained_failures, a_task_that_a_full_worker_handed_back)
+{
+    fleet.run_time = [](const upstream_call&)
+    {
+        return milliseconds(400);
+    };
+    fleet.submit(1, job({.submission = submission_id("busy"),
+                         .customer = customer_id("c"),
+                         .created = fleet.wall(),
+                         .time_limit = seconds(5),
+                         .tasks = std::vector<task>(4)}));
+    submit({.time_limit = seconds(5)});
+    const auto declines = lines_of("declined");
+    const auto moves = lines_of("task_ended");
+    ASSERT_FALSE(declines.empty());
+    ASSERT_EQ(moves.size(), declines.size());
+    EXPECT_EQ(declines[0].at("reason"), "no_room");
+    EXPECT_EQ(moves[0].at("then"), "moves");
+    EXPECT_EQ(line_of("answered")["outcome"], "complete");
+}
+
 } // namespace
 
 } // namespace lagoonquay
