Bound what control replicas send each other by bytes

While two replicas are cut off, the leader's appends pile up: 64 entries each, 64 of them in a batch, each entry a whole catalog. Ruled out: the log itself (115 entries of about 150 KB), operators' requests. Tests: memory_log.*. Other limits of the same kind were not looked for.

--- a/process/control/src/replica_transport.cpp
+++ b/process/control/src/replica_transport.cpp
@@ -15,6 +15,22 @@
 constexpr duration command_timeout = std::chrono::seconds(6);
 constexpr std::size_t most_waiting = 256; // messages for one address
 constexpr std::size_t most_in_batch = 64;
+constexpr std::size_t most_batch_bytes = 1024UL * 1024; // unless one has more
+
+// @return how many of the messages go together, one at least.
+std::size_t batch_size(const std::vector<replica_message>& waiting)
+{
+    std::size_t bytes = 0;
+    std::size_t n = 0;
+    for (const auto& it : waiting)
+    {
+        bytes += approximate_bytes(it);
+        if (n == most_in_batch || (n > 0 && bytes > most_batch_bytes))
+            break;
+        ++n;
+    }
+    return n;
+}
 
 http_request post(const std::string& path, std::string body)
 {
@@ -68,9 +84,9 @@
                 std::vector<replica_message> batch;
                 if (box.sending || box.waiting.empty())
                     return batch;
-                const auto n = std::min(most_in_batch, box.waiting.size());
                 const auto end =
-                    box.waiting.begin() + static_cast<std::ptrdiff_t>(n);
+                    box.waiting.begin() +
+                    static_cast<std::ptrdiff_t>(batch_size(box.waiting));
                 batch.assign(std::make_move_iterator(box.waiting.begin()),
                              std::make_move_iterator(end));
                 box.waiting.erase(box.waiting.begin(), end);
--- a/version/include/lagoonquay/version/log_entry.hpp
+++ b/version/include/lagoonquay/version/log_entry.hpp
@@ -81,6 +81,9 @@
     friend bool operator==(const log_entry&, const log_entry&) = default;
 };
 
+//! @return about how many bytes the entry takes in a message.
+std::size_t approximate_bytes(const log_entry& it) noexcept;
+
 //! What must survive a restart besides the log.
 struct hard_state
 {
--- a/version/include/lagoonquay/version/memory_log.hpp
+++ b/version/include/lagoonquay/version/memory_log.hpp
@@ -25,6 +25,11 @@
     //! @return up to `most` entries from `from` on.
     std::vector<log_entry> slice(log_index from, std::size_t most) const;
 
+    //! @return the same, cut before it takes more than `most_bytes`; one entry
+    //! at least if there is one.
+    std::vector<log_entry> slice(log_index from, std::size_t most,
+                                 std::size_t most_bytes) const;
+
     //! Adds an entry in place of all entries from its index on.
     void put(log_entry entry);
 
--- a/version/include/lagoonquay/version/replica.hpp
+++ b/version/include/lagoonquay/version/replica.hpp
@@ -26,7 +26,8 @@
     //! the first ones.
     std::size_t voters = 0;
     std::size_t batch_entries = 64;
-    std::uint64_t window_entries = 1024; //!< sent and not acknowledged
+    std::size_t batch_bytes = 256UL * 1024; //!< of an append with several
+    std::uint64_t window_entries = 1024;    //!< sent and not acknowledged
     std::size_t chunk_bytes = 64UL * 1024;
 };
 
--- a/version/include/lagoonquay/version/replica_message.hpp
+++ b/version/include/lagoonquay/version/replica_message.hpp
@@ -101,6 +101,9 @@
                            const replica_message&) = default;
 };
 
+//! @return about how many bytes the message takes.
+std::size_t approximate_bytes(const replica_message& message) noexcept;
+
 //! @return the term that the message was sent in.
 term_number term_of(const replica_message& message) noexcept;
 
--- a/version/src/log_entry.cpp
+++ b/version/src/log_entry.cpp
@@ -94,4 +94,22 @@
     return found;
 }
 
+std::size_t approximate_bytes(const log_entry& it) noexcept
+{
+    constexpr std::size_t plain = 512;
+    constexpr std::size_t each_queue = 256;
+    const auto* asked = std::get_if<command>(&it.content);
+    if (asked == nullptr)
+        return plain;
+    if (const auto* text = std::get_if<set_settings>(&(*asked)->what))
+        return plain + text->settings.size();
+    const auto* catalog = std::get_if<set_catalog>(&(*asked)->what);
+    if (catalog == nullptr)
+        return plain;
+    // The operators' document travels as a string, with its quotes escaped.
+    const auto source = catalog->catalog->source.size();
+    return plain + source + source / 4 +
+           each_queue * catalog->catalog->queues.size();
+}
+
 } // namespace lagoonquay
--- a/version/src/memory_log.cpp
+++ b/version/src/memory_log.cpp
@@ -48,6 +48,23 @@
     return {begin, begin + count};
 }
 
+std::vector<log_entry> memory_log::slice(log_index from, std::size_t most,
+                                         std::size_t most_bytes) const
+{
+    auto found = slice(from, most);
+    std::size_t bytes = 0;
+    std::size_t n = 0;
+    for (const auto& it : found)
+    {
+        bytes += approximate_bytes(it);
+        if (n > 0 && bytes > most_bytes)
+            break;
+        ++n;
+    }
+    found.resize(n);
+    return found;
+}
+
 void memory_log::put(log_entry entry)
 {
     const bool cuts = entry.index <= last();
--- a/version/src/replica.cpp
+++ b/version/src/replica.cpp
@@ -5,6 +5,19 @@
 namespace lagoonquay
 {
 
+std::size_t approximate_bytes(const replica_message& message) noexcept
+{
+    std::size_t bytes = 512;
+    if (const auto* it = std::get_if<append_request>(&message.body))
+    {
+        for (const auto& entry : it->entries)
+            bytes += approximate_bytes(entry);
+    }
+    if (const auto* it = std::get_if<snapshot_chunk>(&message.body))
+        bytes += it->data.size();
+    return bytes;
+}
+
 term_number term_of(const replica_message& message) noexcept
 {
     return std::visit([](const auto& it) { return it.term; }, message.body);
--- a/version/src/replica_replication.cpp
+++ b/version/src/replica_replication.cpp
@@ -57,7 +57,8 @@
                          .commit = commit_,
                          .ready = log_.term_at(commit_) == state_.term};
     if (sent <= options_.window_entries)
-        asked.entries = log_.slice(target.next, options_.batch_entries);
+        asked.entries = log_.slice(target.next, options_.batch_entries,
+                                   options_.batch_bytes);
     if (asked.entries.empty() && !heartbeat)
         return;
     target.next = log_index(target.next.number() + asked.entries.size());
