--- /dev/null
+++ b/process/agent/src/agent_orphans.cpp
@@ -0,0 +1,146 @@
+// Runs at an agent whose entry is gone.
+#include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/process/agent_service.hpp"
+#include "lagoonquay/process/decision_log.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "agent";
+
+} // namespace
+
+// An entry that starts again has lost the jobs of its earlier life: nobody will
+// ask for their runs, and what is left of an old link is only silence.
+void agent_service::on_hello(link_number link, const hello_message& it)
+{
+    for (const auto& [number, earlier] : take_earlier_links(it))
+    {
+        earlier.link->close();
+        close_link(number, *earlier.peer);
+    }
+    {
+        const std::lock_guard lock(links_mutex_);
+        const auto found = links_.find(link);
+        if (found != links_.end())
+            found->second.peer = it;
+    }
+    end_grace(it);
+    stop_orphans(hooks_.now());
+    send_all_grants();
+}
+
+std::map<link_number, agent_service::open_link>
+agent_service::take_earlier_links(const hello_message& it)
+{
+    std::map<link_number, open_link> taken;
+    const std::lock_guard lock(links_mutex_);
+    for (auto each = links_.begin(); each != links_.end();)
+    {
+        const auto& peer = each->second.peer;
+        const auto next = std::next(each);
+        if (peer && peer->entry == it.entry && peer->entry_run != it.entry_run)
+            taken.insert(links_.extract(each));
+        each = next;
+    }
+    return taken;
+}
+
+void agent_service::end_grace(const hello_message& it)
+{
+    for (const auto& guarded : guards_)
+    {
+        const std::lock_guard lock(guarded->mutex);
+        for (auto& [key, run] : guarded->orphans)
+        {
+            if (run.owner.entry == it.entry &&
+                run.owner.entry_run != it.entry_run)
+                run.since =
+                    std::min(run.since, hooks_.now() - options_.orphan_grace);
+        }
+    }
+}
+
+// An entry that lost its link soon opens a new one and asks for its tasks. A
+// run that nobody asks for is stopped: its caller may already have another.
+void agent_service::orphan_runs(link_number link, const hello_message& owner)
+{
+    const auto now = hooks_.now();
+    for (const auto& it : guards_)
+    {
+        const std::lock_guard lock(it->mutex);
+        for (auto& [key, links] : it->watchers)
+        {
+            if (links.erase(link) == 0 || !links.empty())
+                continue;
+            ++unwatched_;
+            const auto found = it->repeatable.find(key);
+            if (found != it->repeatable.end())
+                it->orphans.emplace(key,
+                                    orphaned_run{found->second, owner, now});
+        }
+    }
+}
+
+// Until the worker is ready or a lease has passed, runs of an earlier agent may
+// be under way there.
+std::uint32_t agent_service::stray_runs() const
+{
+    const auto end = options_.earlier_runs_end;
+    const bool over = end > duration::zero() && hooks_.now() - began_ >= end;
+    const std::lock_guard lock(standing_mutex_);
+    const bool ready = standing_.upstream && !standing_.upstream->leaving;
+    return unwatched_ + (over || ready ? 0 : 1);
+}
+
+void agent_service::stop_orphans(instant now)
+{
+    if (!hooks_.stop_upstream)
+        return;
+    std::vector<std::pair<task_key, attempt_number>> late;
+    for (const auto& it : guards_)
+    {
+        const std::lock_guard lock(it->mutex);
+        for (const auto& [key, run] : it->orphans)
+        {
+            if (now - run.since < options_.orphan_grace)
+                continue;
+            late.emplace_back(key, run.attempt);
+            it->given_up.insert(key);
+        }
+    }
+    for (const auto& [key, attempt] : late)
+        stop_run(key, attempt);
+}
+
+// Its entry may come back and ask for it: it was not cancelled, and may run
+// again.
+task_result agent_service::end_of_stopped(const task_result& result)
+{
+    if (result->reason != failure_reason::cancelled)
+        return result;
+    return result.with(
+        [](task_result_options& it)
+        {
+            it.reason = failure_reason::link_lost;
+            it.ran = effect::unknown;
+            it.detail = "stopped while its entry was away";
+        });
+}
+
+void agent_service::stop_run(const task_key& key, attempt_number attempt)
+{
+    if (!hooks_.stop_upstream)
+        return;
+    write_event(log_level::info, part, key.submission, "stopping",
+                {{"task", static_cast<std::int64_t>(key.index.number())}});
+    hooks_.stop_upstream(key.submission, key.index, attempt);
+}
+
+} // namespace lagoonquay
