--- a/version/tests/memory_log_test.cpp
+++ b/version/tests/memory_log_test.cpp
@@ -28,9 +28,9 @@
                              .service = service_id("s1"),
                              .time_limit = std::chrono::seconds(1)});
         it.source += R"({"name":")" + name + R"(","host":")" + name +
-                     R"(.example","path_prefix":"/)" + name +
-                     R"(/","kind":"non_idempotent","timeout_ms":1500,)"
-                     R"("priority":1,"service":"s1","max_attempts":2},)";
+                     R"(.example","prefix":"/)" + name +
+                     R"(/","limit_ms":1500,"target_ms":60,"stretch":1.6,)"
+                     R"("priority":1,"service":"s1","attempts":2},)";
     }
     return queue_catalog(std::move(it));
 }
