--- a/process/entry/tests/recovery_test.cpp
+++ b/process/entry/tests/recovery_test.cpp
@@ -362,8 +362,7 @@
     EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
 }
 
-// The agent keeps the end of a failed run, and is full when the task comes
-// again.
+// The agent keeps the failed run's end, and is full when the task comes back.
 TEST(recovery_of_failed_runs, a_failure_counts_once_though_it_is_told_again)
 {
     fake_fleet fleet({.agents = 1, .slots = 1});
