Measure traffic by path, the loop's delay and the age of views

Callers saw CONFIG and SHORT; the logs could not tell claims from heartbeats, nor a slow entry from a slow core. Change: a meter in the client and in links, a line each 5 s, two fields, metrics. No decision changes.

--- a/connection/include/lagoonquay/connection/http_client.hpp
+++ b/connection/include/lagoonquay/connection/http_client.hpp
@@ -26,6 +26,8 @@
     duration idle_reuse = std::chrono::seconds(5);
 };
 
+class traffic_meter;
+
 //! Called once, from any I/O thread.
 using http_callback = std::function<void(connection_result<http_response>)>;
 
@@ -43,6 +45,9 @@
     void send(const endpoint& target, const http_request& request,
               duration timeout, http_callback done);
 
+    //! @return what was exchanged, by path. Links that are given it add to it.
+    const std::shared_ptr<traffic_meter>& traffic() const noexcept;
+
 private:
     struct state;
     std::shared_ptr<state> state_;
--- a/connection/include/lagoonquay/connection/message_link.hpp
+++ b/connection/include/lagoonquay/connection/message_link.hpp
@@ -19,11 +19,15 @@
 namespace lagoonquay
 {
 
+class traffic_meter;
+
 struct message_link_options
 {
     std::size_t frame_bytes = 32UL * 1024 * 1024;
     //! A link without any message or pong for this long is closed.
     duration silence = std::chrono::milliseconds(1200);
+    //! Counts the link's frames, if there is one.
+    std::shared_ptr<traffic_meter> traffic = nullptr;
 };
 
 //! Hooks of a link. Each is called from one I/O thread at a time.
--- a/connection/src/http_client.cpp
+++ b/connection/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "lagoonquay/connection/http_client.hpp"
 
 #include "beast_common.hpp"
+#include "lagoonquay/connection/traffic_meter.hpp"
 
 #include <deque>
 #include <map>
@@ -75,6 +76,8 @@
     const http_client_options options;
     std::mutex mutex;
     std::map<endpoint, std::deque<idle_connection>> idle;
+    const std::shared_ptr<traffic_meter> traffic =
+        std::make_shared<traffic_meter>();
 };
 
 namespace
@@ -89,7 +92,7 @@
                   const http_request& request, duration timeout,
                   http_callback done)
         : client_(std::move(client)), target_(std::move(target)),
-          timeout_(timeout), done_(std::move(done))
+          path_(request.path), timeout_(timeout), done_(std::move(done))
     {
         const auto path = request.query.empty()
                               ? request.path
@@ -174,6 +177,7 @@
         const auto type = raw[http::field::content_type];
         response.content_type.assign(type.data(), type.size());
         response.body = std::move(raw.body());
+        count(response.body.size());
         if (raw.keep_alive())
             client_->give_back(target_, std::move(stream_));
         done_(std::move(response));
@@ -183,12 +187,26 @@
     {
         const bool late = ec == beast::error::timeout;
         const bool sent = !nothing_sent(code);
+        count(0);
         done_(fail(late && sent ? connection_errc::timeout : code,
                    to_text(target_) + ": " + ec.message()));
     }
 
+    void count(std::size_t received)
+    {
+        const auto took = steady_now() - began_;
+        client_->traffic->add({.path = path_,
+                               .exchanges = 1,
+                               .bytes_sent = request_.body().size(),
+                               .bytes_received = received,
+                               .total = took,
+                               .longest = took});
+    }
+
     std::shared_ptr<State> client_;
     endpoint target_;
+    const std::string path_;
+    const instant began_ = steady_now();
     duration timeout_;
     http_callback done_;
     std::unique_ptr<beast::tcp_stream> stream_;
@@ -206,6 +224,11 @@
 
 http_client::~http_client() = default;
 
+const std::shared_ptr<traffic_meter>& http_client::traffic() const noexcept
+{
+    return state_->traffic;
+}
+
 void http_client::send(const endpoint& target, const http_request& request,
                        duration timeout, http_callback done)
 {
--- a/connection/src/websocket_link.cpp
+++ b/connection/src/websocket_link.cpp
@@ -1,5 +1,6 @@
 #include "websocket_link.hpp"
 
+#include "lagoonquay/connection/traffic_meter.hpp"
 #include "lagoonquay/request/dispatch_codec.hpp"
 
 #include <algorithm>
@@ -46,7 +47,8 @@
 } // namespace
 
 websocket_link::websocket_link(stream opened, message_link_options options)
-    : stream_(std::move(opened)), in_(options.frame_bytes)
+    : stream_(std::move(opened)), in_(options.frame_bytes),
+      traffic_(std::move(options.traffic))
 {
 }
 
@@ -124,6 +126,7 @@
     const auto bytes = in_.cdata();
     const std::string_view text(static_cast<const char*>(bytes.data()),
                                 bytes.size());
+    count(0, text.size());
     auto messages = decode_frame(text);
     in_.consume(in_.size());
     if (!messages)
@@ -145,6 +148,7 @@
     out_ = encode_frame(batch);
     messages_sent_ += batch.size();
     ++frames_sent_;
+    count(out_.size(), 0);
     stream_.text(true);
     stream_.async_write(net::buffer(out_),
                         [self = shared_from_this()](error_code ec, std::size_t)
@@ -162,6 +166,16 @@
         write();
 }
 
+void websocket_link::count(std::size_t sent, std::size_t received)
+{
+    if (!traffic_)
+        return;
+    traffic_->add({.path = "link",
+                   .exchanges = 1,
+                   .bytes_sent = sent,
+                   .bytes_received = received});
+}
+
 void websocket_link::end()
 {
     if (ended_)
--- a/connection/src/websocket_link.hpp
+++ b/connection/src/websocket_link.hpp
@@ -35,10 +35,12 @@
     void write();
     void on_write(error_code ec);
     void end();
+    void count(std::size_t sent, std::size_t received);
 
     stream stream_;
     link_hooks hooks_;
     beast::flat_buffer in_;
+    const std::shared_ptr<traffic_meter> traffic_;
     std::vector<link_message> pending_;
     std::string out_;
     std::size_t in_frame_ = 0; //!< messages in the frame being written
--- a/process/common/include/lagoonquay/process/decision_log.hpp
+++ b/process/common/include/lagoonquay/process/decision_log.hpp
@@ -23,6 +23,7 @@
     http_status status = http_status::bad_request;
     std::string_view detail;
     catalog_revision queues; //!< in force here
+    duration view_age{};     //!< since the queues were confirmed
 
     friend bool operator==(const refused_request&,
                            const refused_request&) = default;
--- a/process/common/include/lagoonquay/process/io_threads.hpp
+++ b/process/common/include/lagoonquay/process/io_threads.hpp
@@ -32,6 +32,10 @@
     //! Runs `work` each `period` until stop(); calls never overlap.
     void every(duration period, std::function<void()> work);
 
+    //! @return by how much a timer of every() ran late at most since the last
+    //! call: work waits about this long for its turn.
+    duration take_longest_delay() noexcept;
+
     //! Runs `work` on some thread at each SIGHUP.
     void on_reload(std::function<void()> work);
 
--- a/process/common/src/decision_log.cpp
+++ b/process/common/src/decision_log.cpp
@@ -9,6 +9,7 @@
                 {{"reason", it.reason},
                  {"status", static_cast<std::int64_t>(it.status)},
                  {"queues", static_cast<std::int64_t>(it.queues.number())},
+                 {"view_age_ms", milliseconds_of(it.view_age)},
                  {"detail", it.detail}});
 }
 
--- a/process/common/src/io_threads.cpp
+++ b/process/common/src/io_threads.cpp
@@ -1,5 +1,6 @@
 #include "lagoonquay/process/io_threads.hpp"
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <csignal>
 #include <future>
@@ -14,13 +15,16 @@
 namespace
 {
 
+using delay_hook = std::function<void(net::steady_timer::clock_type::duration)>;
+
 //! Repeats work; keeps itself alive through its pending wait.
 class repeating_timer : public std::enable_shared_from_this<repeating_timer>
 {
 public:
     repeating_timer(net::io_context& io, duration period,
-                    std::function<void()> work)
-        : timer_(io), period_(period), work_(std::move(work))
+                    std::function<void()> work, delay_hook on_delay)
+        : timer_(io), period_(period), work_(std::move(work)),
+          on_delay_(std::move(on_delay))
     {
     }
 
@@ -32,6 +36,8 @@
             {
                 if (ec)
                     return;
+                self->on_delay_(net::steady_timer::clock_type::now() -
+                                self->timer_.expiry());
                 self->work_();
                 self->wait();
             });
@@ -41,6 +47,7 @@
     net::steady_timer timer_;
     duration period_;
     std::function<void()> work_;
+    delay_hook on_delay_;
 };
 
 } // namespace
@@ -54,6 +61,16 @@
     net::signal_set signals{context};
     net::signal_set reloads{context};
     std::function<void()> reload;
+    std::atomic<duration::rep> longest_delay{0};
+
+    void note_delay(duration late)
+    {
+        auto longest = longest_delay.load();
+        while (late.count() > longest &&
+               !longest_delay.compare_exchange_weak(longest, late.count()))
+        {
+        }
+    }
 
     void wait_for_reload()
     {
@@ -99,10 +116,17 @@
 void io_threads::every(duration period, std::function<void()> work)
 {
     const auto timer = std::make_shared<repeating_timer>(
-        state_->context, period, std::move(work));
+        state_->context, period, std::move(work),
+        [&state = *state_](auto late)
+        { state.note_delay(std::chrono::duration_cast<duration>(late)); });
     timer->wait();
 }
 
+duration io_threads::take_longest_delay() noexcept
+{
+    return duration(state_->longest_delay.exchange(0));
+}
+
 void io_threads::on_reload(std::function<void()> work)
 {
     state_->reload = std::move(work);
--- a/process/common/src/permit_client.cpp
+++ b/process/common/src/permit_client.cpp
@@ -108,7 +108,9 @@
             regained = std::exchange(lost_, false);
         }
         if (regained)
-            write_event(log_level::info, part, {}, "control_regained", {});
+            write_event(
+                log_level::info, part, {}, "control_regained",
+                {{"answered_in_ms", milliseconds_of(hooks_.now() - sent)}});
         hooks_.hold(granted);
     }
 
--- a/process/entry/include/lagoonquay/process/entry_http.hpp
+++ b/process/entry/include/lagoonquay/process/entry_http.hpp
@@ -12,6 +12,7 @@
 class http_client;
 class ledger_replica;
 class latency_statistics;
+class traffic_meter;
 
 //! @return the routes for callers; `answers` counts the time from a
 //! submission to its answer. Both must outlive the handler.
@@ -22,9 +23,10 @@
 http_handler peer_routes(entry_service& service, ledger_replica& ledger,
                          const job_limits& limits);
 
-//! @return the routes for operators. Both must outlive the handler.
+//! @return the routes for operators. All must outlive the handler.
 http_handler entry_operator_routes(entry_service& service,
-                                   const latency_statistics& answers);
+                                   const latency_statistics& answers,
+                                   traffic_meter& traffic);
 
 //! Asks another entry for the claims that it holds. The client must outlive
 //! the answer.
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -166,6 +166,10 @@
     //! was.
     duration control_silence() const;
 
+    //! @return for how long the fleet's state that decisions rest on has not
+    //! been confirmed; the time since the start without any.
+    duration view_age() const;
+
     //! @return the whole state as JSON.
     std::string dump();
 
@@ -259,7 +263,8 @@
 
     mutable std::mutex permit_mutex_;
     std::optional<permit> permit_;
-    instant control_heard_ = hooks_.now();
+    const instant began_ = hooks_.now();
+    instant control_heard_ = began_;
 
     live_settings settings_;
     dispatcher dispatcher_;
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -5,6 +5,7 @@
 #include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
+#include "lagoonquay/process/load_report.hpp"
 #include "lagoonquay/process/operator_http.hpp"
 #include "lagoonquay/request/text.hpp"
 
@@ -137,7 +138,8 @@
             log_refused_request(part,
                                 {.reason = "malformed",
                                  .detail = decoded.error().detail,
-                                 .queues = service.view()->catalog->revision});
+                                 .queues = service.view()->catalog->revision,
+                                 .view_age = service.view_age()});
             return respond(malformed_response(decoded.error()));
         }
         const auto submitted = std::move(decoded).value();
@@ -198,7 +200,8 @@
 }
 
 process_metrics metrics_of(entry_service& service,
-                           const latency_statistics& answers)
+                           const latency_statistics& answers,
+                           traffic_meter& traffic)
 {
     const auto n = service.counts();
     const auto counter = metric_kind::counter;
@@ -232,6 +235,9 @@
         "lagoonquay_answers_total", "Answers and refusals by reason.");
     std::move(reasons.begin(), reasons.end(),
               std::back_inserter(metrics.samples));
+    auto exchanged = traffic_samples(traffic.read());
+    std::move(exchanged.begin(), exchanged.end(),
+              std::back_inserter(metrics.samples));
     metrics.latencies = {
         {"lagoonquay_job_seconds", "Time from a submission to its answer.",
          answers.summary()},
@@ -291,14 +297,15 @@
 }
 
 http_handler entry_operator_routes(entry_service& service,
-                                   const latency_statistics& answers)
+                                   const latency_statistics& answers,
+                                   traffic_meter& traffic)
 {
     return route_requests(
         operator_routes({.dump = [&service] { return service.dump(); },
                          .metrics =
-                             [&service, &answers]
+                             [&service, &answers, &traffic]
                          {
-                             return metrics_of(service, answers);
+                             return metrics_of(service, answers, traffic);
                          }}));
 }
 
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -8,6 +8,7 @@
 #include "lagoonquay/process/latency_statistics.hpp"
 #include "lagoonquay/process/ledger_client.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
+#include "lagoonquay/process/load_report.hpp"
 #include "lagoonquay/process/permit_client.hpp"
 #include "lagoonquay/process/program.hpp"
 
@@ -98,7 +99,7 @@
           peers(to_text(given.peers), 2 * given.claim_lease, steady_now),
           service(service_options(given, node, run), service_hooks()),
           permits(client, {.replicas = given.process.control}, permit_hooks()),
-          recovery({}, recovery_hooks())
+          recovery({}, recovery_hooks()), load(threads, *client.traffic())
     {
     }
 
@@ -176,7 +177,8 @@
                                  agent->address + "'.");
         service.agents().begin_link(id);
         open_link(
-            io.context(), target.value(), "/v1/link", {},
+            io.context(), target.value(), "/v1/link",
+            {.traffic = client.traffic()},
             [this, id](connection_result<std::shared_ptr<message_link>> opened)
             {
                 if (!opened)
@@ -202,6 +204,7 @@
     entry_service service;
     permit_client permits;
     ledger_recovery recovery;
+    load_report load;
     std::optional<http_server> peer_listener;
     std::optional<http_server> operator_listener;
 };
@@ -234,9 +237,9 @@
     auto peers = http_server::listen(
         it.io.context(), listener_options(process, it.settings.peers),
         peer_routes(it.service, it.ledger, it.settings.jobs));
-    auto operators =
-        http_server::listen(it.io.context(), operator_listener_options(process),
-                            entry_operator_routes(it.service, it.answers));
+    auto operators = http_server::listen(
+        it.io.context(), operator_listener_options(process),
+        entry_operator_routes(it.service, it.answers, *it.client.traffic()));
     BOOST_OUTCOME_TRY(require_listening({&peers, &operators}));
     it.peer_listener.emplace(std::move(peers).value());
     it.operator_listener.emplace(std::move(operators).value());
@@ -246,6 +249,8 @@
     it.io.every(tick_period, [&it] { it.service.tick(); });
     it.io.every(recovery_period, [&it] { it.recovery.tick(); });
     it.io.every(expiry_period, [&it] { it.ledger.expire(); });
+    it.io.every(load_report::period,
+                [&it] { it.load.write(it.service.view_age()); });
     write_log(log_level::info, part, "Entry started.");
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -256,6 +256,13 @@
     return hooks_.now() - control_heard_;
 }
 
+duration entry_service::view_age() const
+{
+    const auto now = hooks_.now();
+    const std::lock_guard lock(permit_mutex_);
+    return permit_ ? age_of(*permit_, now) : now - began_;
+}
+
 std::string entry_service::dump()
 {
     const auto n = counts();
--- a/version/include/lagoonquay/version/permit.hpp
+++ b/version/include/lagoonquay/version/permit.hpp
@@ -57,6 +57,10 @@
 //! @return what is left of a permit; zero without one.
 duration left_of(const std::optional<permit>& held, instant now) noexcept;
 
+//! @return the time since the permit was asked for: all that was committed
+//! before then is in its view.
+duration age_of(const permit& held, instant now) noexcept;
+
 //! Merges the replicas' words.
 //! @param known  the newest view that this process has applied.
 //! @param sent   when the request for the votes was sent.
--- a/version/src/permit.cpp
+++ b/version/src/permit.cpp
@@ -38,6 +38,11 @@
     return std::max((*held)->valid_until - now, duration::zero());
 }
 
+duration age_of(const permit& held, instant now) noexcept
+{
+    return now - (held->valid_until - permit_duration);
+}
+
 instant permit_time(const permit& held, permit_policy policy,
                     instant now) noexcept
 {
