--- a/process/entry/include/lagoonquay/process/entry_http.hpp
+++ b/process/entry/include/lagoonquay/process/entry_http.hpp
@@ -23,6 +23,9 @@
 http_handler peer_routes(entry_service& service, ledger_replica& ledger,
                          const job_limits& limits);
 
+//! @return a replica's response to the body of a claim.
+http_response claim_response(ledger_replica& ledger, const std::string& body);
+
 //! @return the routes for operators. All must outlive the handler.
 http_handler entry_operator_routes(entry_service& service,
                                    const latency_statistics& answers,
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -247,6 +247,8 @@
     return metrics;
 }
 
+} // namespace
+
 http_response claim_response(ledger_replica& ledger, const std::string& body)
 {
     const auto asked = decode_claim_request(body);
@@ -256,8 +258,6 @@
     return {.body = encode_claim_vote(ledger.claim(asked.value()))};
 }
 
-} // namespace
-
 http_handler caller_routes(entry_service& service, const job_limits& limits,
                            latency_statistics& answers)
 {
