Decide nothing against a caller by a view that is seconds old

Cause: an entry handles heartbeats seconds late while its event loop is behind, and denies a queue by the last view whatever its age. Class: an answer from stale state that looks like one from fresh state. While control is silent work goes on by the last view.

--- a/process/entry/include/lagoonquay/process/entry_node.hpp
+++ b/process/entry/include/lagoonquay/process/entry_node.hpp
@@ -22,6 +22,7 @@
     bool follow_entries = false;
     bool dated_jobs = true;
     permit_policy permits = permit_policy::expire;
+    duration view_limit = entry_options().view_limit;
 
     friend bool operator==(const entry_node_options&,
                            const entry_node_options&) = default;
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -59,6 +59,9 @@
     bool dated_jobs = true; //!< whether callers tell when a job was created
     permit_policy permits = permit_policy::expire;
     duration probe_period = std::chrono::seconds(1);
+    //! Oldest view that shows what is not there. It is asked for twice a
+    //! second, so it is older only if control or this entry lags.
+    duration view_limit = std::chrono::milliseconds(1500);
 
     friend bool operator==(const entry_options&,
                            const entry_options&) = default;
@@ -170,6 +173,14 @@
     //! been confirmed; the time since the start without any.
     duration view_age() const;
 
+    //! @return whether the view is young enough to say that a queue is not
+    //! there.
+    bool view_confirmed() const;
+
+    //! @return whether control answers, but so late that what it says is old:
+    //! a change may be in force by which a new job is not this entry's to take.
+    bool view_lags() const;
+
     //! @return the whole state as JSON.
     std::string dump();
 
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -56,6 +56,7 @@
     options.probe_ledger = true;
     options.dated_jobs = node.dated_jobs;
     options.permits = node.permits;
+    options.view_limit = node.view_limit;
     return options;
 }
 
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -263,6 +263,18 @@
     return permit_ ? age_of(*permit_, now) : now - began_;
 }
 
+bool entry_service::view_confirmed() const
+{
+    return view_age() <= options_.view_limit;
+}
+
+// A silent control can't have told anybody of a change that this entry missed
+// through its own fault; work goes on by the last view then.
+bool entry_service::view_lags() const
+{
+    return !view_confirmed() && control_silence() <= options_.view_limit;
+}
+
 std::string entry_service::dump()
 {
     const auto n = counts();
