Name the agents of a claim by a number told before

Callers were refused with workers idle, since no quorum answered a claim in time. Cause: each claim lists every agent that its job may use, to every other entry: 43,683 bytes a job with 12 entries and 64 agents. Class: a message per request whose size grows with the fleet. Evidence: 959 kB/s of claims out of each entry and as much in (lines `traffic`). Ruled out: links of agents (19 kB/s), admission. Change: an entry numbers its lists of agents; a replica that has voted on a claim with a list gets the number from then on, and answers unknown_reach without a vote if it has forgotten, upon which it is told again. Lists are shared between claims and records (agent_reach). A vote tells agents only where others held the claim before.

--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -189,7 +189,7 @@
     using job_pointer = std::shared_ptr<job_state>;
     using linked_runs = std::map<agent_id, incarnation>;
 
-    // entry_service.cpp: acceptance and links
+    // entry_service.cpp: acceptance
     bool takes_jobs() const;
     std::optional<job_answer> refuse_early(const job& submitted) const;
     bool join(const job& submitted, content_digest digest, answer_hook& done);
@@ -202,12 +202,16 @@
     bool with_job(const job_pointer& state, Use use);
     //! @return the jobs without an answer.
     std::vector<job_pointer> open_jobs();
+    void probe_ledger(instant now);
+
+    // entry_links.cpp: links to agents
     void on_messages(const agent_id& agent,
                      const std::vector<link_message>& messages);
     void on_grant(const agent_id& agent, const grant_message& grant);
     void on_close(const agent_id& agent);
     linked_runs linked();
-    void probe_ledger(instant now);
+    agent_reach linked_reach();
+    void forget_reach();
 
     // entry_claims.cpp: claims, renewals and forwarding
     void ask_claim(const job_pointer& state, claim_round confirm);
@@ -283,6 +287,8 @@
     sharded_map<submission_id, job_pointer> jobs_;
     //! Agents that have told their incarnation on an open link.
     sharded_map<agent_id, incarnation> linked_;
+    std::mutex reach_mutex_;
+    std::optional<agent_reach> reach_; //!< of linked_, until that changes
 
     std::mutex probe_mutex_;
     std::optional<instant> probe_sent_;
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -47,13 +47,13 @@
             .round = state.round,
             .ask = state.ask,
             .lease = options_.claim_lease,
-            .reach = {state.asked.begin(), state.asked.end()}};
+            .reach = state.asked};
 }
 
 //! @param confirm  the round to confirm, or zero to claim anew.
 void entry_service::ask_claim(const job_pointer& state, claim_round confirm)
 {
-    const auto links = linked();
+    const auto usable = linked_reach();
     const claim_ask ask(++asks_);
     std::optional<claim_request> request;
     with_job(state,
@@ -66,13 +66,7 @@
                  if (confirm == claim_round())
                  {
                      it.ask = ask;
-                     it.asked.clear();
-                     for (const auto& [agent, run] : links)
-                     {
-                         if (it.asked.size() >= options_.reach)
-                             break;
-                         it.asked.insert({agent, run});
-                     }
+                     it.asked = usable;
                  }
                  auto options = request_for(it);
                  options.round = confirm;
@@ -200,7 +194,7 @@
              {
                  auto options = request_for(it);
                  options.release = true;
-                 options.reach.clear();
+                 options.reach = {};
                  request = claim_request(std::move(options));
              });
     if (request)
@@ -278,8 +272,8 @@
                  if (it.answer || it.asking || it.round == claim_round())
                      return;
                  it.asking = true;
-                 it.asked = it.reach;
-                 it.asked.insert(it.wanted.begin(), it.wanted.end());
+                 it.asked = it.reach.joined(
+                     agent_reach::list(it.wanted.begin(), it.wanted.end()));
                  it.wanted.clear();
                  request = claim_request(request_for(it));
              });
@@ -310,7 +304,7 @@
                  {
                      it.claim_end =
                          std::max(it.claim_end, outcome->valid_until);
-                     it.reach.insert(asked->reach.begin(), asked->reach.end());
+                     it.reach = it.reach.joined(asked->reach);
                      unpark = it.parked && it.stage == job_stage::running;
                      it.parked = false;
                  }
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -55,8 +55,8 @@
     claim_ask ask;                    //!< of the last new claim
     bool asking = false;              //!< a claim or renewal is under way
     std::optional<instant> ask_again; //!< when to claim once more
-    std::set<agent_run_id> asked;     //!< reach named in the claim under way
-    std::set<agent_run_id> reach;     //!< confirmed; these may be used
+    agent_reach asked;                //!< reach named in the claim under way
+    agent_reach reach;                //!< confirmed; these may be used
     std::set<agent_run_id> wanted;    //!< to be named by the next renewal
     bool parked = false;              //!< waiting tasks are not all queued
 
--- /dev/null
+++ b/process/entry/src/entry_links.cpp
@@ -0,0 +1,105 @@
+// Links to agents: what they bring, and the agents that jobs may use.
+#include "entry_job.hpp"
+#include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/process/decision_log.hpp"
+#include "lagoonquay/process/log.hpp"
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "entry";
+
+} // namespace
+
+void entry_service::on_link(const agent_id& agent,
+                            const std::shared_ptr<message_link>& link)
+{
+    write_event(log_level::info, part, {}, "link_opened",
+                {{"agent", agent.text()}});
+    dispatcher_.agents().open(agent, link);
+    link->send(hello_message{options_.id, options_.run});
+    link->start({[this, agent](const std::vector<link_message>& it)
+                 { on_messages(agent, it); },
+                 [this, agent]
+                 {
+                     on_close(agent);
+                 }});
+}
+
+void entry_service::on_messages(const agent_id& agent,
+                                const std::vector<link_message>& messages)
+{
+    for (const auto& it : messages)
+    {
+        if (const auto* grant = std::get_if<grant_message>(&it))
+            on_grant(agent, *grant);
+        if (const auto* result = std::get_if<result_message>(&it))
+            on_result(agent, *result);
+        if (const auto* status = std::get_if<status_message>(&it))
+            on_status(agent, *status);
+    }
+    dispatcher_.pump();
+}
+
+// The queries go out before the first credits of the link can be used, so that
+// they never forbid what was dispatched on this link.
+void entry_service::on_grant(const agent_id& agent, const grant_message& grant)
+{
+    const bool fresh = linked_.with_shard(
+        agent, [&](auto& values)
+        { return values.emplace(agent, grant.agent_run).second; });
+    if (fresh)
+    {
+        forget_reach();
+        ask_agent({agent, grant.agent_run});
+    }
+    dispatcher_.update(agent, grant, hooks_.now());
+}
+
+// Tasks of the lost agent are settled by check_lost(), once it has come back or
+// is given up.
+void entry_service::on_close(const agent_id& agent)
+{
+    write_event(log_level::info, part, {}, "link_lost",
+                {{"agent", agent.text()}});
+    dispatcher_.agents().close(agent);
+    linked_.with_shard(agent, [&](auto& values) { values.erase(agent); });
+    forget_reach();
+}
+
+entry_service::linked_runs entry_service::linked()
+{
+    linked_runs found;
+    linked_.for_each_shard([&](const auto& values)
+                           { found.insert(values.begin(), values.end()); });
+    return found;
+}
+
+// One list for all claims between two changes of the links. A link that changes
+// while the list is made clears it again.
+agent_reach entry_service::linked_reach()
+{
+    const std::lock_guard lock(reach_mutex_);
+    if (reach_)
+        return *reach_;
+    agent_reach::list agents;
+    for (const auto& [agent, run] : linked())
+    {
+        if (agents.size() >= options_.reach)
+            break;
+        agents.push_back({agent, run});
+    }
+    reach_ = agent_reach(std::move(agents));
+    return *reach_;
+}
+
+void entry_service::forget_reach()
+{
+    const std::lock_guard lock(reach_mutex_);
+    reach_.reset();
+}
+
+} // namespace lagoonquay
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -2,7 +2,6 @@
 #include "lagoonquay/process/decision_log.hpp"
 
 #include "entry_job.hpp"
-#include "lagoonquay/connection/message_link.hpp"
 #include "lagoonquay/process/agent_subset.hpp"
 #include "lagoonquay/process/log.hpp"
 #include "lagoonquay/request/dispatch.hpp"
@@ -123,21 +122,6 @@
     return found;
 }
 
-void entry_service::on_link(const agent_id& agent,
-                            const std::shared_ptr<message_link>& link)
-{
-    write_event(log_level::info, part, {}, "link_opened",
-                {{"agent", agent.text()}});
-    dispatcher_.agents().open(agent, link);
-    link->send(hello_message{options_.id, options_.run});
-    link->start({[this, agent](const std::vector<link_message>& it)
-                 { on_messages(agent, it); },
-                 [this, agent]
-                 {
-                     on_close(agent);
-                 }});
-}
-
 void entry_service::hold(const permit& granted)
 {
     bool newer = false;
@@ -413,51 +397,6 @@
     return found;
 }
 
-void entry_service::on_messages(const agent_id& agent,
-                                const std::vector<link_message>& messages)
-{
-    for (const auto& it : messages)
-    {
-        if (const auto* grant = std::get_if<grant_message>(&it))
-            on_grant(agent, *grant);
-        if (const auto* result = std::get_if<result_message>(&it))
-            on_result(agent, *result);
-        if (const auto* status = std::get_if<status_message>(&it))
-            on_status(agent, *status);
-    }
-    dispatcher_.pump();
-}
-
-// The queries go out before the first credits of the link can be used, so that
-// they never forbid what was dispatched on this link.
-void entry_service::on_grant(const agent_id& agent, const grant_message& grant)
-{
-    const bool fresh = linked_.with_shard(
-        agent, [&](auto& values)
-        { return values.emplace(agent, grant.agent_run).second; });
-    if (fresh)
-        ask_agent({agent, grant.agent_run});
-    dispatcher_.update(agent, grant, hooks_.now());
-}
-
-// Tasks of the lost agent are settled by check_lost(), once it has come back or
-// is given up.
-void entry_service::on_close(const agent_id& agent)
-{
-    write_event(log_level::info, part, {}, "link_lost",
-                {{"agent", agent.text()}});
-    dispatcher_.agents().close(agent);
-    linked_.with_shard(agent, [&](auto& values) { values.erase(agent); });
-}
-
-entry_service::linked_runs entry_service::linked()
-{
-    linked_runs found;
-    linked_.for_each_shard([&](const auto& values)
-                           { found.insert(values.begin(), values.end()); });
-    return found;
-}
-
 void entry_service::probe_ledger(instant now)
 {
     if (!options_.probe_ledger)
--- a/process/ledger/include/lagoonquay/process/claim.hpp
+++ b/process/ledger/include/lagoonquay/process/claim.hpp
@@ -37,7 +37,7 @@
     //! no other holder's; otherwise renew with it before using it.
     bool confirmed = false;
     duration first_claim_age{}; //!< more than zero for an adoption
-    std::vector<agent_run_id> reach;
+    agent_reach reach;          //!< of earlier holders
 
     friend bool operator==(const claim_outcome_options&,
                            const claim_outcome_options&) = default;
@@ -64,6 +64,9 @@
     //! @return the outcome with the vote that decides it, once.
     std::optional<claim_outcome> add(const std::optional<claim_vote>& vote);
 
+    //! @return replicas that answered, or will not.
+    std::size_t answered() const noexcept;
+
     //! Notes that a replica's process has ended, and its memory with it.
     //! @return as add().
     std::optional<claim_outcome> add_gone();
--- a/process/ledger/include/lagoonquay/process/ledger_replica.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_replica.hpp
@@ -1,6 +1,7 @@
 //! A ledger replica: shards of claims, each under its own lock.
 #pragma once
 
+#include "lagoonquay/process/known_reaches.hpp"
 #include "lagoonquay/process/ledger_shard.hpp"
 #include "lagoonquay/process/sharded_map.hpp"
 
@@ -20,7 +21,8 @@
                    wall_clock_hook wall);
 
     //! Decides on a claim. One without a submission only asks whether this
-    //! replica votes on submissions created now: granted or fenced.
+    //! replica votes on submissions created now: granted or fenced. One that
+    //! names a reach that was not told here gets unknown_reach, and no vote.
     claim_vote claim(const claim_request& asked);
     //! Records a claim that its holder has told.
     void remember(const claim_request& held);
@@ -47,6 +49,7 @@
     guarded_shard& shard_of(const submission_id& submission);
 
     const ledger_options options_;
+    known_reaches reaches_;
     std::atomic<bool> complete_{false};
     clock_hook now_;
     wall_clock_hook wall_;
--- a/process/ledger/include/lagoonquay/process/ledger_shard.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_shard.hpp
@@ -1,6 +1,7 @@
 //! Claims of submissions at one ledger replica. Pure.
 #pragma once
 
+#include "lagoonquay/process/agent_reach.hpp"
 #include "lagoonquay/request/ids.hpp"
 #include "lagoonquay/request/immutable.hpp"
 #include "lagoonquay/request/time.hpp"
@@ -9,26 +10,19 @@
 #include <cstddef>
 #include <string>
 #include <unordered_map>
-#include <vector>
 
 namespace lagoonquay
 {
 
-//! One incarnation of an agent.
-struct agent_run_id
-{
-    agent_id agent;
-    incarnation run;
-
-    friend auto operator<=>(const agent_run_id&, const agent_run_id&) = default;
-};
-
 //! Counts the claims of a submission; a later holder has a larger one.
 using claim_round = number_id<struct claim_round_tag>;
 
 //! Position of a new claim among all of one entry incarnation.
 using claim_ask = number_id<struct claim_ask_tag>;
 
+//! Names a reach among those of one entry incarnation; zero names none.
+using reach_number = number_id<struct reach_number_tag>;
+
 struct claim_request_options
 {
     submission_id submission;
@@ -45,7 +39,10 @@
     bool close = false;
     bool release = false; //!< gives up a claim that was never used
     duration lease{};
-    std::vector<agent_run_id> reach; //!< agents that the job may use
+    agent_reach reach; //!< agents that the job may use
+    reach_number named_reach;
+    //! Whether `reach` is here; otherwise it was told before under its number.
+    bool tells_reach = true;
 
     friend bool operator==(const claim_request_options&,
                            const claim_request_options&) = default;
@@ -56,11 +53,12 @@
 
 enum class claim_verdict
 {
-    granted,  //!< the sender holds the claim for the lease
-    held,     //!< another entry holds it, or the renewed claim is lost
-    closed,   //!< the submission ended with a failure
-    mismatch, //!< the submission has other content
-    fenced,   //!< created before this replica's memory, or out of bounds
+    granted,       //!< the sender holds the claim for the lease
+    held,          //!< another entry holds it, or the renewed claim is lost
+    closed,        //!< the submission ended with a failure
+    mismatch,      //!< the submission has other content
+    fenced,        //!< created before this replica's memory, or out of bounds
+    unknown_reach, //!< no vote: the claim names a reach that was not told here
 };
 
 struct claim_vote_options
@@ -68,8 +66,8 @@
     claim_verdict verdict = claim_verdict::fenced;
     std::string holder_address; //!< when held
     claim_round round;
-    duration first_claim_age{};      //!< zero for the first claim
-    std::vector<agent_run_id> reach; //!< of every claim so far
+    duration first_claim_age{}; //!< zero for the first claim
+    agent_reach reach;          //!< of every claim so far, if others held it
 
     friend bool operator==(const claim_vote_options&,
                            const claim_vote_options&) = default;
@@ -136,7 +134,8 @@
         instant first_claim{};
         instant lease_end{};
         bool closed = false;
-        std::vector<agent_run_id> reach;
+        bool adopted = false; //!< had another holder, or another life of it
+        agent_reach reach;
     };
 
     static claim_vote claim_again(record& held, const claim_request& asked,
--- a/process/ledger/src/claim.cpp
+++ b/process/ledger/src/claim.cpp
@@ -55,6 +55,11 @@
     return decide_once();
 }
 
+std::size_t claim_tally::answered() const noexcept
+{
+    return answered_;
+}
+
 std::optional<claim_outcome> claim_tally::add_gone()
 {
     ++answered_;
@@ -106,8 +111,7 @@
         merged.round = std::max(merged.round, it->round);
         merged.first_claim_age =
             std::max(merged.first_claim_age, it->first_claim_age);
-        merged.reach.insert(merged.reach.end(), it->reach.begin(),
-                            it->reach.end());
+        merged.reach = merged.reach.joined(it->reach);
     }
     const auto same =
         std::count_if(votes_.begin(), votes_.end(),
@@ -116,9 +120,6 @@
                                  it->round == merged.round;
                       });
     merged.confirmed = static_cast<std::size_t>(same) >= quorum();
-    std::sort(merged.reach.begin(), merged.reach.end());
-    merged.reach.erase(std::unique(merged.reach.begin(), merged.reach.end()),
-                       merged.reach.end());
     return claim_outcome(std::move(merged));
 }
 
--- a/process/ledger/src/ledger_client.cpp
+++ b/process/ledger/src/ledger_client.cpp
@@ -3,6 +3,7 @@
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
+#include "lagoonquay/process/told_reaches.hpp"
 
 #include <memory>
 #include <mutex>
@@ -23,6 +24,59 @@
     return std::move(vote).value();
 }
 
+//! What all claims of an entry share.
+struct claim_sender
+{
+    http_client& client;
+    const duration timeout;
+    told_reaches reaches;
+
+    //! Sends a claim with a numbered reach. The agents are left out where they
+    //! were told before; a replica that knows them not is told them.
+    static void send(const std::shared_ptr<claim_sender>& self,
+                     const endpoint& peer, const claim_request& named,
+                     const http_callback& done);
+};
+
+http_request request_of(const claim_request& asked)
+{
+    return {.method = http_method::post,
+            .path = "/v1/ledger/claim",
+            .query = {},
+            .body = encode_claim_request(asked),
+            .bearer = {}};
+}
+
+bool lacks_reach(const connection_result<http_response>& answer)
+{
+    const auto vote = read_vote(answer);
+    return vote && (*vote)->verdict == claim_verdict::unknown_reach;
+}
+
+void claim_sender::send(const std::shared_ptr<claim_sender>& self,
+                        const endpoint& peer, const claim_request& named,
+                        const http_callback& done)
+{
+    const auto number = named->named_reach;
+    const bool short_form =
+        number != reach_number() && self->reaches.told(peer, number);
+    const auto asked = named.with([&](claim_request_options& it)
+                                  { it.tells_reach = !short_form; });
+    const auto on_answer = [self, peer, named, short_form, number,
+                            done](connection_result<http_response> answer)
+    {
+        if (short_form && lacks_reach(answer))
+        {
+            self->reaches.forget(peer);
+            return send(self, peer, named, done);
+        }
+        if (answer && number != reach_number())
+            self->reaches.note_told(peer, number);
+        done(std::move(answer));
+    };
+    self->client.send(peer, request_of(asked), self->timeout, on_answer);
+}
+
 //! One claim on its way; shared by the callbacks of its replicas.
 class claim_exchange
 {
@@ -68,25 +122,24 @@
 claim_hook claim_over_http(http_client& client, ledger_replica& local,
                            ledger_client_options options, clock_hook now)
 {
-    return [&client, &local, it = std::move(options), clock = std::move(now)](
+    const auto sender = std::shared_ptr<claim_sender>(
+        new claim_sender{client, options.timeout, {}});
+    return [sender, &local, it = std::move(options), clock = std::move(now)](
                const claim_request& asked, claim_callback done)
     {
         const auto peers = it.peers();
         const claim_tally tally(peers.size() + 1, asked->lease, clock());
         const auto exchange =
             std::make_shared<claim_exchange>(tally, std::move(done));
-        const http_request request{.method = http_method::post,
-                                   .path = "/v1/ledger/claim",
-                                   .query = {},
-                                   .body = encode_claim_request(asked),
-                                   .bearer = {}};
+        const auto named = sender->reaches.name(asked);
         for (const auto& peer : peers)
         {
-            client.send(peer, request, it.timeout,
-                        [exchange](connection_result<http_response> answer)
-                        { exchange->add(std::move(answer)); });
+            claim_sender::send(
+                sender, peer, named,
+                [exchange](connection_result<http_response> answer)
+                { exchange->add(std::move(answer)); });
         }
-        exchange->add(local.claim(asked));
+        exchange->add(local.claim(named));
     };
 }
 
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "lagoonquay/request/json_fields.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 
@@ -14,10 +15,10 @@
 {
 
 constexpr std::size_t id_bytes = 128;
-constexpr std::array<std::string_view, 5> verdict_names{
-    "granted", "held", "closed", "mismatch", "fenced"};
+constexpr std::array<std::string_view, 6> verdict_names{
+    "granted", "held", "closed", "mismatch", "fenced", "unknown_reach"};
 
-json::array reach_to_json(const std::vector<agent_run_id>& reach)
+json::array reach_to_json(const agent_reach& reach)
 {
     json::array array;
     for (const auto& it : reach)
@@ -26,20 +27,23 @@
     return array;
 }
 
-std::vector<agent_run_id> reach_from_json(json_fields& fields)
+agent_reach reach_of(const json::array& source, json_fields& fields)
 {
-    std::vector<agent_run_id> reach;
-    const auto* source = fields.array("reach");
-    if (source == nullptr)
-        return reach;
-    for (const auto& it : *source)
+    agent_reach::list agents;
+    for (const auto& it : source)
     {
         json_fields agent(it, "reach");
-        reach.push_back({agent_id(agent.text("agent", id_bytes)),
-                         incarnation(agent.wide_number("run"))});
+        agents.push_back({agent_id(agent.text("agent", id_bytes)),
+                          incarnation(agent.wide_number("run"))});
         fields.absorb(agent);
     }
-    return reach;
+    return agent_reach(std::move(agents));
+}
+
+agent_reach reach_from_json(json_fields& fields)
+{
+    const auto* source = fields.array("reach");
+    return source == nullptr ? agent_reach() : reach_of(*source, fields);
 }
 
 duration get_duration(json_fields& fields, std::string_view key)
@@ -59,6 +63,7 @@
     return claim_verdict::fenced;
 }
 
+//! Without the reach, which is written in different ways.
 json::object claim_to_json(const claim_request& asked)
 {
     return {{"submission", asked->submission.text()},
@@ -72,11 +77,10 @@
             {"ask", asked->ask.number()},
             {"close", asked->close},
             {"release", asked->release},
-            {"lease_us", asked->lease.count()},
-            {"reach", reach_to_json(asked->reach)}};
+            {"lease_us", asked->lease.count()}};
 }
 
-claim_request claim_from_json(json_fields& fields)
+claim_request_options claim_from_json(json_fields& fields)
 {
     claim_request_options options;
     options.submission = submission_id(fields.text("submission", id_bytes));
@@ -92,34 +96,91 @@
     options.close = fields.flag_or("close", false);
     options.release = fields.flag_or("release", false);
     options.lease = get_duration(fields, "lease_us");
-    options.reach = reach_from_json(fields);
-    return claim_request(std::move(options));
+    return options;
+}
+
+//! Reaches of several claims, each written once.
+class reach_table
+{
+public:
+    //! @return the place of a reach in the table.
+    std::size_t add(const agent_reach& reach)
+    {
+        const auto found = std::find(reaches_.begin(), reaches_.end(), reach);
+        if (found != reaches_.end())
+            return static_cast<std::size_t>(found - reaches_.begin());
+        reaches_.push_back(reach);
+        return reaches_.size() - 1;
+    }
+
+    json::array to_json() const
+    {
+        json::array all;
+        for (const auto& it : reaches_)
+            all.push_back(reach_to_json(it));
+        return all;
+    }
+
+private:
+    std::vector<agent_reach> reaches_;
+};
+
+std::vector<agent_reach> reaches_from_json(json_fields& fields)
+{
+    std::vector<agent_reach> all;
+    const auto* source = fields.array("reaches");
+    if (source == nullptr)
+        return all;
+    for (const auto& it : *source)
+    {
+        if (it.is_array())
+            all.push_back(reach_of(it.get_array(), fields));
+        else
+            fields.reject(request_errc::malformed, "a reach is a list");
+    }
+    return all;
 }
 
 } // namespace
 
 std::string encode_claim_request(const claim_request& asked)
 {
-    return json::serialize(claim_to_json(asked));
+    auto object = claim_to_json(asked);
+    object["reach_number"] = asked->named_reach.number();
+    if (asked->tells_reach)
+        object["reach"] = reach_to_json(asked->reach);
+    return json::serialize(object);
 }
 
 request_result<claim_request> decode_claim_request(std::string_view text)
 {
     BOOST_OUTCOME_TRY(const auto document, parse_json(text));
     json_fields fields(document, "");
-    auto asked = claim_from_json(fields);
+    auto options = claim_from_json(fields);
+    options.named_reach =
+        reach_number(fields.number_or("reach_number", 0, 0, json_exact_limit));
+    options.tells_reach = options.named_reach == reach_number() ||
+                          fields.member("reach") != nullptr;
+    if (options.tells_reach)
+        options.reach = reach_from_json(fields);
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
-    return asked;
+    return claim_request(std::move(options));
 }
 
 std::string encode_held_claims(const held_claims& held)
 {
+    reach_table reaches;
     json::array array;
     for (const auto& it : held.claims)
-        array.push_back(claim_to_json(it));
-    return json::serialize(
-        json::object{{"claims", std::move(array)}, {"settled", held.settled}});
+    {
+        auto object = claim_to_json(it);
+        object["reach"] = reaches.add(it->reach);
+        array.push_back(std::move(object));
+    }
+    return json::serialize(json::object{{"claims", std::move(array)},
+                                        {"reaches", reaches.to_json()},
+                                        {"settled", held.settled}});
 }
 
 request_result<held_claims> decode_held_claims(std::string_view text)
@@ -128,12 +189,20 @@
     json_fields fields(document, "");
     held_claims held;
     held.settled = fields.flag_or("settled", false);
-    if (const auto* source = fields.array("claims"))
+    const auto* source = fields.array("claims");
+    if (source != nullptr)
     {
+        const auto reaches = reaches_from_json(fields);
         for (const auto& it : *source)
         {
             json_fields claim(it, "claims");
-            held.claims.push_back(claim_from_json(claim));
+            auto options = claim_from_json(claim);
+            const auto place = claim.number("reach", 0, json_exact_limit);
+            if (place < reaches.size())
+                options.reach = reaches[place];
+            else
+                claim.reject(request_errc::malformed, "no such reach");
+            held.claims.emplace_back(std::move(options));
             fields.absorb(claim);
         }
     }
--- a/process/ledger/src/ledger_replica.cpp
+++ b/process/ledger/src/ledger_replica.cpp
@@ -21,9 +21,12 @@
         return claim_vote(
             {.verdict = past ? claim_verdict::granted : claim_verdict::fenced});
     }
+    const auto whole = reaches_.resolve(asked, now_());
+    if (!whole)
+        return claim_vote({.verdict = claim_verdict::unknown_reach});
     auto& target = shard_of(asked->submission);
     const std::lock_guard lock(target.mutex);
-    return target.shard.claim(asked, now_(), wall_());
+    return target.shard.claim(*whole, now_(), wall_());
 }
 
 ledger_replica::guarded_shard&
@@ -56,6 +59,7 @@
 
 void ledger_replica::expire()
 {
+    reaches_.expire(now_(), options_.retention);
     for (auto& it : shards_)
     {
         const std::lock_guard lock(it->mutex);
--- a/process/ledger/src/ledger_shard.cpp
+++ b/process/ledger/src/ledger_shard.cpp
@@ -8,17 +8,6 @@
 namespace
 {
 
-void add_reach(std::vector<agent_run_id>& known,
-               const std::vector<agent_run_id>& more)
-{
-    for (const auto& it : more)
-    {
-        if (std::find(known.begin(), known.end(), it) != known.end())
-            continue;
-        known.push_back(it);
-    }
-}
-
 bool same_holder(const entry_id& holder, incarnation run,
                  const claim_request& asked) noexcept
 {
@@ -173,12 +162,12 @@
     held.closed = held.closed || asked->close;
     held.round = std::max(held.round, asked->round);
     held.lease_end = std::max(held.lease_end, now + asked->lease);
-    add_reach(held.reach, asked->reach);
+    held.reach = held.reach.joined(asked->reach);
     return claim_vote({.verdict = claim_verdict::granted,
                        .holder_address = {},
                        .round = held.round,
                        .first_claim_age = {},
-                       .reach = held.reach});
+                       .reach = held.adopted ? held.reach : agent_reach()});
 }
 
 claim_vote ledger_shard::adopt(record& held, const claim_request& asked,
@@ -191,7 +180,8 @@
     held.ask = asked->ask;
     held.round = std::max(claim_round(held.round.number() + 1), asked->round);
     held.lease_end = now + asked->lease;
-    add_reach(held.reach, asked->reach);
+    held.adopted = true;
+    held.reach = held.reach.joined(asked->reach);
     return claim_vote(
         {.verdict = claim_verdict::granted,
          .holder_address = {},
--- /dev/null
+++ b/process/ledger/src/told_reaches.cpp
@@ -0,0 +1,63 @@
+#include "lagoonquay/process/told_reaches.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+// Fewer than a replica remembers of a holder.
+constexpr std::size_t most_recent = 16;
+
+} // namespace
+
+// Lists of one moment are mostly copies of each other, which compare fast.
+claim_request told_reaches::name(const claim_request& asked)
+{
+    if (asked->reach.empty())
+        return asked;
+    const std::lock_guard lock(mutex_);
+    auto found = std::find_if(recent_.begin(), recent_.end(),
+                              [&](const numbered_reach& it)
+                              { return it.reach == asked->reach; });
+    if (found == recent_.end())
+    {
+        if (recent_.size() >= most_recent)
+        {
+            const auto oldest = recent_.front().number;
+            recent_.pop_front();
+            std::erase_if(told_,
+                          [&](const auto& it) { return it.second == oldest; });
+        }
+        recent_.push_back({reach_number(++last_), asked->reach});
+        found = std::prev(recent_.end());
+    }
+    return asked.with([&](claim_request_options& it)
+                      { it.named_reach = found->number; });
+}
+
+bool told_reaches::told(const endpoint& replica, reach_number reach) const
+{
+    const std::lock_guard lock(mutex_);
+    return told_.contains({replica, reach});
+}
+
+void told_reaches::note_told(const endpoint& replica, reach_number reach)
+{
+    const std::lock_guard lock(mutex_);
+    const bool recent = std::any_of(recent_.begin(), recent_.end(),
+                                    [&](const numbered_reach& it)
+                                    { return it.number == reach; });
+    if (recent)
+        told_.insert({replica, reach});
+}
+
+void told_reaches::forget(const endpoint& replica)
+{
+    const std::lock_guard lock(mutex_);
+    std::erase_if(told_, [&](const auto& it) { return it.first == replica; });
+}
+
+} // namespace lagoonquay
--- a/process/ledger/tests/claim_cost_test.cpp
+++ b/process/ledger/tests/claim_cost_test.cpp
@@ -52,12 +52,12 @@
 {
 public:
     explicit replica_host(io_threads& io)
-        : ledger_(young_ledger(), steady_now, wall_now)
     {
+        restart();
         const auto claim = [this](const http_request& request, std::string_view,
                                   const http_responder& respond)
         {
-            respond(claim_response(ledger_, request.body));
+            respond(claim_response(*ledger_, request.body));
         };
         auto listening = http_server::listen(
             io.context(), {.listen = {"127.0.0.1", 0}},
@@ -71,8 +71,14 @@
         return {"127.0.0.1", listener_->port()};
     }
 
+    //! Forgets all. Call while no claim is under way.
+    void restart()
+    {
+        ledger_.emplace(young_ledger(), steady_now, wall_now);
+    }
+
 private:
-    ledger_replica ledger_;
+    std::optional<ledger_replica> ledger_;
     std::optional<http_server> listener_;
 };
 
@@ -99,6 +105,12 @@
         return found;
     }
 
+    void restart_all()
+    {
+        for (const auto& it : hosts_)
+            it->restart();
+    }
+
     //! Claims the jobs one after the other. @return what was exchanged.
     path_traffic claim_all()
     {
@@ -108,6 +120,8 @@
                                            steady_now);
         for (std::uint64_t n = 1; n <= jobs; ++n)
         {
+            if (n == restart_before)
+                restart_all();
             std::promise<claim_status> status;
             claim(claim_of(n), [&](const claim_outcome& it)
                   { status.set_value(it->status); });
@@ -118,6 +132,7 @@
         return sums.empty() ? path_traffic() : sums.front();
     }
 
+    std::uint64_t restart_before = 0; //!< the job before which replicas forget
     io_threads io_{1};
     http_client client_{io_.context(), {}};
     ledger_replica local_;
@@ -139,4 +154,10 @@
     EXPECT_LE(sum.exchanges, jobs * (majority - 1));
 }
 
+TEST_F(claim_cost, replicas_that_forgot_the_agents_are_told_again)
+{
+    restart_before = jobs / 2;
+    claim_all();
+}
+
 } // namespace lagoonquay
