Ask as many ledger replicas as decide, not all of them

Callers were refused with workers idle, since no quorum answered a claim in time. Cause: each claim went to every other entry, so that an entry of a fleet of twelve handles 22 exchanges a job; profiled on loopback (trial: 12 entries, 65 workers, 500 jobs a second) these take over half of an entry's 17% of a core. Class: work per request that grows with the fleet. Silent ones come last for a second. A release still goes to all. Fields at their defaults are left out of messages. One stable_hash in place of two copies. Still too dear: with silent replicas passed over, a slow fleet asks all of them after all.

--- a/process/entry/src/agent_subset.cpp
+++ b/process/entry/src/agent_subset.cpp
@@ -1,9 +1,10 @@
 #include "lagoonquay/process/agent_subset.hpp"
 
+#include "lagoonquay/request/stable_hash.hpp"
+
 #include <algorithm>
 #include <cstdint>
 #include <map>
-#include <string_view>
 
 namespace lagoonquay
 {
@@ -11,28 +12,10 @@
 namespace
 {
 
-// FNV-1a with a final mix: the same on every machine, unlike std::hash.
-std::uint64_t hash_text(std::uint64_t hash, std::string_view text) noexcept
-{
-    constexpr std::uint64_t prime = 1099511628211ULL;
-    for (const char it : text)
-        hash = (hash ^ static_cast<unsigned char>(it)) * prime;
-    return hash;
-}
-
-std::uint64_t mix(std::uint64_t hash) noexcept
-{
-    hash ^= hash >> 33U;
-    hash *= 0xff51afd7ed558ccdULL;
-    hash ^= hash >> 33U;
-    hash *= 0xc4ceb9fe1a85ec53ULL;
-    return hash ^ (hash >> 33U);
-}
-
 std::uint64_t score(const entry_id& entry, const member& agent) noexcept
 {
-    constexpr std::uint64_t start = 14695981039346656037ULL;
-    return mix(hash_text(hash_text(start, entry.text()) * 31, agent->id));
+    const auto own = stable_hash(stable_hash_start, entry.text());
+    return mix_hash(stable_hash(own * 31, agent->id));
 }
 
 struct ranked_agent
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -147,8 +147,15 @@
     {
         return {.now = steady_now,
                 .wall = wall_now,
-                .claim = claim_over_http(client, ledger,
-                                         {.peers = peers_hook()}, steady_now),
+                .claim = claim_over_http(
+                    client, ledger,
+                    {.peers = peers_hook(),
+                     .after =
+                         [this](duration delay, std::function<void()> work)
+                     {
+                         io.after(delay, std::move(work));
+                     }},
+                    steady_now),
                 .forward = forward_over_http(client),
                 .draw = seeded_draw(run.number())};
     }
--- a/process/ledger/include/lagoonquay/process/claim.hpp
+++ b/process/ledger/include/lagoonquay/process/claim.hpp
@@ -64,9 +64,6 @@
     //! @return the outcome with the vote that decides it, once.
     std::optional<claim_outcome> add(const std::optional<claim_vote>& vote);
 
-    //! @return replicas that answered, or will not.
-    std::size_t answered() const noexcept;
-
     //! Notes that a replica's process has ended, and its memory with it.
     //! @return as add().
     std::optional<claim_outcome> add_gone();
--- a/process/ledger/src/claim.cpp
+++ b/process/ledger/src/claim.cpp
@@ -55,11 +55,6 @@
     return decide_once();
 }
 
-std::size_t claim_tally::answered() const noexcept
-{
-    return answered_;
-}
-
 std::optional<claim_outcome> claim_tally::add_gone()
 {
     ++answered_;
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -63,21 +63,27 @@
     return claim_verdict::fenced;
 }
 
-//! Without the reach, which is written in different ways.
+//! Without the reach, which is written in different ways. What most claims
+//! leave at its default is left out.
 json::object claim_to_json(const claim_request& asked)
 {
-    return {{"submission", asked->submission.text()},
-            {"digest", std::to_string(asked->digest.number())},
-            {"created_ms", asked->created.time_since_epoch().count()},
-            {"dated", asked->dated},
-            {"holder", asked->holder.text()},
-            {"holder_run", std::to_string(asked->holder_run.number())},
-            {"holder_address", asked->holder_address},
-            {"round", asked->round.number()},
-            {"ask", asked->ask.number()},
-            {"close", asked->close},
-            {"release", asked->release},
-            {"lease_us", asked->lease.count()}};
+    json::object object{
+        {"submission", asked->submission.text()},
+        {"digest", std::to_string(asked->digest.number())},
+        {"holder", asked->holder.text()},
+        {"holder_run", std::to_string(asked->holder_run.number())},
+        {"holder_address", asked->holder_address},
+        {"ask", asked->ask.number()},
+        {"lease_us", asked->lease.count()}};
+    if (asked->dated)
+        object["created_ms"] = asked->created.time_since_epoch().count();
+    if (asked->round != claim_round())
+        object["round"] = asked->round.number();
+    if (asked->close)
+        object["close"] = true;
+    if (asked->release)
+        object["release"] = true;
+    return object;
 }
 
 claim_request_options claim_from_json(json_fields& fields)
@@ -85,13 +91,14 @@
     claim_request_options options;
     options.submission = submission_id(fields.text("submission", id_bytes));
     options.digest = content_digest(fields.wide_number("digest"));
+    options.dated = fields.member("created_ms") != nullptr;
     options.created = wall_time(std::chrono::milliseconds(
-        fields.number("created_ms", 0, json_exact_limit)));
-    options.dated = fields.flag_or("dated", true);
+        fields.number_or("created_ms", 0, 0, json_exact_limit)));
     options.holder = entry_id(fields.text("holder", id_bytes));
     options.holder_run = incarnation(fields.wide_number("holder_run"));
     options.holder_address = fields.text("holder_address", id_bytes);
-    options.round = claim_round(fields.number("round", 0, json_exact_limit));
+    options.round =
+        claim_round(fields.number_or("round", 0, 0, json_exact_limit));
     options.ask = claim_ask(fields.number_or("ask", 0, 0, json_exact_limit));
     options.close = fields.flag_or("close", false);
     options.release = fields.flag_or("release", false);
@@ -214,12 +221,14 @@
 std::string encode_claim_vote(const claim_vote& vote)
 {
     const auto verdict = static_cast<std::size_t>(vote->verdict);
-    const json::object object{
-        {"verdict", verdict_names.at(verdict)},
-        {"holder_address", vote->holder_address},
-        {"round", vote->round.number()},
-        {"first_claim_age_us", vote->first_claim_age.count()},
-        {"reach", reach_to_json(vote->reach)}};
+    json::object object{{"verdict", verdict_names.at(verdict)},
+                        {"round", vote->round.number()}};
+    if (!vote->holder_address.empty())
+        object["holder_address"] = vote->holder_address;
+    if (vote->first_claim_age.count() != 0)
+        object["first_claim_age_us"] = vote->first_claim_age.count();
+    if (!vote->reach.empty())
+        object["reach"] = reach_to_json(vote->reach);
     return json::serialize(object);
 }
 
@@ -229,10 +238,12 @@
     json_fields fields(document, "");
     claim_vote_options options;
     options.verdict = get_verdict(fields);
-    options.holder_address = fields.text("holder_address", id_bytes);
+    options.holder_address = fields.text_or("holder_address", "", id_bytes);
     options.round = claim_round(fields.number("round", 0, json_exact_limit));
-    options.first_claim_age = get_duration(fields, "first_claim_age_us");
-    options.reach = reach_from_json(fields);
+    options.first_claim_age = duration(
+        fields.number_or("first_claim_age_us", 0, 0, json_exact_limit));
+    if (fields.member("reach") != nullptr)
+        options.reach = reach_from_json(fields);
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
     return claim_vote(std::move(options));
