Let five entries decide on a submission, in a fleet of any size

Callers were refused with workers idle, since no quorum answered a claim in time. Cause: a majority of all entries decides on each claim, so its cost grows with the fleet: 12 exchanges a job at each of 12 entries, and more as soon as they are slow. Ruled out: the size of claims (mended before), the links (25 Mbit/s) alone. Change: a submission has a group of up to five entries in different failure domains (groups_of, pure); claim_poll, pure, decides whom to ask next and when a claim is decided, claim_exchange does what it says. While an entry is new, both the group with it and that without it have to agree. In fleets of up to five entries all decide as before. A group of which a majority is gone decides nothing. Not proved: two views of the fleet that differ for longer than 3 s, see docs/design/ledger.md.

--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -1,11 +1,12 @@
 //! The other entries of the fleet, as control names them.
 #pragma once
 
-#include "lagoonquay/connection/endpoint.hpp"
+#include "lagoonquay/process/replica_group.hpp"
 #include "lagoonquay/version/member.hpp"
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,17 +27,29 @@
     //! @return where the others take claims.
     std::vector<endpoint> current();
 
+    //! @return the others as ledger replicas.
+    std::vector<ledger_peer> replicas();
+
     //! @return whether control has named any entry, this one included.
     bool known() const;
 
 private:
+    struct known_entry
+    {
+        domain_id domain;
+        instant first_named{};
+        instant named{};
+    };
+
+    void forget_unnamed(instant now);
+
     const std::string own_;
     const duration keep_;
     const clock_hook now_;
 
     mutable std::mutex mutex_;
-    bool known_ = false;
-    std::map<endpoint, instant> named_;
+    std::optional<instant> learned_; //!< when entries were named first
+    std::map<endpoint, known_entry> entries_;
 };
 
 } // namespace lagoonquay
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -130,16 +130,24 @@
             }};
     }
 
-    ledger_peers_hook peers_hook()
+    // A question without a submission is for all: whether any claim may be had.
+    replica_groups_hook groups_hook()
     {
+        using groups = std::vector<replica_group>;
         if (options.follow_entries)
-            return [this]
+            return
+                [this, self = ledger_peer{settings.peers,
+                                          domain_id(settings.process.domain)}](
+                    const submission_id& submission) -> groups
             {
-                return peers.current();
+                if (submission.empty())
+                    return {whole_group(submission, peers.current())};
+                return groups_of(submission, self, peers.replicas());
             };
-        return [it = settings.ledger_peers]
+        return [it = settings.ledger_peers](
+                   const submission_id& submission) -> groups
         {
-            return it;
+            return {whole_group(submission, it)};
         };
     }
 
@@ -149,7 +157,7 @@
                 .wall = wall_now,
                 .claim = claim_over_http(
                     client, ledger,
-                    {.peers = peers_hook(),
+                    {.groups = groups_hook(),
                      .after =
                          [this](duration delay, std::function<void()> work)
                      {
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -3,6 +3,14 @@
 namespace lagoonquay
 {
 
+namespace
+{
+
+// Control names every entry that lives within this.
+constexpr duration naming = std::chrono::seconds(1);
+
+} // namespace
+
 entry_peers::entry_peers(std::string own, duration keep, clock_hook now)
     : own_(std::move(own)), keep_(keep), now_(std::move(now))
 {
@@ -12,32 +20,58 @@
 {
     const auto now = now_();
     const std::lock_guard lock(mutex_);
-    known_ = known_ || !entries.empty();
+    if (!learned_ && !entries.empty())
+        learned_ = now;
     for (const auto& it : entries)
     {
         const auto address = parse_endpoint(it->address);
         if (!address || it->address == own_)
             continue;
-        named_.insert_or_assign(address.value(), now);
+        auto& known = entries_.try_emplace(address.value(), it->domain, now)
+                          .first->second;
+        known.named = now;
     }
 }
 
 bool entry_peers::known() const
 {
     const std::lock_guard lock(mutex_);
-    return known_;
+    return learned_.has_value();
 }
 
 std::vector<endpoint> entry_peers::current()
 {
-    const auto now = now_();
     const std::lock_guard lock(mutex_);
-    std::erase_if(named_,
-                  [&](const auto& it) { return now - it.second > keep_; });
+    forget_unnamed(now_());
     std::vector<endpoint> found;
-    for (const auto& [address, named] : named_)
+    for (const auto& [address, it] : entries_)
         found.push_back(address);
     return found;
 }
 
+// Every entry has heard of another one by the time that claims made without it
+// have been renewed or have run out. An entry that is new itself can't tell who
+// else is.
+std::vector<ledger_peer> entry_peers::replicas()
+{
+    const auto now = now_();
+    const std::lock_guard lock(mutex_);
+    forget_unnamed(now);
+    std::vector<ledger_peer> found;
+    for (const auto& [address, it] : entries_)
+    {
+        const bool joined = it.first_named - *learned_ > naming;
+        const bool fresh = joined && now - it.first_named <= keep_;
+        found.push_back({address, it.domain, fresh});
+    }
+    return found;
+}
+
+// Call under the lock.
+void entry_peers::forget_unnamed(instant now)
+{
+    std::erase_if(entries_, [&](const auto& it)
+                  { return now - it.second.named > keep_; });
+}
+
 } // namespace lagoonquay
--- a/process/ledger/include/lagoonquay/process/claim.hpp
+++ b/process/ledger/include/lagoonquay/process/claim.hpp
@@ -58,7 +58,9 @@
 public:
     //! @param replicas  of the shard, answering or not.
     //! @param sent      when the first request was sent.
-    claim_tally(std::size_t replicas, duration lease, instant sent) noexcept;
+    //! @param whole     whether each holder of a claim is one of the replicas.
+    claim_tally(std::size_t replicas, duration lease, instant sent,
+                bool whole = true) noexcept;
 
     //! Adds a vote; nothing stands for a replica that did not answer.
     //! @return the outcome with the vote that decides it, once.
@@ -79,6 +81,7 @@
     std::size_t replicas_;
     duration lease_;
     instant sent_;
+    bool whole_;
     std::size_t answered_ = 0;
     std::size_t gone_ = 0;
     std::vector<claim_vote> votes_;
--- a/process/ledger/include/lagoonquay/process/ledger_client.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_client.hpp
@@ -1,8 +1,8 @@
 //! Claims through the ledger replicas of other entries.
 #pragma once
 
-#include "lagoonquay/connection/endpoint.hpp"
 #include "lagoonquay/process/claim.hpp"
+#include "lagoonquay/process/replica_group.hpp"
 
 #include <functional>
 #include <vector>
@@ -13,22 +13,23 @@
 class http_client;
 class ledger_replica;
 
-//! Names the other replicas of the ledger. Called from any thread.
-using ledger_peers_hook = std::function<std::vector<endpoint>()>;
+//! Names the replicas that decide on a submission. Called from any thread.
+using replica_groups_hook =
+    std::function<std::vector<replica_group>(const submission_id&)>;
 
 //! Runs work once after a delay, on any thread.
 using delay_hook = std::function<void(duration, std::function<void()>)>;
 
 struct ledger_client_options
 {
-    ledger_peers_hook peers;
+    replica_groups_hook groups;
     delay_hook after; //!< without it only an answer brings others in
     duration timeout = std::chrono::milliseconds(500);
     //! Replicas that take longer than this are passed over.
     duration patience = std::chrono::milliseconds(60);
 };
 
-//! @return a hook that asks the local replica and as many peers as decide.
+//! @return a hook that asks as many replicas of each group as decide.
 //! All of them must outlive the hook.
 claim_hook claim_over_http(http_client& client, ledger_replica& local,
                            ledger_client_options options, clock_hook now);
--- a/process/ledger/src/claim.cpp
+++ b/process/ledger/src/claim.cpp
@@ -40,9 +40,9 @@
     return "unavailable";
 }
 
-claim_tally::claim_tally(std::size_t replicas, duration lease,
-                         instant sent) noexcept
-    : replicas_(replicas), lease_(lease), sent_(sent)
+claim_tally::claim_tally(std::size_t replicas, duration lease, instant sent,
+                         bool whole) noexcept
+    : replicas_(replicas), lease_(lease), sent_(sent), whole_(whole)
 {
 }
 
@@ -146,17 +146,19 @@
     return std::nullopt;
 }
 
-// Of a claim in force, a majority of all replicas was told, its holder among
-// them. Those of them that are gone take no part any more, and come back only
-// after they have heard of it again; so at least `told` of the rest know it,
-// and one more than the others is enough to meet one of these.
+// Of a claim in force, a majority of all replicas was told. Those of them that
+// are gone take no part any more, and come back only after they have heard of
+// it again; so at least `told` of the rest know it, and one more than the
+// others is enough to meet one of these. Where every holder is a replica, one
+// knows it whoever is gone; elsewhere a majority that is gone leaves no quorum.
 std::size_t claim_tally::quorum() const noexcept
 {
     const auto majority = replicas_ / 2 + 1;
     if (gone_ == 0)
         return majority;
     const auto left = replicas_ - gone_;
-    const auto told = majority > gone_ ? majority - gone_ : 1;
+    const std::size_t least = whole_ ? 1 : 0;
+    const auto told = majority > gone_ ? majority - gone_ : least;
     return left - told + 1;
 }
 
--- a/process/ledger/src/claim_sender.hpp
+++ b/process/ledger/src/claim_sender.hpp
@@ -2,8 +2,7 @@
 #pragma once
 
 #include "lagoonquay/connection/http_client.hpp"
-#include "lagoonquay/process/ledger_client.hpp"
-#include "lagoonquay/process/replica_order.hpp"
+#include "lagoonquay/process/claim_poll.hpp"
 #include "lagoonquay/process/told_reaches.hpp"
 
 #include <memory>
@@ -11,13 +10,6 @@
 namespace lagoonquay
 {
 
-//! What a replica said to a claim.
-struct claim_answer
-{
-    std::optional<claim_vote> vote; //!< nothing if no vote can be read
-    bool gone = false;              //!< the replica's process has ended
-};
-
 using claim_answer_hook = std::function<void(const claim_answer&)>;
 
 //! What all claims of an entry share. Thread-safe.
--- a/process/ledger/src/ledger_client.cpp
+++ b/process/ledger/src/ledger_client.cpp
@@ -3,23 +3,47 @@
 #include "claim_exchange.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
 
+#include <algorithm>
+
 namespace lagoonquay
 {
 
+namespace
+{
+
+std::optional<claim_vote> local_vote(ledger_replica& local,
+                                     const claim_request& asked,
+                                     const std::vector<replica_group>& groups)
+{
+    const bool asks_local =
+        std::any_of(groups.begin(), groups.end(),
+                    [](const replica_group& it) { return it.local; });
+    if (!asks_local)
+        return std::nullopt;
+    return local.claim(asked);
+}
+
+} // namespace
+
 claim_hook claim_over_http(http_client& client, ledger_replica& local,
                            ledger_client_options options, clock_hook now)
 {
     const claim_exchange_options shared{
         .sender = std::make_shared<claim_sender>(client, options.timeout),
-        .order = std::make_shared<replica_order>(),
+        .silent = std::make_shared<silent_replicas>(),
         .now = std::move(now)};
     return [shared, &local, it = std::move(options)](const claim_request& asked,
                                                      claim_callback done)
     {
         const auto named = shared.sender->name(asked);
+        auto groups = it.groups(named->submission);
+        const auto vote = local_vote(local, named, groups);
+        for (auto& group : groups)
+            group.others =
+                shared.silent->put_last(std::move(group.others), shared.now());
         const auto exchange = std::make_shared<claim_exchange>(
-            shared, named, it.peers(), std::move(done));
-        exchange->start(local.claim(named));
+            shared, named, std::move(groups), std::move(done));
+        exchange->start(vote);
         if (it.after)
             it.after(it.patience, [exchange] { exchange->pass_over_silent(); });
     };
--- /dev/null
+++ b/process/ledger/src/replica_group.cpp
@@ -0,0 +1,77 @@
+#include "lagoonquay/process/replica_group.hpp"
+
+#include "lagoonquay/request/domain_spread.hpp"
+#include "lagoonquay/request/stable_hash.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+std::uint64_t score(const submission_id& submission,
+                    const endpoint& replica) noexcept
+{
+    const auto hash = stable_hash(stable_hash_start, submission.text());
+    return mix_hash(stable_hash(hash, replica.address) + replica.port);
+}
+
+replica_group choose(const submission_id& submission, const endpoint& self,
+                     const std::vector<ledger_peer>& entries)
+{
+    std::vector<spread_candidate> candidates;
+    candidates.reserve(entries.size());
+    for (const auto& it : entries)
+        candidates.push_back({it.domain, score(submission, it.address)});
+    replica_group group;
+    group.local = false;
+    group.whole = entries.size() <= group_size;
+    auto order = spread_over_domains(candidates);
+    order.resize(std::min(order.size(), group_size));
+    for (const auto it : order)
+    {
+        const auto& address = entries[it].address;
+        if (address == self)
+            group.local = true;
+        else
+            group.others.push_back(address);
+    }
+    return group;
+}
+
+} // namespace
+
+replica_group whole_group(const submission_id& submission,
+                          const std::vector<endpoint>& others)
+{
+    replica_group group;
+    group.others = others;
+    std::sort(group.others.begin(), group.others.end(),
+              [&](const endpoint& a, const endpoint& b)
+              { return score(submission, a) > score(submission, b); });
+    return group;
+}
+
+// Views of the fleet differ for a moment after an entry has joined. An entry
+// that knows of it already asks both groups, and so meets one that does not.
+std::vector<replica_group> groups_of(const submission_id& submission,
+                                     const ledger_peer& self,
+                                     const std::vector<ledger_peer>& peers)
+{
+    std::vector<ledger_peer> entries{self};
+    entries.insert(entries.end(), peers.begin(), peers.end());
+    std::vector<replica_group> groups{
+        choose(submission, self.address, entries)};
+    std::erase_if(entries, [](const ledger_peer& it) { return it.fresh; });
+    auto known_to_all = choose(submission, self.address, entries);
+    const auto& group = groups.front();
+    const bool same = known_to_all.local == group.local &&
+                      known_to_all.others == group.others;
+    if (!same)
+        groups.push_back(std::move(known_to_all));
+    return groups;
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/ledger/src/silent_replicas.cpp
@@ -0,0 +1,42 @@
+#include "lagoonquay/process/silent_replicas.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+// A silent replica is asked in its turn again after this; it may be back.
+constexpr duration silence_lasts = std::chrono::seconds(1);
+
+} // namespace
+
+void silent_replicas::note_silent(const endpoint& replica, instant now)
+{
+    const std::lock_guard lock(mutex_);
+    since_.insert_or_assign(replica, now);
+}
+
+void silent_replicas::note_heard(const endpoint& replica)
+{
+    const std::lock_guard lock(mutex_);
+    since_.erase(replica);
+}
+
+std::vector<endpoint> silent_replicas::put_last(std::vector<endpoint> replicas,
+                                                instant now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::stable_partition(replicas.begin(), replicas.end(),
+                          [&](const endpoint& it)
+                          {
+                              const auto found = since_.find(it);
+                              return found == since_.end() ||
+                                     now - found->second >= silence_lasts;
+                          });
+    return replicas;
+}
+
+} // namespace lagoonquay
--- a/process/ledger/tests/claim_cost_test.cpp
+++ b/process/ledger/tests/claim_cost_test.cpp
@@ -114,10 +114,9 @@
     //! Claims the jobs one after the other. @return what was exchanged.
     path_traffic claim_all()
     {
-        const auto claim = claim_over_http(client_, local_,
-                                           {.peers = [this] { return peers(); },
-                                            .timeout = std::chrono::minutes(1)},
-                                           steady_now);
+        const auto claim = claim_over_http(
+            client_, local_,
+            {.groups = groups, .timeout = std::chrono::minutes(1)}, steady_now);
         for (std::uint64_t n = 1; n <= jobs; ++n)
         {
             if (n == restart_before)
@@ -132,6 +131,10 @@
         return sums.empty() ? path_traffic() : sums.front();
     }
 
+    replica_groups_hook groups = [this](const submission_id& submission)
+    {
+        return std::vector{whole_group(submission, peers())};
+    };
     std::uint64_t restart_before = 0; //!< the job before which replicas forget
     io_threads io_{1};
     http_client client_{io_.context(), {}};
@@ -154,6 +157,19 @@
     EXPECT_LE(sum.exchanges, jobs * (majority - 1));
 }
 
+TEST_F(claim_cost, does_not_grow_with_the_fleet)
+{
+    groups = [this](const submission_id& submission)
+    {
+        std::vector<ledger_peer> others;
+        for (const auto& it : peers())
+            others.push_back({it, domain_id(), false});
+        return groups_of(submission, {}, others);
+    };
+    const auto sum = claim_all();
+    EXPECT_LE(sum.exchanges, jobs * (group_size / 2 + 1));
+}
+
 TEST_F(claim_cost, replicas_that_forgot_the_agents_are_told_again)
 {
     restart_before = jobs / 2;
