--- a/connection/src/open_link.cpp
+++ b/connection/src/open_link.cpp
@@ -13,7 +13,8 @@
     link_opening(net::io_context& io, endpoint target, std::string path,
                  message_link_options options, link_callback done)
         : stream_(net::make_strand(io)), target_(std::move(target)),
-          path_(std::move(path)), options_(options), done_(std::move(done))
+          path_(std::move(path)), options_(std::move(options)),
+          done_(std::move(done))
     {
     }
 
@@ -69,7 +70,7 @@
                link_callback done)
 {
     const auto opening = std::make_shared<link_opening>(
-        io, target, path, options, std::move(done));
+        io, target, path, std::move(options), std::move(done));
     opening->run();
 }
 
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -27,8 +27,10 @@
         const auto address = parse_endpoint(it->address);
         if (!address || it->address == own_)
             continue;
-        auto& known = entries_.try_emplace(address.value(), it->domain, now)
-                          .first->second;
+        auto& known =
+            entries_
+                .try_emplace(address.value(), known_entry{it->domain, now, now})
+                .first->second;
         known.named = now;
     }
 }
