Tell entries of members that changed, not of all with each heartbeat

Ruled out: links of agents. Change: member_table counts the changes of a replica's list and heard_members puts them together again; a heartbeat names the state of the list that its sender knows. A new life of the replica, or a process that missed too many losses, gets the list whole. Three definitions of delay_hook are one.

--- a/process/agent/include/lagoonquay/process/stand_in_upstream.hpp
+++ b/process/agent/include/lagoonquay/process/stand_in_upstream.hpp
@@ -14,9 +14,6 @@
 namespace lagoonquay
 {
 
-//! Runs work once after a delay. Thread-safe.
-using delay_hook = std::function<void(duration, std::function<void()>)>;
-
 //! Writes one line about a start. Thread-safe.
 using start_record_hook = std::function<void(const std::string& line)>;
 
--- a/process/common/src/io_threads.cpp
+++ b/process/common/src/io_threads.cpp
@@ -15,14 +15,15 @@
 namespace
 {
 
-using delay_hook = std::function<void(net::steady_timer::clock_type::duration)>;
+using lateness_hook =
+    std::function<void(net::steady_timer::clock_type::duration)>;
 
 //! Repeats work; keeps itself alive through its pending wait.
 class repeating_timer : public std::enable_shared_from_this<repeating_timer>
 {
 public:
     repeating_timer(net::io_context& io, duration period,
-                    std::function<void()> work, delay_hook on_delay)
+                    std::function<void()> work, lateness_hook on_delay)
         : timer_(io), period_(period), work_(std::move(work)),
           on_delay_(std::move(on_delay))
     {
@@ -47,7 +48,7 @@
     net::steady_timer timer_;
     duration period_;
     std::function<void()> work_;
-    delay_hook on_delay_;
+    lateness_hook on_delay_;
 };
 
 } // namespace
--- a/process/common/src/permit_client.cpp
+++ b/process/common/src/permit_client.cpp
@@ -2,10 +2,12 @@
 
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/process/decision_log.hpp"
+#include "lagoonquay/process/heard_members.hpp"
 #include "lagoonquay/process/heartbeat_pacing.hpp"
 #include "lagoonquay/version/version_codec.hpp"
 
 #include <algorithm>
+#include <map>
 #include <mutex>
 #include <set>
 #include <utility>
@@ -79,6 +81,28 @@
         return {found.begin(), found.end()};
     }
 
+    members_mark known_members(const endpoint& replica) const
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = members_.find(replica);
+        return found == members_.end() ? members_mark() : found->second.mark();
+    }
+
+    void learn_members(const endpoint& replica, const member_changes& changes)
+    {
+        std::vector<member> agents;
+        std::vector<member> entries;
+        {
+            const std::lock_guard lock(mutex_);
+            auto& heard = members_[replica];
+            heard.apply(changes);
+            agents = heard.agents();
+            entries = heard.entries();
+        }
+        if (hooks_.learn && !(agents.empty() && entries.empty()))
+            hooks_.learn(agents, entries);
+    }
+
     bool take_round()
     {
         const std::lock_guard lock(mutex_);
@@ -135,6 +159,7 @@
     mutable std::mutex mutex_;
     std::vector<endpoint> first_;
     replica_set replicas_;
+    std::map<endpoint, heard_members> members_;
     heartbeat_pacing pacing_;
     std::optional<instant> granted_;
     bool lost_ = false;
@@ -155,13 +180,12 @@
 
     // The majority is that of the newest replicas heard of. Replicas change
     // one at a time, so two neighbouring sets have no majorities apart.
-    void add(const permit_reply& reply)
+    void add(const endpoint& replica, const permit_reply& reply)
     {
         if (reply.replicas)
             rounds_->learn(*reply.replicas);
+        rounds_->learn_members(replica, reply.members);
         const auto& hooks = rounds_->hooks();
-        if (hooks.learn && !(reply.agents.empty() && reply.entries.empty()))
-            hooks.learn(reply.agents, reply.entries);
         if (!reply.vote)
             return;
         const std::lock_guard lock(mutex_);
@@ -186,7 +210,8 @@
     std::vector<permit_vote> votes_;
 };
 
-void on_answer(heartbeat_round& round, connection_result<http_response> answer)
+void on_answer(heartbeat_round& round, const endpoint& replica,
+               connection_result<http_response> answer)
 {
     if (!answer || answer.value().status != http_status::ok)
         return;
@@ -194,7 +219,16 @@
     if (!reply)
         return write_log(log_level::warning, part,
                          "Reply not decodable: " + reply.error().detail + ".");
-    round.add(reply.value());
+    round.add(replica, reply.value());
+}
+
+http_request heartbeat(const permit_request& asked)
+{
+    return {.method = http_method::post,
+            .path = "/v1/heartbeat",
+            .query = {},
+            .body = encode_permit_request(asked),
+            .bearer = {}};
 }
 
 } // namespace
@@ -220,19 +254,15 @@
     if (!rounds_->take_round())
         return;
     const auto& hooks = rounds_->hooks();
-    const permit_request asked{hooks.self(), hooks.known()->version,
-                               rounds_->known_replicas()};
-    const http_request request{.method = http_method::post,
-                               .path = "/v1/heartbeat",
-                               .query = {},
-                               .body = encode_permit_request(asked),
-                               .bearer = {}};
+    permit_request asked{
+        hooks.self(), hooks.known()->version, rounds_->known_replicas(), {}};
     const auto round = std::make_shared<heartbeat_round>(rounds_, hooks.now());
     for (const auto& it : rounds_->targets())
     {
-        client_.send(it, request, options_.timeout,
-                     [round](connection_result<http_response> answer)
-                     { on_answer(*round, std::move(answer)); });
+        asked.known_members = rounds_->known_members(it);
+        client_.send(it, heartbeat(asked), options_.timeout,
+                     [round, it](connection_result<http_response> answer)
+                     { on_answer(*round, it, std::move(answer)); });
     }
 }
 
--- a/process/common/tests/decoder_fuzz_test.cpp
+++ b/process/common/tests/decoder_fuzz_test.cpp
@@ -240,7 +240,8 @@
 TEST(decoder_fuzz, heartbeat_and_reply)
 {
     check("heartbeat",
-          encode_permit_request({sample_member(), version_number(3)}),
+          encode_permit_request(
+              {sample_member(), version_number(3), {}, {incarnation(1), 5}}),
           decode_permit_request, encode_permit_request);
     permit_reply reply;
     reply.vote =
@@ -251,8 +252,11 @@
     reply.replicas = replica_set{
         log_index(4), membership({.members = {{node_id("n"), replica_id("r"),
                                                "1.2.3.4:5", true}}})};
-    reply.agents = {sample_member()};
-    reply.entries = {sample_member()};
+    reply.members = {.mark = {incarnation(1), 5},
+                     .whole = true,
+                     .agents = {sample_member()},
+                     .entries = {sample_member()},
+                     .gone = {"side-1"}};
     check("reply", encode_permit_reply(reply), decode_permit_reply,
           encode_permit_reply);
 }
--- a/process/control/include/lagoonquay/process/control_service.hpp
+++ b/process/control/include/lagoonquay/process/control_service.hpp
@@ -2,9 +2,10 @@
 #pragma once
 
 #include "lagoonquay/process/control_replica.hpp"
-#include "lagoonquay/process/sharded_map.hpp"
-#include "lagoonquay/version/member.hpp"
+#include "lagoonquay/process/member_table.hpp"
 
+#include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,21 +16,12 @@
 {
     //! A member that is silent for longer is no longer named to others.
     duration member_silence = std::chrono::seconds(3);
+    incarnation life; //!< of the replica's process
 
     friend bool operator==(const control_options&,
                            const control_options&) = default;
 };
 
-//! A member and the newest version that it has applied.
-struct member_report
-{
-    member about;
-    version_number applied;
-
-    friend bool operator==(const member_report&,
-                           const member_report&) = default;
-};
-
 //! Answers heartbeats and commands. Thread-safe.
 class control_service
 {
@@ -57,19 +49,15 @@
     control_replica& replica() noexcept;
 
 private:
-    struct known_member
-    {
-        member_report report;
-        instant heard{};
-    };
-
-    void add_members(permit_reply& reply);
-    bool silent(const known_member& it, instant now) const;
+    void forget_silent();
 
     const control_options options_;
     control_replica& replica_;
     const clock_hook now_;
-    sharded_map<std::string, known_member> members_;
+    member_table members_;
+
+    std::mutex forget_mutex_;
+    std::optional<instant> forgotten_; //!< when silent members were looked for
 };
 
 } // namespace lagoonquay
--- a/process/control/src/control_node.cpp
+++ b/process/control/src/control_node.cpp
@@ -65,7 +65,7 @@
           storage(std::move(log)),
           replica(replica_options_of(settings, node), hooks(), storage.node(),
                   storage.stored()),
-          service({}, replica, steady_now)
+          service({.life = draw_incarnation()}, replica, steady_now)
     {
     }
 
--- a/process/control/src/control_service.cpp
+++ b/process/control/src/control_service.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+constexpr duration forget_period = std::chrono::milliseconds(100);
+
 void log_member(const member_options& it, std::string_view event)
 {
     write_event(log_level::info, "members", {}, event,
@@ -22,7 +24,8 @@
 
 control_service::control_service(control_options options,
                                  control_replica& replica, clock_hook now)
-    : options_(options), replica_(replica), now_(std::move(now))
+    : options_(options), replica_(replica), now_(std::move(now)),
+      members_(options.life)
 {
 }
 
@@ -31,39 +34,20 @@
 permit_reply control_service::on_heartbeat(const permit_request& request)
 {
     const auto& sender = request.sender;
-    bool fresh = false;
-    members_.with_shard(
-        sender->id,
-        [&](auto& values)
-        {
-            const auto found = values.find(sender->id);
-            fresh = found == values.end() ||
-                    found->second.report.about->run != sender->run;
-            values.insert_or_assign(
-                sender->id, known_member{{sender, request.known}, now_()});
-        });
-    if (fresh)
+    if (members_.note({sender, request.known}, now_()))
         log_member(*sender, "member_seen");
     permit_reply reply;
     reply.vote = replica_.vote(request.known);
     if (auto replicas = replica_.replicas();
         request.known_replicas < replicas.index)
         reply.replicas = std::move(replicas);
-    if (sender->role == member_role::entry)
-        add_members(reply);
+    if (sender->role != member_role::entry)
+        return reply;
+    forget_silent();
+    reply.members = members_.since(request.known_members);
     return reply;
 }
 
-void control_service::add_members(permit_reply& reply)
-{
-    for (auto& it : members())
-    {
-        const bool agent = it.about->role == member_role::agent;
-        auto& target = agent ? reply.agents : reply.entries;
-        target.push_back(std::move(it.about));
-    }
-}
-
 void control_service::propose(const command& asked, bool may_forward,
                               const answer_hook& done)
 {
@@ -77,25 +61,21 @@
 
 std::vector<member_report> control_service::members()
 {
-    const auto now = now_();
-    std::vector<member_report> found;
-    members_.for_each_shard(
-        [&](auto& values)
-        {
-            std::erase_if(values, [&](const auto& it)
-                          { return silent(it.second, now); });
-            for (const auto& [id, it] : values)
-                found.push_back(it.report);
-        });
-    return found;
+    forget_silent();
+    return members_.reports();
 }
 
-bool control_service::silent(const known_member& it, instant now) const
+void control_service::forget_silent()
 {
-    if (now - it.heard <= options_.member_silence)
-        return false;
-    log_member(*it.report.about, "member_lost");
-    return true;
+    const auto now = now_();
+    {
+        const std::lock_guard lock(forget_mutex_);
+        if (forgotten_ && now - *forgotten_ < forget_period)
+            return;
+        forgotten_ = now;
+    }
+    for (const auto& it : members_.forget_silent(options_.member_silence, now))
+        log_member(*it, "member_lost");
 }
 
 std::string control_service::dump()
--- a/process/ledger/include/lagoonquay/process/ledger_client.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_client.hpp
@@ -17,9 +17,6 @@
 using replica_groups_hook =
     std::function<std::vector<replica_group>(const submission_id&)>;
 
-//! Runs work once after a delay, on any thread.
-using delay_hook = std::function<void(duration, std::function<void()>)>;
-
 struct ledger_client_options
 {
     replica_groups_hook groups;
--- a/request/include/lagoonquay/request/time.hpp
+++ b/request/include/lagoonquay/request/time.hpp
@@ -40,6 +40,9 @@
 //! Reads the wall clock. May be called from any thread.
 using wall_clock_hook = std::function<wall_time()>;
 
+//! Runs work once after a delay, on any thread. Thread-safe.
+using delay_hook = std::function<void(duration, std::function<void()>)>;
+
 //! @return the monotonic clock of this machine, which counts also the time
 //! that the machine is suspended.
 instant steady_now() noexcept;
--- a/version/include/lagoonquay/version/member.hpp
+++ b/version/include/lagoonquay/version/member.hpp
@@ -40,12 +40,22 @@
 //! A process as the others know it.
 using member = immutable<member_options>;
 
+//! A state of the list of members at one life of a replica. Zero is before all.
+struct members_mark
+{
+    incarnation life;
+    std::uint64_t revision = 0;
+
+    friend auto operator<=>(const members_mark&, const members_mark&) = default;
+};
+
 //! Heartbeat of a process; asks for a permit vote.
 struct permit_request
 {
     member sender;
-    version_number known;     //!< newest version the sender has applied
-    log_index known_replicas; //!< of the newest replica_set it has heard of
+    version_number known;       //!< newest version the sender has applied
+    log_index known_replicas;   //!< of the newest replica_set it has heard of
+    members_mark known_members; //!< heard of from the replica that is asked
 
     friend bool operator==(const permit_request&,
                            const permit_request&) = default;
@@ -60,13 +70,25 @@
     friend bool operator==(const replica_set&, const replica_set&) = default;
 };
 
+//! What has changed in the list of members since the one that a process knows.
+struct member_changes
+{
+    members_mark mark;  //!< of the list with these changes
+    bool whole = false; //!< the list itself, in place of changes
+    std::vector<member> agents;
+    std::vector<member> entries;
+    std::vector<std::string> gone; //!< ids; to be applied before the others
+
+    friend bool operator==(const member_changes&,
+                           const member_changes&) = default;
+};
+
 //! A replica's answer to a heartbeat.
 struct permit_reply
 {
     std::optional<permit_vote> vote; //!< none while the replica must not vote
     std::optional<replica_set> replicas; //!< to those who know an older one
-    std::vector<member> agents;          //!< to entries only
-    std::vector<member> entries;         //!< to entries only
+    member_changes members;              //!< to entries only
 
     friend bool operator==(const permit_reply&, const permit_reply&) = default;
 };
--- a/version/src/version_codec.cpp
+++ b/version/src/version_codec.cpp
@@ -218,6 +218,64 @@
     return vote;
 }
 
+json::object mark_to_json(const members_mark& mark)
+{
+    return {{"life", std::to_string(mark.life.number())},
+            {"revision", mark.revision}};
+}
+
+members_mark mark_from_json(const json::value& source, json_fields& parent)
+{
+    json_fields fields(source, "mark");
+    const members_mark mark{incarnation(fields.wide_number("life")),
+                            fields.number("revision", 0, json_exact_limit)};
+    parent.absorb(fields);
+    return mark;
+}
+
+json::object changes_to_json(const member_changes& changes)
+{
+    json::array gone;
+    for (const auto& it : changes.gone)
+        gone.push_back(json::value(it));
+    return {{"mark", mark_to_json(changes.mark)},
+            {"whole", changes.whole},
+            {"agents", fleet_members_to_json(changes.agents)},
+            {"entries", fleet_members_to_json(changes.entries)},
+            {"gone", std::move(gone)}};
+}
+
+std::vector<std::string> gone_from_json(json_fields& fields)
+{
+    std::vector<std::string> gone;
+    const auto* source = fields.array("gone");
+    if (source == nullptr)
+        return gone;
+    for (const auto& it : *source)
+    {
+        const auto* text = it.if_string();
+        if (text != nullptr && text->size() <= id_bytes)
+            gone.emplace_back(text->data(), text->size());
+        else
+            fields.reject(request_errc::malformed, "'gone' must hold ids");
+    }
+    return gone;
+}
+
+member_changes changes_from_json(const json::value& source, json_fields& parent)
+{
+    json_fields fields(source, "members");
+    member_changes changes;
+    if (const auto* mark = fields.member("mark"))
+        changes.mark = mark_from_json(*mark, fields);
+    changes.whole = fields.flag_or("whole", false);
+    changes.agents = fleet_members_from_json(fields, "agents");
+    changes.entries = fleet_members_from_json(fields, "entries");
+    changes.gone = gone_from_json(fields);
+    parent.absorb(fields);
+    return changes;
+}
+
 } // namespace
 
 json::object view_to_json(const fleet_view& view)
@@ -327,10 +385,11 @@
 
 std::string encode_permit_request(const permit_request& request)
 {
-    const json::object object{
-        {"sender", member_to_json(request.sender)},
-        {"known", request.known.number()},
-        {"known_replicas", request.known_replicas.number()}};
+    json::object object{{"sender", member_to_json(request.sender)},
+                        {"known", request.known.number()},
+                        {"known_replicas", request.known_replicas.number()}};
+    if (request.known_members != members_mark())
+        object["known_members"] = mark_to_json(request.known_members);
     return json::serialize(object);
 }
 
@@ -342,6 +401,8 @@
     request.known = get_version(fields, "known");
     request.known_replicas =
         log_index(fields.number_or("known_replicas", 0, 0, json_exact_limit));
+    if (const auto* mark = fields.member("known_members"))
+        request.known_members = mark_from_json(*mark, fields);
     if (const auto* sender = fields.member("sender"))
         request.sender = member_from_json(*sender, fields);
     else
@@ -353,8 +414,9 @@
 
 std::string encode_permit_reply(const permit_reply& reply)
 {
-    json::object object{{"agents", fleet_members_to_json(reply.agents)},
-                        {"entries", fleet_members_to_json(reply.entries)}};
+    json::object object;
+    if (reply.members != member_changes())
+        object["members"] = changes_to_json(reply.members);
     if (reply.replicas)
         object["replicas"] =
             json::object{{"index", reply.replicas->index.number()},
@@ -379,8 +441,8 @@
                         members_from_json(nested, "members")};
         fields.absorb(nested);
     }
-    reply.agents = fleet_members_from_json(fields, "agents");
-    reply.entries = fleet_members_from_json(fields, "entries");
+    if (const auto* members = fields.member("members"))
+        reply.members = changes_from_json(*members, fields);
     if (fields.failed())
         return malformed(fields);
     return reply;
