Tell Asio how many threads there are

Cause of part of it: an io_context that is not told of its one thread wakes others with each piece of work (pthread_cond_signal 3.7%, epoll_ctl 2.4% of an entry's processor time, perf on loopback). Change: the context gets the number of its threads.

--- a/process/common/src/io_threads.cpp
+++ b/process/common/src/io_threads.cpp
@@ -55,6 +55,11 @@
 
 struct io_threads::state
 {
+    // Told of a single thread, Asio wakes no other one.
+    explicit state(std::size_t count) : context(static_cast<int>(count))
+    {
+    }
+
     net::io_context context;
     net::executor_work_guard<net::io_context::executor_type> guard{
         context.get_executor()};
@@ -86,7 +91,8 @@
     }
 };
 
-io_threads::io_threads(std::size_t threads) : state_(std::make_unique<state>())
+io_threads::io_threads(std::size_t threads)
+    : state_(std::make_unique<state>(threads))
 {
     for (std::size_t n = 0; n < threads; ++n)
         state_->threads.emplace_back([this] { state_->context.run(); });
