Refuse jobs at once while the entry is behind with its work

In bursts that an entry's processor can't carry callers got 200 far too late, or 503 after half a second. Cause: an entry takes each job that comes; all then wait at each step for their turn, and with 60 ms of delay none ends in time. Class: no back-pressure from one's own processor: admission looks at workers only. Ruled out: claims (4 ms each at rest, the same number a job), workers. Change: while the last few timers were over 20 ms late, a new job is refused as overloaded before its claim; it passes six turns, two of them at others. One that is known here is joined as before. The platform answers 503 with the time to come back, as for other refusals before a task was sent on.

--- a/process/common/include/lagoonquay/process/io_threads.hpp
+++ b/process/common/include/lagoonquay/process/io_threads.hpp
@@ -32,6 +32,9 @@
     //! Runs `work` each `period` until stop(); calls never overlap.
     void every(duration period, std::function<void()> work);
 
+    //! @return by how much the last few timers of every() ran late.
+    duration usual_delay() const noexcept;
+
     //! @return by how much a timer of every() ran late at most since the last
     //! call: work waits about this long for its turn.
     duration take_longest_delay() noexcept;
--- a/process/common/src/io_threads.cpp
+++ b/process/common/src/io_threads.cpp
@@ -68,9 +68,11 @@
     net::signal_set reloads{context};
     std::function<void()> reload;
     std::atomic<duration::rep> longest_delay{0};
+    std::atomic<duration::rep> usual_delay{0};
 
     void note_delay(duration late)
     {
+        usual_delay = (3 * usual_delay.load() + late.count()) / 4;
         auto longest = longest_delay.load();
         while (late.count() > longest &&
                !longest_delay.compare_exchange_weak(longest, late.count()))
@@ -129,6 +131,11 @@
     timer->wait();
 }
 
+duration io_threads::usual_delay() const noexcept
+{
+    return duration(state_->usual_delay.load());
+}
+
 duration io_threads::take_longest_delay() noexcept
 {
     return duration(state_->longest_delay.exchange(0));
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -62,6 +62,8 @@
     //! Oldest view that shows what is not there. It is asked for twice a
     //! second, so it is older only if control or this entry lags.
     duration view_limit = std::chrono::milliseconds(1500);
+    //! New jobs are refused while work waits longer for its turn.
+    duration longest_work_delay = std::chrono::milliseconds(20);
 
     friend bool operator==(const entry_options&,
                            const entry_options&) = default;
@@ -76,6 +78,8 @@
     forward_hook forward;
     random_hook draw;
     retry_hook retry = {}; //!< absent: one more run for each task of a job
+    //! For how long work waits for its turn in this process; may be absent.
+    std::function<duration()> work_delay = {};
 };
 
 //! Counts since the entry started.
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -165,7 +165,12 @@
                      }},
                     steady_now),
                 .forward = forward_over_http(client),
-                .draw = seeded_draw(run.number())};
+                .draw = seeded_draw(run.number()),
+                .retry = {},
+                .work_delay = [this]
+                {
+                    return io.usual_delay();
+                }};
     }
 
     permit_client_hooks permit_hooks()
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -301,6 +301,9 @@
     if (!takes_jobs())
         return refusal(id, failure_reason::no_permit, effect::unknown,
                        "this entry takes no jobs now");
+    if (hooks_.work_delay && hooks_.work_delay() > options_.longest_work_delay)
+        return refusal(id, failure_reason::overloaded, effect::unknown,
+                       "this entry is behind with its work");
     if (!submitted->dated)
         return std::nullopt;
     const auto now = hooks_.wall();
