Keep the other entries while control is silent

Found by reading, not seen by callers. Cause: an entry forgot every other entry 3 s after control had last named any. From then on it was its own majority and granted itself each claim, so a resubmission through another entry could run at the same time. Change: entries are forgotten relative to the newest list, not to the clock: 3 s after the lists of control cease to name them.

--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -13,7 +13,7 @@
 namespace lagoonquay
 {
 
-//! Remembers entries for a while after they were last named. Thread-safe.
+//! Remembers entries for a while after lists cease to name them. Thread-safe.
 class entry_peers
 {
 public:
@@ -41,7 +41,7 @@
         instant named{};
     };
 
-    void forget_unnamed(instant now);
+    void forget_unnamed();
 
     const std::string own_;
     const duration keep_;
@@ -49,6 +49,7 @@
 
     mutable std::mutex mutex_;
     std::optional<instant> learned_; //!< when entries were named first
+    instant newest_list_{};          //!< when entries were named last
     std::map<endpoint, known_entry> entries_;
 };
 
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -20,8 +20,10 @@
 {
     const auto now = now_();
     const std::lock_guard lock(mutex_);
-    if (!learned_ && !entries.empty())
-        learned_ = now;
+    if (entries.empty())
+        return;
+    learned_ = learned_.value_or(now);
+    newest_list_ = now;
     for (const auto& it : entries)
     {
         const auto address = parse_endpoint(it->address);
@@ -44,7 +46,7 @@
 std::vector<endpoint> entry_peers::current()
 {
     const std::lock_guard lock(mutex_);
-    forget_unnamed(now_());
+    forget_unnamed();
     std::vector<endpoint> found;
     for (const auto& [address, it] : entries_)
         found.push_back(address);
@@ -58,7 +60,7 @@
 {
     const auto now = now_();
     const std::lock_guard lock(mutex_);
-    forget_unnamed(now);
+    forget_unnamed();
     std::vector<ledger_peer> found;
     for (const auto& [address, it] : entries_)
     {
@@ -69,11 +71,12 @@
     return found;
 }
 
-// Call under the lock.
-void entry_peers::forget_unnamed(instant now)
+// Call under the lock. While control is silent nobody is forgotten: an entry
+// that knew of no others would decide on claims alone.
+void entry_peers::forget_unnamed()
 {
     std::erase_if(entries_, [&](const auto& it)
-                  { return now - it.second.named > keep_; });
+                  { return newest_list_ - it.second.named > keep_; });
 }
 
 } // namespace lagoonquay
