Wait for a ledger replica as long as answers usually take

Cause: after 60 ms without an answer a claim asked another replica. At high load all entries take that long (39 to 45 ms in the mean, 260 ms at most), so nearly each claim asked more of them and made them slower: a retry that grows with the load that causes it. One frozen replica gives no answers and is passed over as before.

--- a/process/ledger/include/lagoonquay/process/ledger_client.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_client.hpp
@@ -1,6 +1,7 @@
 //! Claims through the ledger replicas of other entries.
 #pragma once
 
+#include "lagoonquay/process/answer_times.hpp"
 #include "lagoonquay/process/claim.hpp"
 #include "lagoonquay/process/replica_group.hpp"
 
@@ -22,8 +23,8 @@
     replica_groups_hook groups;
     delay_hook after; //!< without it only an answer brings others in
     duration timeout = std::chrono::milliseconds(500);
-    //! Replicas that take longer than this are passed over.
-    duration patience = std::chrono::milliseconds(60);
+    //! Replicas that take longer than most answers do are passed over.
+    answer_times_options patience;
 };
 
 //! @return a hook that asks as many replicas of each group as decide.
--- /dev/null
+++ b/process/ledger/src/answer_times.cpp
@@ -0,0 +1,28 @@
+#include "lagoonquay/process/answer_times.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+answer_times::answer_times(answer_times_options options) noexcept
+    : options_(options)
+{
+}
+
+// Smoothed as TCP does for its retransmission timeout (RFC 6298).
+void answer_times::note(duration took)
+{
+    const std::lock_guard lock(mutex_);
+    const auto difference = took - mean_;
+    mean_ += difference / 8;
+    deviation_ += (std::chrono::abs(difference) - deviation_) / 4;
+}
+
+duration answer_times::patience() const
+{
+    const std::lock_guard lock(mutex_);
+    return std::clamp(mean_ + 4 * deviation_, options_.least, options_.most);
+}
+
+} // namespace lagoonquay
--- a/process/ledger/src/claim_exchange.cpp
+++ b/process/ledger/src/claim_exchange.cpp
@@ -36,9 +36,11 @@
     take(step);
 }
 
-void claim_exchange::on_answer(const endpoint& replica,
+void claim_exchange::on_answer(const endpoint& replica, instant sent,
                                const claim_answer& answer)
 {
+    if (answer.vote)
+        options_.times->note(options_.now() - sent);
     if (answer.vote)
         options_.silent->note_heard(replica);
     else
@@ -56,10 +58,10 @@
     if (step.outcome)
         return done_(*step.outcome);
     for (const auto& it : step.ask)
-        options_.sender->send(
-            it, asked_,
-            [self = shared_from_this(), it](const auto& answer)
-            { self->on_answer(it, answer); });
+        options_.sender->send(it, asked_,
+                              [self = shared_from_this(), it,
+                               sent = options_.now()](const auto& answer)
+                              { self->on_answer(it, sent, answer); });
 }
 
 } // namespace lagoonquay
--- a/process/ledger/src/claim_exchange.hpp
+++ b/process/ledger/src/claim_exchange.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "claim_sender.hpp"
+#include "lagoonquay/process/answer_times.hpp"
 #include "lagoonquay/process/silent_replicas.hpp"
 
 #include <memory>
@@ -15,6 +16,7 @@
 {
     std::shared_ptr<claim_sender> sender;
     std::shared_ptr<silent_replicas> silent;
+    std::shared_ptr<answer_times> times;
     clock_hook now;
 };
 
@@ -31,7 +33,8 @@
     void pass_over_silent();
 
 private:
-    void on_answer(const endpoint& replica, const claim_answer& answer);
+    void on_answer(const endpoint& replica, instant sent,
+                   const claim_answer& answer);
     void take(const claim_step& step);
 
     const claim_exchange_options options_;
--- a/process/ledger/src/ledger_client.cpp
+++ b/process/ledger/src/ledger_client.cpp
@@ -31,6 +31,7 @@
     const claim_exchange_options shared{
         .sender = std::make_shared<claim_sender>(client, options.timeout),
         .silent = std::make_shared<silent_replicas>(),
+        .times = std::make_shared<answer_times>(options.patience),
         .now = std::move(now)};
     return [shared, &local, it = std::move(options)](const claim_request& asked,
                                                      claim_callback done)
@@ -45,7 +46,8 @@
             shared, named, std::move(groups), std::move(done));
         exchange->start(vote);
         if (it.after)
-            it.after(it.patience, [exchange] { exchange->pass_over_silent(); });
+            it.after(shared.times->patience(),
+                     [exchange] { exchange->pass_over_silent(); });
     };
 }
 
