Choose a submission's replicas once unless an entry is new

Each claim ranked all entries twice, to find both the group with and the one without entries that have just joined; mostly none has, and the two are the same. Tests: replica_groups as before.

--- a/process/ledger/src/replica_group.cpp
+++ b/process/ledger/src/replica_group.cpp
@@ -64,7 +64,10 @@
     entries.insert(entries.end(), peers.begin(), peers.end());
     std::vector<replica_group> groups{
         choose(submission, self.address, entries)};
-    std::erase_if(entries, [](const ledger_peer& it) { return it.fresh; });
+    const auto fresh =
+        std::erase_if(entries, [](const ledger_peer& it) { return it.fresh; });
+    if (fresh == 0)
+        return groups;
     auto known_to_all = choose(submission, self.address, entries);
     const auto& group = groups.front();
     const bool same = known_to_all.local == group.local &&
