Put log lines together without streams and allocations

Cause: each line went through Boost.Log's record stream, and again through the sink's formatter; its JSON was allocated piece by piece. Change: the line is an attribute of the record, and its JSON is built in a buffer on the stack. Tests: log as before.

--- a/process/common/src/log.cpp
+++ b/process/common/src/log.cpp
@@ -2,12 +2,13 @@
 
 #include "log_queue.hpp"
 
+#include <array>
 #include <boost/json.hpp>
+#include <boost/log/attributes/attribute_value_impl.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
-#include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <cerrno>
 #include <chrono>
@@ -21,9 +22,12 @@
 namespace
 {
 
-//! Hands formatted records to the queue.
-class queue_backend : public logging::sinks::basic_formatted_sink_backend<
-                          char, logging::sinks::concurrent_feeding>
+//! The attribute of a record that holds the whole line.
+const logging::attribute_name line_attribute("Line");
+
+//! Hands the lines of records to the queue.
+class queue_backend : public logging::sinks::basic_sink_backend<
+                          logging::sinks::concurrent_feeding>
 {
 public:
     queue_backend(std::size_t most_bytes, log_output output)
@@ -31,9 +35,10 @@
     {
     }
 
-    void consume(const logging::record_view&, const std::string& line)
+    void consume(const logging::record_view& record)
     {
-        queue_.push(line);
+        if (const auto line = record[line_attribute].extract<std::string>())
+            queue_.push(*line);
     }
 
     log_queue& queue() noexcept
@@ -109,12 +114,18 @@
     std::initializer_list<log_field> fields;
 };
 
+//! Lines up to about this size are put together without further memory.
+constexpr std::size_t usual_line_bytes = 2048;
+
 std::string json_line(log_level level, const log_content& it)
 {
-    boost::json::object line{{"time_ms", time_ms()},
-                             {"level", level_name(level)},
-                             {"process", active().options.process},
-                             {"part", it.part}};
+    std::array<unsigned char, usual_line_bytes> buf;
+    boost::json::monotonic_resource memory(buf.data(), buf.size());
+    boost::json::object line({{"time_ms", time_ms()},
+                              {"level", level_name(level)},
+                              {"process", active().options.process},
+                              {"part", it.part}},
+                             &memory);
     if (!it.submission.empty())
         line["submission"] = it.submission;
     if (!it.event.empty())
@@ -151,7 +162,14 @@
         return;
     const bool json = active().options.format == log_format::json_lines;
     thread_local logging::sources::logger logger;
-    BOOST_LOG(logger) << (json ? json_line(level, it) : text_line(level, it));
+    auto record = logger.open_record();
+    if (!record)
+        return;
+    record.attribute_values().insert(
+        line_attribute,
+        logging::attributes::make_attribute_value(json ? json_line(level, it)
+                                                       : text_line(level, it)));
+    logger.push_record(std::move(record));
 }
 
 } // namespace
@@ -164,13 +182,9 @@
     log.backend = boost::make_shared<queue_backend>(
         options.waiting_bytes,
         output ? std::move(output) : log_output(write_to_standard_output));
-    const auto sink =
-        boost::make_shared<logging::sinks::synchronous_sink<queue_backend>>(
-            log.backend);
-    sink->set_formatter(
-        [](const logging::record_view& record, logging::formatting_ostream& out)
-        { out << record["Message"].extract<std::string>(); });
-    logging::core::get()->add_sink(sink);
+    logging::core::get()->add_sink(
+        boost::make_shared<logging::sinks::unlocked_sink<queue_backend>>(
+            log.backend));
 }
 
 void close_log()
