Look only at open jobs in an entry's tick

Cause: it walked all jobs three times, most of them answered and kept for 15 s for resubmissions, and copied its links and its agents' standing each time: work at rest that grows with the fleet and with what is kept. Change: open jobs have an index of their own, answers are looked through once a second, the copy of the links is kept until they change, and an agent is asked whether it takes tasks only if one of its tasks is lost. Tests: recovery, explained_failures and schedules as before.

--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -204,8 +204,10 @@
     //! @return false if the job is no longer here; `use` is not called then.
     template <typename Use>
     bool with_job(const job_pointer& state, Use use);
-    //! @return the jobs without an answer.
+    //! @return the jobs without an answer; one may get it meanwhile.
     std::vector<job_pointer> open_jobs();
+    //! Takes a job with an answer off the open ones.
+    void end_open(const job_pointer& state);
     void probe_ledger(instant now);
 
     // entry_links.cpp: links to agents
@@ -213,9 +215,10 @@
                      const std::vector<link_message>& messages);
     void on_grant(const agent_id& agent, const grant_message& grant);
     void on_close(const agent_id& agent);
-    linked_runs linked();
+    std::shared_ptr<const linked_runs> linked();
+    std::shared_ptr<const linked_runs> copy_links();
     agent_reach linked_reach();
-    void forget_reach();
+    void forget_links();
 
     // entry_claims.cpp: claims, renewals and forwarding
     void ask_claim(const job_pointer& state, claim_round confirm);
@@ -259,11 +262,10 @@
     void settle_ended(const job_pointer& state, const status_message& it);
     void finish_adoption(const job_pointer& state);
     void check_lost(instant now);
-    std::vector<attempt_key> lost_attempts(job_state& state,
-                                           const linked_runs& links,
-                                           const std::set<agent_id>& accepting,
-                                           instant now) const;
-    std::set<agent_id> accepting_agents(const linked_runs& links);
+    struct lost_attempt;
+    std::vector<lost_attempt> lost_attempts(job_state& state,
+                                            const linked_runs& links,
+                                            instant now) const;
 
     // entry_answers.cpp: answers and deadlines
     void finish_if_complete(const job_pointer& state);
@@ -275,6 +277,7 @@
     void log_answered(const job_pointer& state, const job_answer& answer,
                       std::string_view by) const;
     void expire_jobs(instant now);
+    void forget_answers(instant now);
     effect waiting_effect(const job_state& state, instant now) const;
 
     const entry_options options_;
@@ -289,10 +292,16 @@
     dispatcher dispatcher_;
     job_admission admission_;
     sharded_map<submission_id, job_pointer> jobs_;
+    //! Of these, the ones without an answer: a few among many answered ones.
+    sharded_map<submission_id, job_pointer> open_;
     //! Agents that have told their incarnation on an open link.
     sharded_map<agent_id, incarnation> linked_;
-    std::mutex reach_mutex_;
-    std::optional<agent_reach> reach_; //!< of linked_, until that changes
+    std::mutex links_mutex_;
+    //! Copies of linked_ until that changes.
+    std::shared_ptr<const linked_runs> links_;
+    std::optional<agent_reach> reach_;
+
+    instant answers_forgotten_{};
 
     std::mutex probe_mutex_;
     std::optional<instant> probe_sent_;
--- a/process/entry/src/entry_answers.cpp
+++ b/process/entry/src/entry_answers.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::string_view part = "entry";
 
+//! Between two looks for answers that are kept no longer.
+constexpr duration forget_period = std::chrono::seconds(1);
+
 bool says_not_run(const job_answer& answer)
 {
     const auto not_run = [](const task_result& it)
@@ -105,6 +108,7 @@
              });
     if (!fresh)
         return;
+    end_open(state);
     ++(succeeded(answer) ? completed_ : failed_);
     answers_by_reason_.add(answer->reason);
     log_answered(state, answer, "entry");
@@ -152,6 +156,7 @@
                      });
     if (!known)
         return;
+    end_open(state);
     ++(succeeded(answer) ? completed_ : failed_);
     answers_by_reason_.add(answer->reason);
     for (const auto& it : waiters)
@@ -161,23 +166,39 @@
 void entry_service::expire_jobs(instant now)
 {
     std::vector<job_pointer> late;
+    for (const auto& state : open_jobs())
+    {
+        if (now < state->deadline)
+            continue;
+        with_job(state,
+                 [&](job_state& it)
+                 {
+                     if (it.answer)
+                         return;
+                     const bool lapsed =
+                         it.stage == job_stage::running && now >= it.claim_end;
+                     it.run.abandon(lapsed ? failure_reason::ledger_unavailable
+                                           : failure_reason::deadline,
+                                    lapsed
+                                        ? "the claim ran out and could not be "
+                                          "renewed before the deadline"
+                                        : "the deadline passed",
+                                    waiting_effect(it, now));
+                     late.push_back(state);
+                 });
+    }
+    for (const auto& it : late)
+        finish_if_complete(it);
+}
+
+void entry_service::forget_answers(instant now)
+{
+    if (now - answers_forgotten_ < forget_period)
+        return;
+    answers_forgotten_ = now;
     jobs_.for_each_shard(
         [&](auto& values)
         {
-            for (auto& [id, it] : values)
-            {
-                if (it->answer || now < it->deadline)
-                    continue;
-                const bool lapsed =
-                    it->stage == job_stage::running && now >= it->claim_end;
-                it->run.abandon(lapsed ? failure_reason::ledger_unavailable
-                                       : failure_reason::deadline,
-                                lapsed ? "the claim ran out and could not be "
-                                         "renewed before the deadline"
-                                       : "the deadline passed",
-                                waiting_effect(*it, now));
-                late.push_back(it);
-            }
             std::erase_if(values,
                           [&](const auto& it)
                           {
@@ -187,8 +208,6 @@
                                          options_.answer_retention;
                           });
         });
-    for (const auto& it : late)
-        finish_if_complete(it);
 }
 
 } // namespace lagoonquay
--- a/process/entry/src/entry_links.cpp
+++ b/process/entry/src/entry_links.cpp
@@ -53,7 +53,7 @@
         { return values.emplace(agent, grant.agent_run).second; });
     if (fresh)
     {
-        forget_reach();
+        forget_links();
         ask_agent({agent, grant.agent_run});
     }
     dispatcher_.update(agent, grant, hooks_.now());
@@ -67,26 +67,36 @@
                 {{"agent", agent.text()}});
     dispatcher_.agents().close(agent);
     linked_.with_shard(agent, [&](auto& values) { values.erase(agent); });
-    forget_reach();
+    forget_links();
 }
 
-entry_service::linked_runs entry_service::linked()
+// One copy for all jobs between two changes of the links. A link that changes
+// while the copy is made clears it again.
+std::shared_ptr<const entry_service::linked_runs> entry_service::linked()
 {
+    const std::lock_guard lock(links_mutex_);
+    return copy_links();
+}
+
+// Call under the lock.
+std::shared_ptr<const entry_service::linked_runs> entry_service::copy_links()
+{
+    if (links_)
+        return links_;
     linked_runs found;
     linked_.for_each_shard([&](const auto& values)
                            { found.insert(values.begin(), values.end()); });
-    return found;
+    links_ = std::make_shared<const linked_runs>(std::move(found));
+    return links_;
 }
 
-// One list for all claims between two changes of the links. A link that changes
-// while the list is made clears it again.
 agent_reach entry_service::linked_reach()
 {
-    const std::lock_guard lock(reach_mutex_);
+    const std::lock_guard lock(links_mutex_);
     if (reach_)
         return *reach_;
     agent_reach::list agents;
-    for (const auto& [agent, run] : linked())
+    for (const auto& [agent, run] : *copy_links())
     {
         if (agents.size() >= options_.reach)
             break;
@@ -96,9 +106,10 @@
     return *reach_;
 }
 
-void entry_service::forget_reach()
+void entry_service::forget_links()
 {
-    const std::lock_guard lock(reach_mutex_);
+    const std::lock_guard lock(links_mutex_);
+    links_.reset();
     reach_.reset();
 }
 
--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -86,7 +86,7 @@
              {
                  if (it.answer || it.stage != job_stage::adopting)
                      return;
-                 for (const auto& [agent, run] : links)
+                 for (const auto& [agent, run] : *links)
                  {
                      if (!it.unheard.contains({agent, run}))
                          continue;
@@ -186,8 +186,8 @@
                 std::erase_if(it.unheard,
                               [&](const agent_run_id& agent)
                               {
-                                  const auto link = links.find(agent.agent);
-                                  if (link == links.end())
+                                  const auto link = links->find(agent.agent);
+                                  if (link == links->end())
                                       return late;
                                   return link->second != agent.run;
                               });
@@ -223,33 +223,34 @@
     enqueue_waiting(state);
 }
 
-std::set<agent_id> entry_service::accepting_agents(const linked_runs& links)
+//! An attempt whose agent is given up.
+struct entry_service::lost_attempt
 {
-    std::set<agent_id> found;
-    for (const auto& [agent, run] : links)
-    {
-        if (dispatcher_.agents().accepts(agent))
-            found.insert(agent);
-    }
-    return found;
-}
+    attempt_key key;
+    //! Only once the agent's new incarnation takes tasks.
+    bool once_accepting = false;
+};
 
 void entry_service::check_lost(instant now)
 {
     const auto links = linked();
-    const auto accepting = accepting_agents(links);
     for (const auto& state : open_jobs())
     {
-        std::vector<attempt_key> lost;
+        std::vector<lost_attempt> lost;
         bool adopting = false;
         with_job(state,
                  [&](job_state& it)
                  {
                      adopting = it.stage == job_stage::adopting;
-                     lost = lost_attempts(it, links, accepting, now);
+                     lost = lost_attempts(it, *links, now);
                  });
-        for (const auto& key : lost)
-            settle(state, key, lost_result(key));
+        for (const auto& it : lost)
+        {
+            if (it.once_accepting &&
+                !dispatcher_.agents().accepts(it.key.agent))
+                continue;
+            settle(state, it.key, lost_result(it.key));
+        }
         if (adopting)
             finish_adoption(state);
     }
@@ -259,12 +260,11 @@
 // incarnation, or did not come back within the grace period. A task that may
 // run again waits until the new incarnation takes tasks, and so has ended what
 // the old one left.
-std::vector<attempt_key>
+std::vector<entry_service::lost_attempt>
 entry_service::lost_attempts(job_state& state, const linked_runs& links,
-                             const std::set<agent_id>& accepting,
                              instant now) const
 {
-    std::vector<attempt_key> lost;
+    std::vector<lost_attempt> lost;
     for (const auto& key : state.run.dispatched())
     {
         const agent_run_id agent{key.agent, key.agent_run};
@@ -278,10 +278,9 @@
             state.lost.try_emplace(agent, now + options_.link_grace)
                 .first->second;
         const bool restarted = link != links.end();
-        const bool settled = restarted && (!state.submitted->idempotent ||
-                                           accepting.contains(key.agent));
-        if (settled || now >= until)
-            lost.push_back(key);
+        const bool late = now >= until;
+        if (restarted || late)
+            lost.push_back({key, !late && state.submitted->idempotent});
     }
     return lost;
 }
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -158,6 +158,7 @@
     probe_ledger(now);
     check_lost(now);
     expire_jobs(now);
+    forget_answers(now);
     tend_claims(now);
     dispatcher_.tick();
 }
@@ -189,14 +190,7 @@
 
 std::size_t entry_service::unanswered()
 {
-    std::size_t n = 0;
-    jobs_.for_each_shard(
-        [&](auto& values)
-        {
-            for (const auto& [id, it] : values)
-                n += it->answer ? 0 : 1;
-        });
-    return n;
+    return open_.size();
 }
 
 agent_table& entry_service::agents() noexcept
@@ -373,7 +367,11 @@
                              return true;
                          });
     if (added)
+    {
+        open_.with_shard(fresh->id, [&](auto& values)
+                         { values.insert_or_assign(fresh->id, fresh); });
         return fresh;
+    }
     join(submitted, digest, done);
     return nullptr;
 }
@@ -387,19 +385,27 @@
 std::vector<entry_service::job_pointer> entry_service::open_jobs()
 {
     std::vector<job_pointer> found;
-    jobs_.for_each_shard(
-        [&](auto& values)
+    open_.for_each_shard(
+        [&](const auto& values)
         {
             for (const auto& [id, it] : values)
-            {
-                if (it->answer)
-                    continue;
                 found.push_back(it);
-            }
         });
     return found;
 }
 
+// The same submission may be open anew by now.
+void entry_service::end_open(const job_pointer& state)
+{
+    open_.with_shard(state->id,
+                     [&](auto& values)
+                     {
+                         const auto it = values.find(state->id);
+                         if (it != values.end() && it->second == state)
+                             values.erase(it);
+                     });
+}
+
 void entry_service::probe_ledger(instant now)
 {
     if (!options_.probe_ledger)
