Keep the limits of all connections on one timer

Change: one timer serves the limits of all exchanges and connections of a client or listener; a request that has arrived whole is parsed without a further read. Tests: http_server_test and the process tests as before; limits are as they were.

--- a/connection/src/http_client.cpp
+++ b/connection/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "lagoonquay/connection/http_client.hpp"
 
 #include "beast_common.hpp"
+#include "deadlines.hpp"
 #include "lagoonquay/connection/traffic_meter.hpp"
 
 #include <deque>
@@ -40,7 +41,8 @@
 
 struct http_client::state
 {
-    state(net::io_context& io, http_client_options o) : context(io), options(o)
+    state(net::io_context& io, http_client_options o)
+        : context(io), options(o), limits(std::make_shared<deadlines>(io))
     {
     }
 
@@ -64,7 +66,6 @@
     void give_back(const endpoint& target,
                    std::unique_ptr<beast::tcp_stream> stream)
     {
-        stream->expires_never();
         const std::lock_guard lock(mutex);
         auto& waiting = idle[target];
         if (waiting.size() >= options.idle_per_endpoint)
@@ -74,6 +75,7 @@
 
     net::io_context& context;
     const http_client_options options;
+    const std::shared_ptr<deadlines> limits;
     std::mutex mutex;
     std::map<endpoint, std::deque<idle_connection>> idle;
     const std::shared_ptr<traffic_meter> traffic =
@@ -115,14 +117,16 @@
     {
         auto connection = client_->take(target_);
         stream_ = std::move(connection.stream);
-        net::dispatch(stream_->get_executor(),
+        stream_->expires_never();
+        executor_ = stream_->get_executor();
+        net::dispatch(executor_,
                       [self = this->shared_from_this()] { self->begin(); });
     }
 
 private:
     void begin()
     {
-        stream_->expires_after(timeout_);
+        start_limit();
         if (stream_->socket().is_open())
             return write();
         error_code ec;
@@ -144,6 +148,28 @@
             });
     }
 
+    // The timers of Beast's stream are set for each step anew.
+    void start_limit()
+    {
+        limit_ = client_->limits->add(timeout_,
+                                      [weak = this->weak_from_this()]
+                                      {
+                                          const auto self = weak.lock();
+                                          if (!self)
+                                              return;
+                                          net::post(self->executor_, [self]
+                                                    { self->time_out(); });
+                                      });
+    }
+
+    void time_out()
+    {
+        if (!stream_)
+            return;
+        timed_out_ = true;
+        stream_->close();
+    }
+
     void write()
     {
         http::async_write(
@@ -178,17 +204,19 @@
         response.content_type.assign(type.data(), type.size());
         response.body = std::move(raw.body());
         count(response.body.size());
+        client_->limits->remove(limit_);
+        auto stream = std::move(stream_);
         if (raw.keep_alive())
-            client_->give_back(target_, std::move(stream_));
+            client_->give_back(target_, std::move(stream));
         done_(std::move(response));
     }
 
     void fail_with(connection_errc code, error_code ec)
     {
-        const bool late = ec == beast::error::timeout;
         const bool sent = !nothing_sent(code);
+        client_->limits->remove(limit_);
         count(0);
-        done_(fail(late && sent ? connection_errc::timeout : code,
+        done_(fail(timed_out_ && sent ? connection_errc::timeout : code,
                    to_text(target_) + ": " + ec.message()));
     }
 
@@ -209,7 +237,10 @@
     const instant began_ = steady_now();
     duration timeout_;
     http_callback done_;
+    deadlines::handle limit_;
+    bool timed_out_ = false;
     std::unique_ptr<beast::tcp_stream> stream_;
+    net::any_io_executor executor_;
     http::request<http::string_body> request_;
     http::response_parser<http::string_body> parser_;
     beast::flat_buffer buffer_;
--- a/connection/src/http_server.cpp
+++ b/connection/src/http_server.cpp
@@ -9,7 +9,7 @@
 {
     state(net::io_context& io, http_server_options o, http_handler h,
           link_handler l)
-        : listener_state(std::move(o), std::move(h), std::move(l)),
+        : listener_state(io, std::move(o), std::move(h), std::move(l)),
           acceptor(net::make_strand(io)), context(io)
     {
     }
--- a/connection/src/http_session.cpp
+++ b/connection/src/http_session.cpp
@@ -60,9 +60,10 @@
 
 http_session::http_session(tcp::socket socket,
                            std::shared_ptr<listener_state> listener)
-    : stream_(std::move(socket)), read_timer_(stream_.get_executor()),
-      listener_(std::move(listener)), place_(listener_)
+    : stream_(std::move(socket)), listener_(std::move(listener)),
+      place_(listener_)
 {
+    stream_.expires_never();
 }
 
 void http_session::run()
@@ -96,7 +97,8 @@
             net::post(self->stream_.get_executor(),
                       [self] { self->give_way(); });
         });
-    stream_.expires_after(listener_->options.idle_timeout);
+    start_limit(listener_->options.idle_timeout,
+                [](http_session& it) { it.stream_.close(); });
     stream_.async_read_some(
         buffer_.prepare(listener_->options.header_bytes),
         [self = shared_from_this()](error_code ec, std::size_t n)
@@ -106,6 +108,7 @@
 void http_session::on_first_bytes(error_code ec, std::size_t size)
 {
     listener_->idle.remove(idle_);
+    end_limit();
     if (ec || gave_way_)
         return close();
     buffer_.commit(size);
@@ -121,6 +124,7 @@
     close();
 }
 
+// Most requests arrive in one piece; no read is needed for these.
 void http_session::read()
 {
     reading_ = true;
@@ -128,32 +132,71 @@
     parser_.emplace();
     parser_->header_limit(listener_->options.header_bytes);
     parser_->body_limit(listener_->options.body_bytes);
-    start_read_timer();
+    const auto ec = parse_received();
+    if (ec || parser_->is_done())
+        return on_read(ec);
+    start_limit(listener_->options.read_timeout,
+                [](http_session& it)
+                {
+                    it.timed_out_ = true;
+                    it.stream_.cancel();
+                });
     http::async_read(stream_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code ec, std::size_t)
-                     { self->on_read(ec); });
+                     [self = shared_from_this()](error_code code, std::size_t)
+                     { self->on_read(code); });
 }
 
-// The stream's own timeout closes the socket, and the peer would not be told.
-void http_session::start_read_timer()
+error_code http_session::parse_received()
 {
-    stream_.expires_never();
-    read_timer_.expires_after(listener_->options.read_timeout);
-    read_timer_.async_wait(
-        [weak = weak_from_this(), read = ++reads_](error_code ec)
+    error_code ec;
+    parser_->eager(true);
+    while (buffer_.size() > 0 && !parser_->is_done())
+    {
+        const auto n = parser_->put(buffer_.data(), ec);
+        buffer_.consume(n);
+        if (ec == http::error::need_more)
+            return {};
+        if (ec)
+            return ec;
+    }
+    return ec;
+}
+
+// One limit at a time. Those of Beast's stream close the socket, and the peer
+// would not be told that its request came too slowly.
+template <typename Passed>
+void http_session::start_limit(duration limit, Passed passed)
+{
+    end_limit();
+    limit_ = listener_->limits->add(
+        limit,
+        [weak = weak_from_this(), passed, number = limits_set_]
         {
             const auto self = weak.lock();
-            if (ec || !self || !self->reading_ || self->reads_ != read)
+            if (!self)
                 return;
-            self->timed_out_ = true;
-            self->stream_.cancel();
+            net::post(self->stream_.get_executor(),
+                      [self, passed, number]
+                      {
+                          if (self->limit_ && self->limits_set_ == number)
+                              passed(*self);
+                      });
         });
 }
 
+void http_session::end_limit()
+{
+    if (!limit_)
+        return;
+    listener_->limits->remove(*limit_);
+    limit_.reset();
+    ++limits_set_;
+}
+
 void http_session::on_read(error_code ec)
 {
     reading_ = false;
-    read_timer_.cancel();
+    end_limit();
     ++listener_->in_progress;
     if (ec)
         return refuse_request(ec);
@@ -250,7 +293,8 @@
     response_.keep_alive(keep_alive_);
     response_.body() = std::move(answer.body);
     response_.prepare_payload();
-    stream_.expires_after(listener_->options.read_timeout);
+    start_limit(listener_->options.read_timeout,
+                [](http_session& it) { it.stream_.close(); });
     http::async_write(stream_, response_,
                       [self = shared_from_this()](error_code ec, std::size_t)
                       {
@@ -287,6 +331,7 @@
 
 void http_session::close()
 {
+    end_limit();
     error_code ec;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ec);
 }
--- a/connection/src/http_session.hpp
+++ b/connection/src/http_session.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "beast_common.hpp"
+#include "deadlines.hpp"
 #include "idle_connections.hpp"
 #include "lagoonquay/connection/http_server.hpp"
 #include "websocket_link.hpp"
@@ -17,8 +18,10 @@
 //! What the connections of one listener share.
 struct listener_state
 {
-    listener_state(http_server_options o, http_handler h, link_handler l)
-        : options(std::move(o)), handler(std::move(h)), on_link(std::move(l))
+    listener_state(net::io_context& io, http_server_options o, http_handler h,
+                   link_handler l)
+        : options(std::move(o)), handler(std::move(h)), on_link(std::move(l)),
+          limits(std::make_shared<deadlines>(io))
     {
     }
 
@@ -29,6 +32,7 @@
     std::atomic<std::size_t> in_progress{0};
     std::atomic<bool> closing{false};
     idle_connections idle;
+    const std::shared_ptr<deadlines> limits;
 };
 
 //! Holds one place of the connection limit. Thread-safe.
@@ -75,7 +79,10 @@
     void on_first_bytes(error_code ec, std::size_t size);
     void give_way();
     void read();
-    void start_read_timer();
+    error_code parse_received();
+    template <typename Passed>
+    void start_limit(duration limit, Passed passed);
+    void end_limit();
     void on_read(error_code ec);
     void refuse_request(error_code ec);
     void serve();
@@ -89,7 +96,6 @@
     void close();
 
     beast::tcp_stream stream_;
-    net::steady_timer read_timer_;
     const std::shared_ptr<listener_state> listener_;
     connection_place place_;
     beast::flat_buffer buffer_;
@@ -97,10 +103,11 @@
     http::response<http::string_body> response_;
     std::optional<websocket_link::stream> socket_;
     idle_connections::number idle_ = 0;
-    std::uint64_t reads_ = 0; //!< numbers the requests
-    bool reading_ = false;    //!< a request has begun to arrive
-    bool timed_out_ = false;  //!< it did not arrive in time
-    bool gave_way_ = false;   //!< closed while it was idle
+    std::optional<deadlines::handle> limit_; //!< of what is under way
+    std::uint64_t limits_set_ = 0;
+    bool reading_ = false;   //!< a request has begun to arrive
+    bool timed_out_ = false; //!< it did not arrive in time
+    bool gave_way_ = false;  //!< closed while it was idle
     bool keep_alive_ = false;
 };
 
