Give credits for as many tasks as fit, where slots are no limit

The windows that are to keep waiting tasks at the entries bounded nothing. Class: a limit in number where the resource is another. Evidence: not_admitted lines with 2,811 slots where 65 workers hold 700 tasks. Change: credits follow the usual need of the agent's latest tasks; until one is known, eight for a link. Test: agent_slots.credits_are_for_tasks_that_fit_where_slots_are_no_limit failed before (256 credits, 200 tasks at an agent that runs 8).

--- a/connection/include/lagoonquay/connection/agent_slots.hpp
+++ b/connection/include/lagoonquay/connection/agent_slots.hpp
@@ -1,6 +1,7 @@
 //! An agent's slots: credits of its links, and tasks that wait to start. Pure.
 #pragma once
 
+#include "lagoonquay/connection/typical_need.hpp"
 #include "lagoonquay/request/dispatch.hpp"
 #include "lagoonquay/request/ids.hpp"
 
@@ -41,8 +42,8 @@
 using waiting_filter = std::function<bool(const waiting_start&)>;
 
 //! Never runs more tasks than slots, nor more than the capacity holds. Each
-//! link has credits for at most as many tasks as there are slots; while tasks
-//! wait, each falls back to its fair share. Not thread-safe.
+//! link has credits for at most as many usual tasks as run at a time; while
+//! tasks wait, each falls back to its fair share. Not thread-safe.
 class agent_slots
 {
 public:
@@ -115,6 +116,7 @@
 
     static std::uint64_t holding(const account& it) noexcept;
     std::uint32_t window() const noexcept;
+    std::uint32_t usual_most() const noexcept;
     bool has_room(const resources& need) const noexcept;
 
     std::uint32_t slots_ = 0;
@@ -122,6 +124,7 @@
     bool draining_ = false;
     resources capacity_;
     resources used_;
+    typical_need usual_;
     std::map<link_number, account> accounts_;
     std::deque<waiting_start> waiting_;
 };
--- a/connection/src/agent_slots.cpp
+++ b/connection/src/agent_slots.cpp
@@ -78,6 +78,7 @@
         return false;
     ++it->second.used;
     ++it->second.here;
+    usual_.note(message.work->need);
     waiting_.push_back({link, message, now});
     return true;
 }
@@ -164,7 +165,7 @@
     {
         if (draining_ || slots_ == 0 || holding(it) > 0)
             continue;
-        it.granted += slots_;
+        it.granted += window();
         changed.push_back({link, it.granted});
     }
     return changed;
@@ -208,12 +209,18 @@
 std::uint32_t agent_slots::window() const noexcept
 {
     if (waiting_.empty())
-        return std::max(slots_, 1U);
+        return usual_most();
     const auto active =
         std::count_if(accounts_.begin(), accounts_.end(),
                       [](const auto& it) { return it.second.here > 0; });
     const auto sharing = std::max(static_cast<std::uint32_t>(active), 1U);
-    return std::max(slots_ / sharing, 1U);
+    return std::max(usual_most() / sharing, 1U);
+}
+
+// A worker that says nothing of slots is limited by its capacity alone.
+std::uint32_t agent_slots::usual_most() const noexcept
+{
+    return usual_.fitting(capacity_, std::max(slots_, 1U));
 }
 
 // A task that needs nothing runs even after the worker has shrunk.
--- a/connection/tests/agent_slots_test.cpp
+++ b/connection/tests/agent_slots_test.cpp
@@ -71,6 +71,26 @@
     EXPECT_EQ(agent.finish(first, {}), 5U);
 }
 
+// Credits for far more tasks than fit bounded nothing: at high load each entry
+// sent its queue to whatever worker had just had room.
+TEST(agent_slots, credits_are_for_tasks_that_fit_where_slots_are_no_limit)
+{
+    constexpr resources half_processor{500, 10, 0};
+    auto agent = open_slots(256);
+    EXPECT_LE(agent.total(first).credits_total, 8U);
+    for (int n = 0; n < 100; ++n)
+    {
+        agent.refill();
+        agent.accept(first, task_with(half_processor), arrival);
+        agent.accept(second, task_with(half_processor), arrival);
+        while (agent.next())
+        {
+        }
+    }
+    EXPECT_EQ(agent.running(), 8U);
+    EXPECT_LE(agent.busy(), 2 * 8U);
+}
+
 TEST(agent_slots, while_tasks_wait_each_link_falls_back_to_its_share)
 {
     auto agent = open_slots(4);
