Look at one agent when one agent has told of itself

Cause: while tasks waited, each result or grant of one agent had the entry take up to 64 tasks from its queue and look at all agents for each. Change: what waits is tried on the agent that has told of itself alone, unless tasks were added since all were looked at; each tick of 50 ms still looks at all. Test: dispatcher.a_result_is_not_a_reason_to_look_at_all_agents failed before (1,140 agents looked at for 20).

--- a/process/bench/bench_fleet.cpp
+++ b/process/bench/bench_fleet.cpp
@@ -287,7 +287,7 @@
         tasks.update(agents_[agent]->id, *it, clock_.now());
     if (const auto* it = std::get_if<result_message>(&message))
         on_result(entry, agent, *it);
-    tasks.pump();
+    tasks.pump(agents_[agent]->id);
 }
 
 void bench_fleet::on_dispatch(std::size_t agent, std::size_t entry,
--- a/process/entry/include/lagoonquay/process/agent_table.hpp
+++ b/process/entry/include/lagoonquay/process/agent_table.hpp
@@ -65,6 +65,10 @@
     //! @return every agent that has a credit and may get a task now.
     std::vector<route_candidate> candidates(instant now);
 
+    //! @return one agent, if it has a credit and may get a task now.
+    std::optional<route_candidate> candidate(const agent_id& agent,
+                                             instant now);
+
     //! @return the agent whose worker holds the need and has most room left.
     std::optional<agent_id> best_fit(const resources& need, instant now);
 
@@ -144,6 +148,9 @@
     };
 
     void clear(entry& it);
+    static std::optional<route_candidate>
+    describe(const agent_id& id, entry& it, const agent_health_options& options,
+             instant now);
     static void note_load(entry& it, const resources& used,
                           std::uint64_t dispatches_total);
     void forget_unnamed(instant now);
--- a/process/entry/include/lagoonquay/process/dispatcher.hpp
+++ b/process/entry/include/lagoonquay/process/dispatcher.hpp
@@ -41,6 +41,8 @@
 {
     //! Tasks that may be passed over because they fit nowhere at present.
     std::size_t lookahead = 64;
+    //! Of these, the tasks that one agent alone is looked at for.
+    std::size_t agent_lookahead = 8;
     //! A task that was passed over for this long gets an agent kept free.
     duration hold_after = std::chrono::milliseconds(250);
     //! A job without an aim is due after this many times its expected run time
@@ -92,6 +94,10 @@
     //! Dispatches until the queue is empty or no agent has room.
     void pump();
 
+    //! Dispatches what waits to an agent that has told of itself. All others
+    //! are looked at too if tasks have been added since they were.
+    void pump(const agent_id& changed);
+
     //! Takes up retries that are due.
     void tick();
 
@@ -134,15 +140,19 @@
     struct pass
     {
         instant now{};
+        std::optional<agent_id> only; //!< the one agent to look at
+        std::size_t lookahead = 0;
         std::vector<route_candidate> candidates;
         std::vector<queued_task> passed_over;
-        bool refreshed = false;
     };
 
     queued_task to_queued(const task_to_queue& it, instant since);
     void set_start_by(std::vector<queued_task>& queued,
                       const task_to_queue& of_job);
-    bool run_pass();
+    void run_passes(const std::optional<agent_id>& only);
+    bool run_pass(const std::optional<agent_id>& only);
+    std::vector<route_candidate> candidates(const std::optional<agent_id>& only,
+                                            instant now);
     step dispatch_one(const queued_task& next, pass& state);
     std::optional<std::size_t> choose(const queued_task& next,
                                       const pass& state);
@@ -165,6 +175,7 @@
     std::mutex hold_mutex_;
     std::optional<hold> hold_;
     std::atomic<std::uint64_t> credit_epoch_{0};
+    std::atomic<bool> tasks_added_{false}; //!< since all agents were looked at
     std::atomic<std::uint64_t> dispatched_{0};
     latency_statistics waits_;
 };
--- a/process/entry/src/agent_table.cpp
+++ b/process/entry/src/agent_table.cpp
@@ -147,29 +147,53 @@
 {
     const auto options = health_options();
     std::vector<route_candidate> found;
+    found.reserve(agents_.size());
     agents_.for_each_shard(
         [&](auto& values)
         {
-            for (const auto& [id, it] : values)
+            for (auto& [id, it] : values)
             {
-                const auto credits = it.credits.available();
-                if (!it.link || !it.last || credits == 0)
-                    continue;
-                const auto most =
-                    it.health.allowed(options, it.last->slots, now);
-                if (most <= it.outstanding)
-                    continue;
-                found.push_back({id, it.about->domain,
-                                 std::min(credits, most - it.outstanding),
-                                 it.outstanding, it.others, it.last->slots,
-                                 it.last->capacity,
-                                 subtract(it.last->capacity,
-                                          add(it.reserved, it.others_need))});
+                if (auto described = describe(id, it, options, now))
+                    found.push_back(*std::move(described));
             }
         });
     return found;
 }
 
+std::optional<route_candidate> agent_table::candidate(const agent_id& agent,
+                                                      instant now)
+{
+    const auto options = health_options();
+    return agents_.with(agent,
+                        [&](entry* it) -> std::optional<route_candidate>
+                        {
+                            if (it == nullptr)
+                                return std::nullopt;
+                            return describe(agent, *it, options, now);
+                        });
+}
+
+std::optional<route_candidate>
+agent_table::describe(const agent_id& id, entry& it,
+                      const agent_health_options& options, instant now)
+{
+    const auto credits = it.credits.available();
+    if (!it.link || !it.last || credits == 0)
+        return std::nullopt;
+    const auto most = it.health.allowed(options, it.last->slots, now);
+    if (most <= it.outstanding)
+        return std::nullopt;
+    return route_candidate{
+        id,
+        it.about->domain,
+        std::min(credits, most - it.outstanding),
+        it.outstanding,
+        it.others,
+        it.last->slots,
+        it.last->capacity,
+        subtract(it.last->capacity, add(it.reserved, it.others_need))};
+}
+
 std::optional<agent_id> agent_table::best_fit(const resources& need,
                                               instant now)
 {
--- a/process/entry/src/dispatcher.cpp
+++ b/process/entry/src/dispatcher.cpp
@@ -54,6 +54,7 @@
     set_start_by(tasks, job_tasks.front());
     for (auto& it : tasks)
         queue_.push(std::move(it));
+    tasks_added_ = true;
 }
 
 void dispatcher::enqueue_again(const task_to_queue& it,
@@ -65,7 +66,11 @@
     set_start_by(queued, it);
     queued.front().asked.avoid = declined;
     if (delay == duration::zero())
-        return queue_.push(std::move(queued.front()));
+    {
+        queue_.push(std::move(queued.front()));
+        tasks_added_ = true;
+        return;
+    }
     const std::lock_guard lock(delayed_mutex_);
     delayed_.emplace(now + delay, std::move(queued.front()));
 }
@@ -77,18 +82,34 @@
     set_start_by(queued, it);
     queued.front().asked.avoid = full;
     queue_.push(std::move(queued.front()));
+    tasks_added_ = true;
+}
+
+void dispatcher::pump()
+{
+    tasks_added_ = false;
+    run_passes(std::nullopt);
+}
+
+// Whatever waits fitted no other agent when all were looked at; what changes
+// with time alone is found by the next tick.
+void dispatcher::pump(const agent_id& changed)
+{
+    if (tasks_added_)
+        return pump();
+    run_passes(changed);
 }
 
 // Several threads may pump at once. A credit that arrives during a pass raises
 // the epoch, so that the queue is looked at again and no credit is left idle.
-void dispatcher::pump()
+void dispatcher::run_passes(const std::optional<agent_id>& only)
 {
     for (;;)
     {
         const auto epoch = credit_epoch_.load();
         if (queue_.size() == 0)
             return;
-        const bool emptied = agents_.any_credit() && run_pass();
+        const bool emptied = agents_.any_credit() && run_pass(only);
         if (emptied || epoch == credit_epoch_.load())
             return;
     }
@@ -198,14 +219,16 @@
 
 // @return whether the queue was emptied. Tasks that fit nowhere are passed over
 // and put back, so that they hold back no other.
-bool dispatcher::run_pass()
+bool dispatcher::run_pass(const std::optional<agent_id>& only)
 {
     pass state;
     state.now = hooks_.now();
-    state.candidates = agents_.candidates(state.now);
+    state.only = only;
+    state.lookahead = only ? options_.agent_lookahead : options_.lookahead;
+    state.candidates = candidates(only, state.now);
     bool emptied = false;
     while (!state.candidates.empty() &&
-           state.passed_over.size() < options_.lookahead)
+           state.passed_over.size() < state.lookahead)
     {
         auto next = queue_.pop();
         emptied = !next;
@@ -214,7 +237,7 @@
         auto done = dispatch_one(*next, state);
         if (done == step::stale)
         {
-            state.candidates = agents_.candidates(state.now);
+            state.candidates = candidates(only, state.now);
             done = dispatch_one(*next, state);
         }
         if (done != step::no_room && done != step::stale)
@@ -238,6 +261,17 @@
     return emptied;
 }
 
+std::vector<route_candidate>
+dispatcher::candidates(const std::optional<agent_id>& only, instant now)
+{
+    if (!only)
+        return agents_.candidates(now);
+    auto found = agents_.candidate(*only, now);
+    if (!found)
+        return {};
+    return {*std::move(found)};
+}
+
 dispatcher::step dispatcher::dispatch_one(const queued_task& next, pass& state)
 {
     const auto chosen = choose(next, state);
--- a/process/entry/src/entry_links.cpp
+++ b/process/entry/src/entry_links.cpp
@@ -41,7 +41,7 @@
         if (const auto* status = std::get_if<status_message>(&it))
             on_status(agent, *status);
     }
-    dispatcher_.pump();
+    dispatcher_.pump(agent);
 }
 
 // The queries go out before the first credits of the link can be used, so that
--- a/process/entry/tests/dispatcher_test.cpp
+++ b/process/entry/tests/dispatcher_test.cpp
@@ -22,7 +22,8 @@
 public:
     explicit dispatcher_bench(int agents)
         : tasks({.now = [this] { return now; },
-                 .route = make_route(route_policy::slot_credits, draw_zero),
+                 .route = counting(
+                     make_route(route_policy::slot_credits, draw_zero)),
                  .weight = [](const customer_id&) { return 1U; },
                  .draw = draw_zero,
                  .waiting = [this](const task_key& key)
@@ -86,8 +87,9 @@
         it.result = task_result(
             {.index = sent.key.index, .reason = reason, .ran = effect::ran});
         it.dispatches_total = sent_to(agent);
-        tasks.finish(agent_id("a" + std::to_string(agent)), it);
-        tasks.pump();
+        const agent_id id("a" + std::to_string(agent));
+        tasks.finish(id, it);
+        tasks.pump(id);
     }
 
     std::size_t sent_to(int agent) const
@@ -102,11 +104,22 @@
     }
 
     instant now{100 * second};
+    std::size_t looked_at = 0; //!< agents that the route was asked about
     std::set<task_key> gone;
     std::vector<std::shared_ptr<fake_link>> links;
     dispatcher tasks;
 
 private:
+    route_hook counting(route_hook inner)
+    {
+        return [this, it = std::move(inner)](const auto& asked,
+                                             const auto& candidates)
+        {
+            looked_at += candidates.size();
+            return it(asked, candidates);
+        };
+    }
+
     static std::uint64_t draw_zero(std::uint64_t)
     {
         return 0;
@@ -136,6 +149,22 @@
     EXPECT_EQ(bench.tasks.queued(), 1U);
 }
 
+// While tasks waited, each message of an agent had the entry look at all agents
+// for each of them.
+TEST(dispatcher, a_result_is_not_a_reason_to_look_at_all_agents)
+{
+    constexpr int agents = 60;
+    dispatcher_bench bench(agents);
+    for (std::uint64_t n = 0; n < agents + 10; ++n)
+        bench.add(n, {6000, 0, 0});
+    ASSERT_EQ(bench.tasks.queued(), 10U);
+    bench.looked_at = 0;
+    bench.end(1, failure_reason::none, 3);
+    EXPECT_EQ(bench.sent_to(1), 2U);
+    EXPECT_EQ(bench.tasks.queued(), 9U);
+    EXPECT_LE(bench.looked_at, 2U * 10);
+}
+
 // Small tasks would always fill the worker; the large one gets it in the end.
 TEST(dispatcher, a_large_task_does_not_starve)
 {
