--- a/process/entry/tests/recovery_test.cpp
+++ b/process/entry/tests/recovery_test.cpp
@@ -45,6 +45,14 @@
         return total;
     }
 
+    //! Submits a job through the first entry, and lets its tasks start.
+    void start_job(duration run, std::size_t tasks, bool idempotent = false)
+    {
+        run_takes(run);
+        fleet.submit(0, job_of(fleet, tasks, idempotent));
+        fleet.run_for(milliseconds(50));
+    }
+
     //! Submits a job through the first entry, and ends it.
     job submit_and_end()
     {
@@ -123,9 +131,7 @@
 
 TEST_F(recovery, a_result_that_met_a_closed_link_is_fetched)
 {
-    run_takes(milliseconds(100));
-    fleet.submit(0, job_of(fleet, 1));
-    fleet.run_for(milliseconds(50));
+    start_job(milliseconds(100), 1);
     const auto n = busy_agent();
     fleet.separate(0, n, true);
     fleet.run_for(milliseconds(200));
@@ -138,9 +144,7 @@
 
 TEST_F(recovery, a_task_that_still_runs_after_a_cut_is_awaited)
 {
-    run_takes(milliseconds(600));
-    fleet.submit(0, job_of(fleet, 1));
-    fleet.run_for(milliseconds(50));
+    start_job(milliseconds(600), 1);
     fleet.cut(0, busy_agent());
     fleet.run_for(seconds(2));
     EXPECT_TRUE(succeeded(only_answer()));
@@ -176,9 +180,7 @@
 
 TEST_F(recovery, a_new_incarnation_of_the_agent_fails_the_job_clearly)
 {
-    run_takes(milliseconds(500));
-    fleet.submit(0, job_of(fleet, 1));
-    fleet.run_for(milliseconds(50));
+    start_job(milliseconds(500), 1);
     const auto n = busy_agent();
     fleet.kill_agent(n);
     fleet.start_agent(n);
@@ -191,9 +193,7 @@
 // The new run can't know what the earlier one started.
 TEST_F(recovery, a_new_incarnation_of_the_agent_confirms_no_cancel)
 {
-    run_takes(milliseconds(500));
-    fleet.submit(0, job_of(fleet, 1));
-    fleet.run_for(milliseconds(50));
+    start_job(milliseconds(500), 1);
     const auto n = busy_agent();
     fleet.kill_agent(n);
     fleet.start_agent(n);
@@ -208,9 +208,7 @@
 
 TEST_F(recovery, an_agent_that_stays_away_fails_the_job_after_the_grace)
 {
-    run_takes(milliseconds(500));
-    fleet.submit(0, job_of(fleet, 1));
-    fleet.run_for(milliseconds(50));
+    start_job(milliseconds(500), 1);
     fleet.kill_agent(busy_agent());
     fleet.run_for(milliseconds(800));
     EXPECT_TRUE(fleet.record().answers.empty());
@@ -221,9 +219,7 @@
 
 TEST_F(recovery, an_idempotent_task_runs_again)
 {
-    run_takes(milliseconds(500));
-    fleet.submit(0, job_of(fleet, 1, true));
-    fleet.run_for(milliseconds(50));
+    start_job(milliseconds(500), 1, true);
     fleet.kill_agent(busy_agent());
     fleet.run_for(seconds(4));
     EXPECT_TRUE(succeeded(only_answer()));
@@ -233,9 +229,7 @@
 
 TEST_F(recovery, the_result_of_a_running_task_is_taken_after_a_cancel)
 {
-    run_takes(milliseconds(300));
-    fleet.submit(0, job_of(fleet, 1));
-    fleet.run_for(milliseconds(50));
+    start_job(milliseconds(300), 1);
     EXPECT_TRUE(fleet.entry(0).cancel(submission_id("s")));
     fleet.run_for(seconds(1));
     EXPECT_TRUE(succeeded(only_answer()));
@@ -243,9 +237,7 @@
 
 TEST_F(recovery, nothing_is_dispatched_once_the_claim_ran_out)
 {
-    run_takes(milliseconds(3000));
-    fleet.submit(0, job_of(fleet, 8));
-    fleet.run_for(milliseconds(50));
+    start_job(milliseconds(3000), 8);
     EXPECT_EQ(starts(), 6U);
     fleet.kill_entry(1);
     fleet.kill_entry(2);
@@ -467,9 +459,7 @@
 
 TEST_F(recovery, a_leaving_agent_ends_what_runs_and_the_rest_moves)
 {
-    run_takes(milliseconds(200));
-    fleet.submit(0, job_of(fleet, 12));
-    fleet.run_for(milliseconds(50));
+    start_job(milliseconds(200), 12);
     fleet.agent(0).drain();
     fleet.run_for(milliseconds(300));
     EXPECT_EQ(fleet.agent(0).running(), 0U);
