Name every linked agent in an entry's claims

Cause: a first claim named 64 agents at most. With 82 of them linked, most jobs place a task on one that their claim does not name; each such task waits for a renewal, with a list of agents that no other job has, so that it has no number and goes out whole. Class: work for each request that jumps where the fleet passes a constant; it keeps itself up, since jobs that wait for renewals renew for longer. Change: a claim names all linked agents, which the subset of an entry bounds; a reach is widened to the same list for all jobs.

--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -53,7 +53,6 @@
     duration link_grace = std::chrono::seconds(2);
     //! Least time between two tries to claim what another entry holds.
     duration claim_retry = std::chrono::milliseconds(250);
-    std::size_t reach = 64; //!< most agents that a first claim names
     //! Whether readiness waits for a quorum of ledger replicas past its fence.
     bool probe_ledger = false;
     bool dated_jobs = true; //!< whether callers tell when a job was created
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -263,8 +263,11 @@
     return held;
 }
 
+// A wider reach names every linked agent, so that it is the same list for all
+// jobs and has a number that replicas know.
 void entry_service::renew(const job_pointer& state)
 {
+    const auto usable = linked_reach();
     std::optional<claim_request> request;
     with_job(state,
              [&](job_state& it)
@@ -272,8 +275,8 @@
                  if (it.answer || it.asking || it.round == claim_round())
                      return;
                  it.asking = true;
-                 it.asked = it.reach.joined(
-                     agent_reach::list(it.wanted.begin(), it.wanted.end()));
+                 it.asked =
+                     it.wanted.empty() ? it.reach : it.reach.joined(usable);
                  it.wanted.clear();
                  request = claim_request(request_for(it));
              });
--- a/process/entry/src/entry_links.cpp
+++ b/process/entry/src/entry_links.cpp
@@ -97,11 +97,7 @@
         return *reach_;
     agent_reach::list agents;
     for (const auto& [agent, run] : *copy_links())
-    {
-        if (agents.size() >= options_.reach)
-            break;
         agents.push_back({agent, run});
-    }
     reach_ = agent_reach(std::move(agents));
     return *reach_;
 }
--- a/process/entry/tests/fake_fleet.hpp
+++ b/process/entry/tests/fake_fleet.hpp
@@ -62,7 +62,8 @@
     std::map<task_key, std::uint64_t> starts;
     std::vector<job_answer> answers;
     std::vector<std::string> violations;
-    std::uint64_t lost_calls = 0; //!< submitted to an entry that died
+    std::vector<claim_request> claims; //!< that the entries asked for
+    std::uint64_t lost_calls = 0;      //!< submitted to an entry that died
 };
 
 //! The fleet and the faults that a test can cause. Single-threaded.
--- a/process/entry/tests/fake_fleet_calls.cpp
+++ b/process/entry/tests/fake_fleet_calls.cpp
@@ -29,6 +29,7 @@
 void fake_fleet::claim(std::size_t from, const claim_request& asked,
                        claim_callback done)
 {
+    record_.claims.push_back(asked);
     struct exchange
     {
         claim_tally tally;
