--- a/process/entry/include/lagoonquay/process/dispatcher.hpp
+++ b/process/entry/include/lagoonquay/process/dispatcher.hpp
@@ -140,7 +140,6 @@
     struct pass
     {
         instant now{};
-        std::optional<agent_id> only; //!< the one agent to look at
         std::size_t lookahead = 0;
         std::vector<route_candidate> candidates;
         std::vector<queued_task> passed_over;
--- a/process/entry/src/dispatcher.cpp
+++ b/process/entry/src/dispatcher.cpp
@@ -223,7 +223,6 @@
 {
     pass state;
     state.now = hooks_.now();
-    state.only = only;
     state.lookahead = only ? options_.agent_lookahead : options_.lookahead;
     state.candidates = candidates(only, state.now);
     bool emptied = false;
