Count the bytes of answers that were cut off, and how late replicas run

Change: traffic has 'unanswered' and counts what arrived of such answers; control writes loop and traffic. Tests: http_server_test.bytes_of_a_response_that_is_cut_off_are_counted (no such count before), traffic_meter.adds_up_by_path.

--- a/connection/src/http_client.cpp
+++ b/connection/src/http_client.cpp
@@ -187,8 +187,11 @@
         parser_.body_limit(client_->options.response_bytes);
         http::async_read(
             *stream_, buffer_, parser_,
-            [self = this->shared_from_this()](error_code ec, std::size_t)
-            { self->on_read(ec); });
+            [self = this->shared_from_this()](error_code ec, std::size_t n)
+            {
+                self->received_ = n;
+                self->on_read(ec);
+            });
     }
 
     void on_read(error_code ec)
@@ -203,7 +206,8 @@
         const auto type = raw[http::field::content_type];
         response.content_type.assign(type.data(), type.size());
         response.body = std::move(raw.body());
-        count(response.body.size());
+        received_ = response.body.size();
+        count(0);
         client_->limits->remove(limit_);
         auto stream = std::move(stream_);
         if (raw.keep_alive())
@@ -215,18 +219,19 @@
     {
         const bool sent = !nothing_sent(code);
         client_->limits->remove(limit_);
-        count(0);
+        count(1);
         done_(fail(timed_out_ && sent ? connection_errc::timeout : code,
                    to_text(target_) + ": " + ec.message()));
     }
 
-    void count(std::size_t received)
+    void count(std::uint64_t unanswered)
     {
         const auto took = steady_now() - began_;
         client_->traffic->add({.path = path_,
                                .exchanges = 1,
+                               .unanswered = unanswered,
                                .bytes_sent = request_.body().size(),
-                               .bytes_received = received,
+                               .bytes_received = received_,
                                .total = took,
                                .longest = took});
     }
@@ -239,6 +244,7 @@
     http_callback done_;
     deadlines::handle limit_;
     bool timed_out_ = false;
+    std::size_t received_ = 0; //!< bytes, also of a response that was cut off
     std::unique_ptr<beast::tcp_stream> stream_;
     net::any_io_executor executor_;
     http::request<http::string_body> request_;
--- a/connection/src/traffic_meter.cpp
+++ b/connection/src/traffic_meter.cpp
@@ -23,6 +23,7 @@
     auto& sum = paths_[path];
     sum.path = path;
     sum.exchanges += more.exchanges;
+    sum.unanswered += more.unanswered;
     sum.bytes_sent += more.bytes_sent;
     sum.bytes_received += more.bytes_received;
     sum.total += more.total;
--- a/connection/tests/http_server_test.cpp
+++ b/connection/tests/http_server_test.cpp
@@ -3,6 +3,7 @@
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/connection/http_routes.hpp"
 #include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/connection/traffic_meter.hpp"
 #include "lagoonquay/connection/upstream.hpp"
 #include "raw_connection.hpp"
 
@@ -344,6 +345,24 @@
     }
 }
 
+TEST_F(http_server_test, bytes_of_a_response_that_is_cut_off_are_counted)
+{
+    const auto server = start(
+        {}, [](const http_request&, const http_responder& respond)
+        { respond({.body = std::string(100'000, 'x')}); });
+    http_client client(thread_.io(), {.response_bytes = 90'000});
+    std::promise<bool> whole;
+    client.send({"127.0.0.1", server.port()}, {.path = "/large"},
+                std::chrono::minutes(1),
+                [&](const connection_result<http_response>& answer)
+                { whole.set_value(answer.has_value()); });
+    EXPECT_FALSE(whole.get_future().get());
+    const auto sums = client.traffic()->read();
+    ASSERT_EQ(sums.size(), 1U);
+    EXPECT_EQ(sums.front().unanswered, 1U);
+    EXPECT_GT(sums.front().bytes_received, 0U);
+}
+
 TEST_F(http_server_test, fails_a_task_whose_answer_can_not_be_delivered)
 {
     EXPECT_TRUE(succeeded(call_upstream("fine")));
--- a/connection/tests/traffic_meter_test.cpp
+++ b/connection/tests/traffic_meter_test.cpp
@@ -16,12 +16,14 @@
     meter.add({.path = "/b", .exchanges = 1, .bytes_received = 7});
     meter.add({.path = "/a",
                .exchanges = 1,
+               .unanswered = 1,
                .bytes_sent = 1,
                .total = 2ms,
                .longest = 2ms});
     const std::vector<path_traffic> expected{
         {.path = "/a",
          .exchanges = 2,
+         .unanswered = 1,
          .bytes_sent = 11,
          .total = 7ms,
          .longest = 5ms},
--- a/process/common/include/lagoonquay/process/load_report.hpp
+++ b/process/common/include/lagoonquay/process/load_report.hpp
@@ -28,7 +28,12 @@
     //! @param view_age  of the fleet's state that decisions rest on.
     void write(duration view_age);
 
+    //! As above, for a process that holds the fleet's state itself.
+    void write();
+
 private:
+    void write_paths();
+
     io_threads& io_;
     traffic_meter& meter_;
     std::map<std::string, path_traffic> last_;
--- a/process/common/src/load_report.cpp
+++ b/process/common/src/load_report.cpp
@@ -30,6 +30,8 @@
         log_level::info, part, {}, "traffic",
         {{"path", now.path},
          {"exchanges", exchanges},
+         {"unanswered",
+          static_cast<std::int64_t>(now.unanswered - then.unanswered)},
          {"sent_kb", kilobytes_between(now.bytes_sent, then.bytes_sent)},
          {"received_kb",
           kilobytes_between(now.bytes_received, then.bytes_received)},
@@ -49,6 +51,18 @@
     write_event(log_level::info, part, {}, "loop",
                 {{"delay_ms", milliseconds_of(io_.take_longest_delay())},
                  {"view_age_ms", milliseconds_of(view_age)}});
+    write_paths();
+}
+
+void load_report::write()
+{
+    write_event(log_level::info, part, {}, "loop",
+                {{"delay_ms", milliseconds_of(io_.take_longest_delay())}});
+    write_paths();
+}
+
+void load_report::write_paths()
+{
     for (const auto& it : meter_.read())
     {
         auto& last = last_[it.path];
--- a/process/control/src/control_node.cpp
+++ b/process/control/src/control_node.cpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/process/durable_log.hpp"
 #include "lagoonquay/process/io_threads.hpp"
 #include "lagoonquay/process/latency_statistics.hpp"
+#include "lagoonquay/process/load_report.hpp"
 #include "lagoonquay/process/program.hpp"
 #include "lagoonquay/process/replica_transport.hpp"
 
@@ -65,7 +66,8 @@
           storage(std::move(log)),
           replica(replica_options_of(settings, node), hooks(), storage.node(),
                   storage.stored()),
-          service({.life = draw_incarnation()}, replica, steady_now)
+          service({.life = draw_incarnation()}, replica, steady_now),
+          load(threads, *client.traffic())
     {
     }
 
@@ -110,6 +112,7 @@
     latency_statistics syncs;
     control_replica replica;
     control_service service;
+    load_report load;
 };
 
 process_result<std::unique_ptr<control_node>>
@@ -155,6 +158,7 @@
 {
     auto& it = *parts_;
     it.io.every(control_replica::tick_period, [&it] { it.replica.tick(); });
+    it.io.every(load_report::period, [&it] { it.load.write(); });
     write_log(log_level::info, part, "Control replica started.");
 }
 
