--- a/connection/include/lagoonquay/connection/traffic_meter.hpp
+++ b/connection/include/lagoonquay/connection/traffic_meter.hpp
@@ -16,7 +16,7 @@
 struct path_traffic
 {
     std::string path;
-    std::uint64_t exchanges = 0; //!< requests, or frames of a link
+    std::uint64_t exchanges = 0;  //!< requests, or frames of a link
     std::uint64_t unanswered = 0; //!< of these, without a whole response
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
--- a/connection/tests/http_server_test.cpp
+++ b/connection/tests/http_server_test.cpp
@@ -347,9 +347,9 @@
 
 TEST_F(http_server_test, bytes_of_a_response_that_is_cut_off_are_counted)
 {
-    const auto server = start(
-        {}, [](const http_request&, const http_responder& respond)
-        { respond({.body = std::string(100'000, 'x')}); });
+    const auto server =
+        start({}, [](const http_request&, const http_responder& respond)
+              { respond({.body = std::string(100'000, 'x')}); });
     http_client client(thread_.io(), {.response_bytes = 90'000});
     std::promise<bool> whole;
     client.send({"127.0.0.1", server.port()}, {.path = "/large"},
