Ask one replica at a time for a newer view

Cause: each replica answered each heartbeat of a process that was behind with the whole state, the operators' document included. Five answers of 720 kB twice a second do not fit through 25 Mbit/s in the 900 ms that each may take; none arrived, and each round asked for as many again. Class: a retry that grows with the load that it causes, and work for a change that grows with the number of replicas. Evidence: 50 of 50 heartbeats unanswered in each 5 s with 11 MB received at the entry. Ruled out: entries too slow to read (their loops are at rest); replicas too slow to write (late only while agents ask, 398 ms; mended by the same change, as agents get no queues). Change: answers tell the version; view_fetch asks one replica, one question at a time, each after a failure with twice the time. Entries get no document, agents no queues. The rounds' state has a file of its own. Why this works: at most one copy is under way, and a copy that is too slow for its time gets more time, so some copy arrives on any link.

--- a/process/common/include/lagoonquay/process/permit_client.hpp
+++ b/process/common/include/lagoonquay/process/permit_client.hpp
@@ -13,7 +13,6 @@
 {
 
 class http_client;
-class permit_rounds;
 
 struct permit_client_options
 {
@@ -35,13 +34,14 @@
         learn;
 };
 
-//! Asks every replica once per call of tick(), and follows the replicas as they
-//! are replaced. Thread-safe.
+//! Asks every replica for its vote in rounds, and one of them for the newest
+//! view when a vote tells of one. Follows the replicas as they are replaced.
+//! Thread-safe.
 class permit_client
 {
 public:
     //! The client must outlive this object and its pending requests.
-    permit_client(http_client& client, permit_client_options options,
+    permit_client(http_client& client, const permit_client_options& options,
                   permit_client_hooks hooks);
     ~permit_client();
     permit_client(const permit_client&) = delete;
@@ -57,9 +57,8 @@
     void set_replicas(std::vector<endpoint> replicas);
 
 private:
-    http_client& client_;
-    const permit_client_options options_;
-    const std::shared_ptr<permit_rounds> rounds_;
+    class exchanges;
+    const std::shared_ptr<exchanges> exchanges_;
 };
 
 } // namespace lagoonquay
--- a/process/common/tests/decoder_fuzz_test.cpp
+++ b/process/common/tests/decoder_fuzz_test.cpp
@@ -240,8 +240,11 @@
 TEST(decoder_fuzz, heartbeat_and_reply)
 {
     check("heartbeat",
-          encode_permit_request(
-              {sample_member(), version_number(3), {}, {incarnation(1), 5}}),
+          encode_permit_request({sample_member(),
+                                 version_number(3),
+                                 {},
+                                 {incarnation(1), 5},
+                                 true}),
           decode_permit_request, encode_permit_request);
     permit_reply reply;
     reply.vote =
--- a/process/control/src/control_service.cpp
+++ b/process/control/src/control_service.cpp
@@ -20,6 +20,20 @@
                  {"address", it.address}});
 }
 
+// The operators' document is for operators, and agents serve no callers.
+fleet_view view_for(member_role role, const fleet_view& all)
+{
+    queue_catalog_options kept;
+    kept.revision = all->catalog->revision;
+    if (role == member_role::entry)
+    {
+        kept.queues = all->catalog->queues;
+        kept.services = all->catalog->services;
+    }
+    const queue_catalog catalog(std::move(kept));
+    return all.with([&](fleet_view_options& it) { it.catalog = catalog; });
+}
+
 } // namespace
 
 control_service::control_service(control_options options,
@@ -38,6 +52,12 @@
         log_member(*sender, "member_seen");
     permit_reply reply;
     reply.vote = replica_.vote(request.known);
+    if (reply.vote && reply.vote->view)
+    {
+        auto& view = reply.vote->view;
+        view = request.wants_view ? std::optional(view_for(sender->role, *view))
+                                  : std::nullopt;
+    }
     if (auto replicas = replica_.replicas();
         request.known_replicas < replicas.index)
         reply.replicas = std::move(replicas);
--- a/version/include/lagoonquay/version/member.hpp
+++ b/version/include/lagoonquay/version/member.hpp
@@ -56,6 +56,7 @@
     version_number known;       //!< newest version the sender has applied
     log_index known_replicas;   //!< of the newest replica_set it has heard of
     members_mark known_members; //!< heard of from the replica that is asked
+    bool wants_view = false;    //!< whether the answer shall hold a newer view
 
     friend bool operator==(const permit_request&,
                            const permit_request&) = default;
--- a/version/include/lagoonquay/version/permit.hpp
+++ b/version/include/lagoonquay/version/permit.hpp
@@ -20,9 +20,9 @@
 struct permit_vote
 {
     replica_id replica;
-    version_number version;            //!< last committed
-    std::optional<fleet_view> view;    //!< sent to those who know less
-    std::set<domain_id> pending_out;   //!< uncommitted
+    version_number version;          //!< last committed
+    std::optional<fleet_view> view;  //!< to those who know less and ask for it
+    std::set<domain_id> pending_out; //!< uncommitted
     std::set<agent_id> pending_drains; //!< uncommitted
 
     friend bool operator==(const permit_vote&, const permit_vote&) = default;
--- a/version/src/version_codec.cpp
+++ b/version/src/version_codec.cpp
@@ -390,6 +390,8 @@
                         {"known_replicas", request.known_replicas.number()}};
     if (request.known_members != members_mark())
         object["known_members"] = mark_to_json(request.known_members);
+    if (request.wants_view)
+        object["wants_view"] = true;
     return json::serialize(object);
 }
 
@@ -403,6 +405,7 @@
         log_index(fields.number_or("known_replicas", 0, 0, json_exact_limit));
     if (const auto* mark = fields.member("known_members"))
         request.known_members = mark_from_json(*mark, fields);
+    request.wants_view = fields.flag_or("wants_view", false);
     if (const auto* sender = fields.member("sender"))
         request.sender = member_from_json(*sender, fields);
     else
