Take no job while a newer view is known and does not arrive

Cause: an entry noted that control was heard only together with a permit, and a permit needs the newest view. One that heard five replicas and could not get their view took itself for cut off, and went on by its old view as entries do when control is away. Class: an answer from old state that looks like one from new state. Evidence: control_lost at 11.5 to 11.9 s and no job refused as queues_unconfirmed until 40 s, though replicas answered all the time. Ruled out: refusing whenever the view is old; entries that reach no majority go on with it, as the design wants. Change: a majority that answers counts as control that is heard, with or without the view; beyond the view's limit such an entry refuses jobs as not run and is not ready.

--- a/process/agent/src/agent_node.cpp
+++ b/process/agent/src/agent_node.cpp
@@ -74,6 +74,7 @@
                 .self = [this] { return service.self(); },
                 .known = [this] { return service.view(); },
                 .hold = [this](const permit& it) { service.hold(it); },
+                .heard = {},
                 .learn = {}};
     }
 
--- a/process/common/include/lagoonquay/process/permit_client.hpp
+++ b/process/common/include/lagoonquay/process/permit_client.hpp
@@ -28,6 +28,9 @@
     std::function<member()> self;
     std::function<fleet_view()> known; //!< the newest applied view
     std::function<void(const permit&)> hold;
+    //! A majority has answered, perhaps without the view that a permit needs;
+    //! may be empty.
+    std::function<void()> heard;
     //! Hears of the agents and the entries of the fleet; may be empty.
     std::function<void(const std::vector<member>& agents,
                        const std::vector<member>& entries)>
--- a/process/common/src/permit_rounds.cpp
+++ b/process/common/src/permit_rounds.cpp
@@ -214,8 +214,12 @@
         if (counts(replicas, it))
             counted.push_back(std::move(it));
     }
-    const auto merged =
-        merge_votes(counted, voters_of(replicas), known(), round.sent());
+    const auto voters = voters_of(replicas);
+    if (!is_majority(counted, voters))
+        return;
+    if (hooks_.heard)
+        hooks_.heard();
+    const auto merged = merge_votes(counted, voters, known(), round.sent());
     if (merged)
         hold(*merged, round.sent());
 }
--- a/process/control/tests/view_cost_test.cpp
+++ b/process/control/tests/view_cost_test.cpp
@@ -226,10 +226,9 @@
 
     permit_client_hooks hooks(member_role role)
     {
-        const member self(
-            {.role = role, .id = "a", .domain = domain_id("south-1")});
+        member self({.role = role, .id = "a", .domain = domain_id("south-1")});
         return {.now = [this] { return instant(now_.load()); },
-                .self = [self] { return self; },
+                .self = [it = std::move(self)] { return it; },
                 .known =
                     [this]
                 {
@@ -243,6 +242,13 @@
                     view_ = it->view;
                     changed_.notify_all();
                 },
+                .heard =
+                    [this]
+                {
+                    const std::lock_guard lock(mutex_);
+                    ++majorities_;
+                    changed_.notify_all();
+                },
                 .learn = {}};
     }
 
@@ -290,6 +296,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     fleet_view view_;
+    int majorities_ = 0; //!< votes with which a majority had answered
     io_threads io_{1};
     http_client client_{io_.context(), {}};
     std::vector<std::unique_ptr<replica_host>> hosts_;
@@ -305,6 +312,24 @@
     EXPECT_LE(bytes_of_a_change(member_role::agent), most_agent_bytes);
 }
 
+// Who waits for a view has still heard of it, so that it can say that it is
+// behind.
+TEST_F(view_cost, a_majority_is_heard_while_the_view_is_on_its_way)
+{
+    change_catalog();
+    for (const auto& it : hosts_)
+        it->hold_views();
+    permit_client permits(client_, options(), hooks(member_role::entry));
+    permits.tick();
+    wait_until([this] { return answered() >= replica_count; });
+    {
+        const std::lock_guard lock(mutex_);
+        EXPECT_GT(majorities_, 0);
+        EXPECT_EQ(view_->version, version_number());
+    }
+    io_.stop();
+}
+
 TEST_F(view_cost, slow_answers_do_not_add_up)
 {
     constexpr std::size_t rounds = 3;
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -168,6 +168,9 @@
     //! @return what is left of the permit; zero without one.
     duration permit_left() const;
 
+    //! A majority of control has answered, perhaps without the newest view.
+    void note_control();
+
     //! @return the time since control was heard; since the start if it never
     //! was.
     duration control_silence() const;
@@ -180,8 +183,8 @@
     //! there.
     bool view_confirmed() const;
 
-    //! @return whether control answers, but so late that what it says is old:
-    //! a change may be in force by which a new job is not this entry's to take.
+    //! @return whether control is heard, but what this entry knows is old: a
+    //! change may be in force by which a new job is not this entry's to take.
     bool view_lags() const;
 
     //! @return the whole state as JSON.
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -179,6 +179,7 @@
                 .self = [it = describe(settings, run)] { return it; },
                 .known = [this] { return service.view(); },
                 .hold = [this](const permit& it) { service.hold(it); },
+                .heard = [this] { service.note_control(); },
                 .learn =
                     [this](const std::vector<member>& agents,
                            const std::vector<member>& entries)
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -175,7 +175,7 @@
 
 bool entry_service::ready() const
 {
-    return !leaving_ && takes_jobs();
+    return !leaving_ && takes_jobs() && !view_lags();
 }
 
 bool entry_service::takes_jobs() const
@@ -228,6 +228,12 @@
     return left_of(permit_, hooks_.now());
 }
 
+void entry_service::note_control()
+{
+    const std::lock_guard lock(permit_mutex_);
+    control_heard_ = hooks_.now();
+}
+
 duration entry_service::control_silence() const
 {
     const std::lock_guard lock(permit_mutex_);
--- a/version/include/lagoonquay/version/permit.hpp
+++ b/version/include/lagoonquay/version/permit.hpp
@@ -61,6 +61,10 @@
 //! before then is in its view.
 duration age_of(const permit& held, instant now) noexcept;
 
+//! @return whether the votes are a majority of so many replicas.
+bool is_majority(const std::vector<permit_vote>& votes,
+                 std::size_t replicas) noexcept;
+
 //! Merges the replicas' words.
 //! @param known  the newest view that this process has applied.
 //! @param sent   when the request for the votes was sent.
--- a/version/src/permit.cpp
+++ b/version/src/permit.cpp
@@ -51,6 +51,12 @@
     return std::min(now, held->valid_until - duration(1));
 }
 
+bool is_majority(const std::vector<permit_vote>& votes,
+                 std::size_t replicas) noexcept
+{
+    return votes.size() > replicas / 2;
+}
+
 // Any committed change is on a majority, so every majority read holds a
 // replica that has it, committed or pending. Pending changes that forbid work
 // are counted; so "out" is seen by each read that begins after its commit,
@@ -59,7 +65,7 @@
                                   std::size_t replicas, const fleet_view& known,
                                   instant sent)
 {
-    if (votes.size() < replicas / 2 + 1)
+    if (!is_majority(votes, replicas))
         return std::nullopt;
     const auto* view = newest_view(votes, known);
     if ((*view)->version < newest_version(votes))
