Let a control replica go on once its disk takes writes again

Cause: a failed write ended a replica's part until its process was restarted. core- binh-duong-2 refused writes at 24.9 s, though its disk had room from 13.5 s on; with two more disks full three of five replicas were away. Class: a state for good where the cause passes. Ruled out: ending the process, which is seen as a crash, and repeats while the disk is full. Change: the storage thread tries twice a second to go back to what was last synced, and the replica begins anew from it, as a restart does. Records whose sync failed are cut, as they may be readable and not on the disk; the folder is synced first, so that a compaction that broke off is read as it will last. Tests: durable_log_test.goes_on_from_what_was_synced_once_there_is_room, .does_not_go_on_from_records_whose_sync_failed, .goes_on_after_a_compaction_that_broke_off (recover() is new), control_replica_test.takes_part_again_once_its_disk_has_room (without the call of recover() it had not ended after 20 s).

--- a/process/control/include/lagoonquay/process/control_replica.hpp
+++ b/process/control/include/lagoonquay/process/control_replica.hpp
@@ -36,6 +36,8 @@
     duration command_timeout = std::chrono::seconds(5);
     //! A replica that heard from no leader for longer gives no permit votes.
     duration leaderless_votes = std::chrono::seconds(10);
+    //! Between attempts to go on after a write has failed.
+    duration recovery_period = std::chrono::milliseconds(500);
 
     friend bool operator==(const control_replica_options&,
                            const control_replica_options&) = default;
@@ -50,6 +52,9 @@
     std::function<cluster_number()> draw_cluster;
     //! Writes and syncs. Called on the storage thread only.
     std::function<process_result<void>(const std::vector<log_write>&)> store;
+    //! Reads what is stored after a write has failed, once the disk takes
+    //! writes again. Called on the storage thread only.
+    std::function<process_result<stored_log>()> recover;
     //! Sends a message; may lose it.
     std::function<void(const std::string& address, const replica_message&)>
         send;
--- a/process/control/include/lagoonquay/process/durable_log.hpp
+++ b/process/control/include/lagoonquay/process/durable_log.hpp
@@ -47,9 +47,14 @@
     std::size_t cut_bytes() const noexcept;    //!< of a torn tail
 
     //! Writes in order and returns once all is synced. After a failure the
-    //! log takes no more writes.
+    //! log takes no more writes until recover().
     process_result<void> write(const std::vector<log_write>& writes);
 
+    //! Goes back to what was last synced, after a failed write.
+    //! @return what is stored, or storage: the disk still takes no writes, or
+    //!         a file is corrupt.
+    process_result<stored_log> recover();
+
 private:
     struct files;
     explicit durable_log(std::unique_ptr<files> opened) noexcept;
--- a/process/control/src/control_node.cpp
+++ b/process/control/src/control_node.cpp
@@ -87,6 +87,10 @@
             syncs.add(steady_now() - began);
             return written;
         };
+        given.recover = [this]
+        {
+            return storage.recover();
+        };
         given.send = [this](const std::string& to, const replica_message& it)
         {
             transport.send(to, it);
--- a/process/control/src/control_replica.cpp
+++ b/process/control/src/control_replica.cpp
@@ -1,21 +1,31 @@
 #include "lagoonquay/process/control_replica.hpp"
 
 #include "control_replica_core.hpp"
+#include "lagoonquay/process/log.hpp"
 
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace lagoonquay
 {
 
+namespace
+{
+
+constexpr std::string_view part = "replica";
+
+} // namespace
+
 struct control_replica::shared
 {
-    shared(control_replica_options options, control_replica_hooks given,
-           const node_id& node, const stored_log& stored)
+    shared(control_replica_options given, control_replica_hooks calls,
+           node_id self, const stored_log& stored)
         : hooks(
-              std::make_shared<const control_replica_hooks>(std::move(given))),
-          core(std::move(options), hooks, node, stored)
+              std::make_shared<const control_replica_hooks>(std::move(calls))),
+          node(std::move(self)), options(std::move(given)),
+          core(std::in_place, options, hooks, node, stored)
     {
     }
 
@@ -27,7 +37,7 @@
         {
             const std::lock_guard lock(mutex);
             use(calls);
-            if (core.has_writes())
+            if (core->has_writes())
                 work_added.notify_one();
         }
         for (const auto& it : calls)
@@ -44,26 +54,68 @@
                 [&](deferred_calls& calls)
                 {
                     if (stored)
-                        core.stored(writes->back().sequence, calls);
+                        core->stored(writes->back().sequence, calls);
                     else
-                        core.storage_failed(stored.error().detail, calls);
+                        core->storage_failed(stored.error().detail, calls);
                 });
+            if (!stored)
+                recover();
+        }
+    }
+
+    //! Begins anew from what is stored, as a restart does, once the disk takes
+    //! writes again.
+    void recover()
+    {
+        std::string last_error;
+        while (wait_for_recovery())
+        {
+            const auto stored = hooks->recover();
+            if (stored)
+                return restart(stored.value());
+            if (stored.error().detail == last_error)
+                continue;
+            last_error = stored.error().detail;
+            write_log(log_level::warning, part,
+                      "Storage does not work yet: " + last_error + ".");
+        }
+    }
+
+    //! @return false once the replica ends.
+    bool wait_for_recovery()
+    {
+        std::unique_lock lock(mutex);
+        work_added.wait_for(lock, options.recovery_period,
+                            [this] { return ending; });
+        return !ending;
+    }
+
+    void restart(const stored_log& stored)
+    {
+        {
+            const std::lock_guard lock(mutex);
+            core.emplace(options, hooks, node, stored);
         }
+        write_event(
+            log_level::info, part, {}, "storage_recovered",
+            {{"entries", static_cast<std::int64_t>(stored.entries.size())}});
     }
 
     std::optional<std::vector<log_write>> next_writes()
     {
         std::unique_lock lock(mutex);
-        work_added.wait(lock, [this] { return ending || core.has_writes(); });
+        work_added.wait(lock, [this] { return ending || core->has_writes(); });
         if (ending)
             return std::nullopt;
-        return core.take_writes();
+        return core->take_writes();
     }
 
     const std::shared_ptr<const control_replica_hooks> hooks;
     mutable std::mutex mutex;
     std::condition_variable work_added;
-    control_replica_core core;
+    const node_id node;
+    control_replica_options options;
+    std::optional<control_replica_core> core;
     bool ending = false;
     std::thread storage;
 };
@@ -89,13 +141,13 @@
 
 void control_replica::tick()
 {
-    shared_->step([&](deferred_calls& calls) { shared_->core.tick(calls); });
+    shared_->step([&](deferred_calls& calls) { shared_->core->tick(calls); });
 }
 
 void control_replica::receive(const replica_batch& batch)
 {
     shared_->step([&](deferred_calls& calls)
-                  { shared_->core.receive(batch, calls); });
+                  { shared_->core->receive(batch, calls); });
 }
 
 replica_greeting control_replica::on_greeting(const replica_greeting& other)
@@ -104,8 +156,8 @@
     shared_->step(
         [&](deferred_calls& calls)
         {
-            shared_->core.on_greeting(other, calls);
-            own = shared_->core.greeting();
+            shared_->core->on_greeting(other, calls);
+            own = shared_->core->greeting();
         });
     return own;
 }
@@ -113,50 +165,51 @@
 void control_replica::add_peer(const std::string& address)
 {
     const std::lock_guard lock(shared_->mutex);
-    shared_->core.add_peer(address);
+    shared_->options.peers.push_back(address);
+    shared_->core->add_peer(address);
 }
 
 void control_replica::propose(const command& asked, bool may_forward,
                               const answer_hook& done)
 {
     shared_->step([&](deferred_calls& calls)
-                  { shared_->core.propose(asked, may_forward, done, calls); });
+                  { shared_->core->propose(asked, may_forward, done, calls); });
 }
 
 void control_replica::hand_over()
 {
     shared_->step([&](deferred_calls& calls)
-                  { shared_->core.hand_over(calls); });
+                  { shared_->core->hand_over(calls); });
 }
 
 fleet_view control_replica::view() const
 {
     const std::lock_guard lock(shared_->mutex);
-    return shared_->core.view();
+    return shared_->core->view();
 }
 
 bool control_replica::leads() const
 {
     const std::lock_guard lock(shared_->mutex);
-    return shared_->core.leads();
+    return shared_->core->leads();
 }
 
 std::optional<permit_vote> control_replica::vote(version_number known) const
 {
     const std::lock_guard lock(shared_->mutex);
-    return shared_->core.vote(known);
+    return shared_->core->vote(known);
 }
 
 replica_set control_replica::replicas() const
 {
     const std::lock_guard lock(shared_->mutex);
-    return shared_->core.replicas();
+    return shared_->core->replicas();
 }
 
 control_replica_state control_replica::state() const
 {
     const std::lock_guard lock(shared_->mutex);
-    return shared_->core.state();
+    return shared_->core->state();
 }
 
 } // namespace lagoonquay
--- a/process/control/src/durable_log.cpp
+++ b/process/control/src/durable_log.cpp
@@ -108,6 +108,8 @@
     process_result<void> read_log(log_index& base);
     process_result<void> write(const std::vector<log_write>& writes);
     process_result<void> append(const std::string& records);
+    process_result<void> recover();
+    process_result<void> cut_unsynced();
     process_result<void> start_generation(const log_write& from);
     void remove_other_generations() const;
     std::string records_of(const log_write& write);
@@ -236,6 +238,30 @@
     return mark_file.overwrite(encode_mark(mark));
 }
 
+// A failed write may have moved to the next generation or not; once the folder
+// is synced, what it shows is what lasts.
+process_result<void> durable_log::files::recover()
+{
+    BOOST_OUTCOME_TRY(sync_folder(folder, disk));
+    BOOST_OUTCOME_TRY(const auto content, read_file(path(mark_name)));
+    BOOST_OUTCOME_TRY(const auto found, decode_mark(content, path(mark_name)));
+    if (found.generation == mark.generation)
+    {
+        BOOST_OUTCOME_TRY(cut_unsynced());
+    }
+    stored = {};
+    BOOST_OUTCOME_TRY(read());
+    return mark_file.overwrite(encode_mark(mark));
+}
+
+// After a failed sync the records beyond may be readable and yet not be on the
+// disk.
+process_result<void> durable_log::files::cut_unsynced()
+{
+    BOOST_OUTCOME_TRY(log.truncate(mark.synced));
+    return log.sync(disk);
+}
+
 process_result<void> durable_log::files::start_generation(const log_write& from)
 {
     const auto next = mark.generation + 1;
@@ -319,7 +345,7 @@
 }
 
 // After a failed sync nobody knows what the disk holds, so nothing later may
-// be acknowledged either. A restart reads what is there.
+// be acknowledged either.
 process_result<void> durable_log::write(const std::vector<log_write>& writes)
 {
     if (files_->failed)
@@ -330,4 +356,11 @@
     return written;
 }
 
+process_result<stored_log> durable_log::recover()
+{
+    BOOST_OUTCOME_TRY(files_->recover());
+    files_->failed = false;
+    return files_->stored;
+}
+
 } // namespace lagoonquay
--- a/process/control/tests/control_replica_test.cpp
+++ b/process/control/tests/control_replica_test.cpp
@@ -36,15 +36,21 @@
 {
 protected:
     control_replica_test()
-        : replica_(
-              {.name = replica_id("a"), .address = "a", .peers = {"b", "c"}},
-              hooks(), self,
-              {{cluster, term_number(1), std::nullopt},
-               nullptr,
-               {{log_index(1), term_number(1), three}}})
+        : replica_({.name = replica_id("a"),
+                    .address = "a",
+                    .peers = {"b", "c"},
+                    .recovery_period = std::chrono::milliseconds(1)},
+                   hooks(), self, first_log())
     {
     }
 
+    static stored_log first_log()
+    {
+        return {{cluster, term_number(1), std::nullopt},
+                nullptr,
+                {{log_index(1), term_number(1), three}}};
+    }
+
     control_replica_hooks hooks()
     {
         control_replica_hooks given;
@@ -69,6 +75,13 @@
                 return fail(process_errc::storage, "disk full");
             return BOOST_OUTCOME_V2_NAMESPACE::success();
         };
+        given.recover = [this]() -> process_result<stored_log>
+        {
+            const std::lock_guard lock(mutex_);
+            if (disk_full_)
+                return fail(process_errc::storage, "disk full");
+            return first_log();
+        };
         given.send = [this](const std::string&, const replica_message& it)
         {
             const std::lock_guard lock(mutex_);
@@ -86,6 +99,12 @@
         return given;
     }
 
+    void fill_disk(bool full)
+    {
+        const std::lock_guard lock(mutex_);
+        disk_full_ = full;
+    }
+
     void pass(duration time)
     {
         const std::lock_guard lock(mutex_);
@@ -230,12 +249,24 @@
     wait_for_acknowledgement(2);
 }
 
+TEST_F(control_replica_test, takes_part_again_once_its_disk_has_room)
+{
+    fill_disk(true);
+    hear_leader({{log_index(2), term_number(2), take_out()}}, 1, 2);
+    while (replica_.state().storage_error.empty())
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    fill_disk(false);
+    while (!replica_.state().storage_error.empty())
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    EXPECT_FALSE(replica_.vote({}));
+    hear_leader({{log_index(2), term_number(2), take_out()}}, 1, 2);
+    wait_for_acknowledgement(2);
+    EXPECT_TRUE(replica_.vote({}));
+}
+
 TEST_F(control_replica_test, a_full_disk_ends_its_votes_and_its_answers)
 {
-    {
-        const std::lock_guard lock(mutex_);
-        disk_full_ = true;
-    }
+    fill_disk(true);
     hear_leader({{log_index(2), term_number(2), take_out()}}, 1, 2);
     while (replica_.state().storage_error.empty())
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
--- a/process/control/tests/durable_log_test.cpp
+++ b/process/control/tests/durable_log_test.cpp
@@ -71,6 +71,15 @@
             disk_.hooks());
     }
 
+    //! Closes a log and reads its folder.
+    process_result<durable_log> open_again(process_result<durable_log> opened)
+    {
+        {
+            const auto closed = std::move(opened).value();
+        }
+        return open();
+    }
+
     static log_write write_of(std::uint64_t first, std::uint64_t last,
                               std::uint64_t term = 1)
     {
@@ -231,6 +240,62 @@
     EXPECT_EQ(open().value().stored().entries.size(), 5);
 }
 
+TEST_F(durable_log_test, goes_on_from_what_was_synced_once_there_is_room)
+{
+    auto opened = open();
+    auto& log = opened.value();
+    EXPECT_TRUE(log.write({write_of(1, 5)}));
+    disk_.room = 100;
+    EXPECT_FALSE(log.write({write_of(6, 10)}));
+    disk_.room.reset();
+    const auto found = log.recover();
+    ASSERT_TRUE(found);
+    EXPECT_EQ(found.value().entries, write_of(1, 5).entries);
+    EXPECT_TRUE(log.write({write_of(6, 8)}));
+    opened = open_again(std::move(opened));
+    EXPECT_EQ(opened.value().stored().entries, write_of(1, 8).entries);
+}
+
+// What a failed sync left can be read, but may not be on the disk.
+TEST_F(durable_log_test, does_not_go_on_from_records_whose_sync_failed)
+{
+    auto opened = open();
+    auto& log = opened.value();
+    EXPECT_TRUE(log.write({write_of(1, 5)}));
+    disk_.sync_fails = true;
+    EXPECT_FALSE(log.write({write_of(6, 10)}));
+    EXPECT_FALSE(log.recover());
+    disk_.sync_fails = false;
+    const auto found = log.recover();
+    ASSERT_TRUE(found);
+    EXPECT_EQ(found.value().entries, write_of(1, 5).entries);
+}
+
+// The disk fills up at every byte of a compaction.
+TEST_F(durable_log_test, goes_on_after_a_compaction_that_broke_off)
+{
+    const auto base = std::make_shared<const log_snapshot>(
+        log_snapshot{log_index(8), term_number(1), membership(), "the state"});
+    auto compacted = write_of(9, 10);
+    compacted.install = base;
+    for (std::size_t room = 0; room < 700; room += 7)
+    {
+        fs::remove_all(folder_);
+        fill();
+        auto opened = open();
+        auto& log = opened.value();
+        disk_.room = room;
+        const bool done = log.write({compacted}).has_value();
+        disk_.room.reset();
+        const auto found = log.recover();
+        ASSERT_TRUE(found) << room;
+        EXPECT_EQ(found.value().entries.size(), done ? 2 : 10);
+        EXPECT_TRUE(log.write({write_of(11, 12)}));
+        opened = open_again(std::move(opened));
+        EXPECT_EQ(opened.value().stored().entries.size(), done ? 4 : 12);
+    }
+}
+
 TEST_F(durable_log_test, a_failed_sync_is_not_acknowledged)
 {
     auto log = open();
