--- a/process/control/tests/view_cost_test.cpp
+++ b/process/control/tests/view_cost_test.cpp
@@ -25,15 +25,15 @@
 // A change may take a tenth of a link of 25 Mbit/s in the 2.5 s that it has.
 constexpr std::uint64_t most_entry_bytes = 25'000'000 / 8 / 10 * 5 / 2;
 // What a node may spend in a second on all that control tells it.
-constexpr std::uint64_t most_agent_bytes = 6000;
+constexpr std::uint64_t most_bytes_of_a_second = 6000;
 const cluster_number cluster(1);
 
-queue_catalog large_catalog()
+queue_catalog catalog_of(std::uint64_t revision, std::size_t queues)
 {
     queue_catalog_options options;
-    options.revision = catalog_revision(7);
+    options.revision = catalog_revision(revision);
     options.services = {{service_id("kiln"), false}};
-    for (std::size_t n = 0; n < queue_count; ++n)
+    for (std::size_t n = 0; n < queues; ++n)
     {
         const auto text = std::to_string(n);
         job_queue it;
@@ -95,17 +95,18 @@
                          steady_now);
     }
 
-    //! Takes and applies the entries after the first.
-    void follow(std::size_t n, std::vector<log_entry> entries)
+    //! Takes and applies one entry.
+    void follow(std::size_t n, const log_entry& entry)
     {
-        const log_index commit(1 + entries.size());
+        const log_index previous(entry.index.number() - 1);
+        const term_number before(previous.number() > 1 ? 2 : 1);
         replica_->receive({"leader",
                            {{cluster, node(replica_count - 1), node(n),
                              append_request{.term = term_number(2),
-                                            .previous = log_index(1),
-                                            .previous_term = term_number(1),
-                                            .entries = std::move(entries),
-                                            .commit = commit,
+                                            .previous = previous,
+                                            .previous_term = before,
+                                            .entries = {entry},
+                                            .commit = entry.index,
                                             .ready = true}}}});
     }
 
@@ -204,15 +205,18 @@
         return found;
     }
 
-    //! Four replicas of five apply the catalog.
-    void change_catalog()
+    //! Four replicas of five apply the next catalog.
+    void change_catalog(std::size_t queues = queue_count)
     {
-        const command change({.id = command_id("1"),
+        const auto number = changes_.number() + 1;
+        changes_ = version_number(number);
+        const command change({.id = command_id(std::to_string(number)),
                               .author = "ann",
                               .expected = std::nullopt,
-                              .what = set_catalog{large_catalog()}});
+                              .what = set_catalog{catalog_of(number, queues)}});
+        const log_entry entry{log_index(1 + number), term_number(2), change};
         for (std::size_t n = 0; n + 1 < replica_count; ++n)
-            hosts_[n]->follow(n, {{log_index(2), term_number(2), change}});
+            hosts_[n]->follow(n, entry);
     }
 
     permit_client_options options() const
@@ -252,25 +256,32 @@
                 .learn = {}};
     }
 
-    //! Asks for permits until the changed catalog is in force.
-    //! @return the bytes that the process received.
-    std::uint64_t bytes_of_a_change(member_role role)
+    //! Asks for permits until the newest catalog is in force.
+    //! @return the bytes that the process has received so far.
+    std::uint64_t bytes_until_in_force(permit_client& permits)
     {
-        change_catalog();
-        permit_client permits(client_, options(), hooks(role));
         permits.tick();
+        now_ = now_.load() + std::chrono::milliseconds(500);
+        ++rounds_;
         {
             std::unique_lock lock(mutex_);
-            changed_.wait(lock, [this]
-                          { return view_->version == version_number(1); });
-            EXPECT_EQ(view_->catalog->revision, catalog_revision(7));
+            changed_.wait(lock, [this] { return view_->version == changes_; });
+            EXPECT_EQ(view_->catalog->revision.number(), changes_.number());
         }
         wait_until(
-            [this]
-            { return asked() >= replica_count && answered() == asked(); });
+            [this] {
+                return asked() >= rounds_ * replica_count &&
+                       answered() == asked();
+            });
         return client_.traffic()->read().front().bytes_received;
     }
 
+    std::size_t queues_in_force()
+    {
+        const std::lock_guard lock(mutex_);
+        return view_->catalog->queues.size();
+    }
+
     std::uint64_t answered()
     {
         const auto sums = client_.traffic()->read();
@@ -295,6 +306,8 @@
     std::atomic<duration> now_ = duration(std::chrono::seconds(100));
     std::mutex mutex_;
     std::condition_variable changed_;
+    version_number changes_; //!< as many as were made
+    std::size_t rounds_ = 0;
     fleet_view view_;
     int majorities_ = 0; //!< votes with which a majority had answered
     io_threads io_{1};
@@ -304,12 +317,28 @@
 
 TEST_F(view_cost, of_many_queues_is_a_tenth_of_the_link_of_an_entry)
 {
-    EXPECT_LE(bytes_of_a_change(member_role::entry), most_entry_bytes);
+    permit_client permits(client_, options(), hooks(member_role::entry));
+    change_catalog();
+    EXPECT_LE(bytes_until_in_force(permits), most_entry_bytes);
+    EXPECT_EQ(queues_in_force(), queue_count);
 }
 
 TEST_F(view_cost, of_many_queues_does_not_reach_agents)
 {
-    EXPECT_LE(bytes_of_a_change(member_role::agent), most_agent_bytes);
+    permit_client permits(client_, options(), hooks(member_role::agent));
+    change_catalog();
+    EXPECT_LE(bytes_until_in_force(permits), most_bytes_of_a_second);
+}
+
+TEST_F(view_cost, of_one_queue_does_not_grow_with_the_others)
+{
+    permit_client permits(client_, options(), hooks(member_role::entry));
+    change_catalog();
+    const auto before = bytes_until_in_force(permits);
+    change_catalog(queue_count + 1);
+    const auto after = bytes_until_in_force(permits);
+    EXPECT_LE(after - before, most_bytes_of_a_second);
+    EXPECT_EQ(queues_in_force(), queue_count + 1);
 }
 
 // Who waits for a view has still heard of it, so that it can say that it is
