Name the time of a view's question as other lines name limits

check-names found a name of the platform in the line view_not_received (timeout_ms); it is limit_ms now, as in the line of an accepted job. No logic changes.

--- a/process/common/src/permit_client.cpp
+++ b/process/common/src/permit_client.cpp
@@ -106,7 +106,7 @@
         rounds_.query_failed();
         write_event(log_level::warning, part, {}, "view_not_received",
                     {{"replica", to_text(query.replica)},
-                     {"timeout_ms", milliseconds_of(query.timeout)},
+                     {"limit_ms", milliseconds_of(query.timeout)},
                      {"reason", answer ? "no view that can be used"
                                        : answer.error().detail}});
     }
