Ask the next replica at once when a view's question was in vain

Change: the next replica that has the version is asked at once. One that failed is asked again only once it has been heard again, so that there is an end when all are gone. Test: view_cost.a_question_in_vain_goes_to_the_next_replica_at_once (without the change it had not ended after 15 s: there is one round of heartbeats). view_fetch's test of the order checks that nobody is asked before he is heard again.

--- a/process/common/include/lagoonquay/process/view_fetch.hpp
+++ b/process/common/include/lagoonquay/process/view_fetch.hpp
@@ -46,16 +46,15 @@
     //! The query has brought a view.
     void arrived() noexcept;
 
-    //! The query has brought none: the next one goes to another replica, if
-    //! there is one, and may take twice as long.
+    //! The query has brought none: its replica is asked again only once it has
+    //! been heard again, and the next query may take twice as long.
     void failed();
 
 private:
     const view_fetch_options options_;
     std::map<endpoint, version_number> versions_;
     duration timeout_;
-    std::optional<endpoint> asked_;  //!< while a query is under way
-    std::optional<endpoint> failed_; //!< whom the last query went to in vain
+    std::optional<endpoint> asked_; //!< while a query is under way
 };
 
 } // namespace lagoonquay
--- a/process/common/src/permit_client.cpp
+++ b/process/common/src/permit_client.cpp
@@ -109,6 +109,7 @@
                      {"limit_ms", milliseconds_of(query.timeout)},
                      {"reason", answer ? "no view that can be used"
                                        : answer.error().detail}});
+        send_query();
     }
 
     http_client& client_;
--- a/process/common/src/view_fetch.cpp
+++ b/process/common/src/view_fetch.cpp
@@ -20,34 +20,27 @@
 {
     if (asked_)
         return std::nullopt;
-    std::optional<endpoint> first;
-    std::optional<endpoint> next;
     for (const auto& [replica, version] : versions_)
     {
         if (version <= known)
             continue;
-        if (!first)
-            first = replica;
-        if (!next && failed_ && *failed_ < replica)
-            next = replica;
+        asked_ = replica;
+        return view_query{replica, timeout_};
     }
-    asked_ = next ? next : first;
-    if (!asked_)
-        return std::nullopt;
-    return view_query{*asked_, timeout_};
+    return std::nullopt;
 }
 
 void view_fetch::arrived() noexcept
 {
     asked_.reset();
-    failed_.reset();
     timeout_ = options_.first_timeout;
 }
 
 // A view that did not fit into its time would not fit into the same time again.
 void view_fetch::failed()
 {
-    failed_ = std::exchange(asked_, std::nullopt);
+    if (const auto replica = std::exchange(asked_, std::nullopt))
+        versions_.erase(*replica);
     timeout_ = std::min(2 * timeout_, options_.longest_timeout);
 }
 
--- a/process/common/tests/view_fetch_test.cpp
+++ b/process/common/tests/view_fetch_test.cpp
@@ -44,6 +44,8 @@
     fetch.failed();
     EXPECT_EQ(fetch.take(old_version)->replica, second);
     fetch.failed();
+    EXPECT_FALSE(fetch.take(old_version));
+    fetch.heard(first, new_version);
     EXPECT_EQ(fetch.take(old_version)->replica, first);
 }
 
@@ -56,8 +58,10 @@
     fetch.heard(first, new_version);
     EXPECT_EQ(fetch.take(old_version)->timeout, std::chrono::seconds(1));
     fetch.failed();
+    fetch.heard(first, new_version);
     EXPECT_EQ(fetch.take(old_version)->timeout, std::chrono::seconds(2));
     fetch.failed();
+    fetch.heard(first, new_version);
     EXPECT_EQ(fetch.take(old_version)->timeout, std::chrono::seconds(3));
     fetch.arrived();
     EXPECT_EQ(fetch.take(old_version)->timeout, std::chrono::seconds(1));
--- a/process/control/tests/view_cost_test.cpp
+++ b/process/control/tests/view_cost_test.cpp
@@ -62,7 +62,8 @@
 class replica_host
 {
 public:
-    explicit replica_host(io_threads& io)
+    //! @param denials  how many views are not sent, by all replicas together.
+    replica_host(io_threads& io, std::atomic<int>& denials) : denials_(denials)
     {
         const auto beat = [this](const http_request& request, std::string_view,
                                  const http_responder& respond)
@@ -161,7 +162,10 @@
         ASSERT_TRUE(asked);
         const auto reply = service_->on_heartbeat(asked.value());
         ++heard_;
-        if (holds_ && reply.vote && reply.vote->view)
+        const bool has_view = reply.vote && reply.vote->view;
+        if (has_view && denials_.fetch_sub(1) > 0)
+            return respond({.status = http_status::unavailable});
+        if (holds_ && has_view)
         {
             const std::lock_guard lock(mutex_);
             return held_.push_back(respond);
@@ -169,6 +173,7 @@
         respond({.body = encode_permit_reply(reply)});
     }
 
+    std::atomic<int>& denials_;
     std::atomic<bool> holds_ = false;
     std::atomic<std::size_t> heard_ = 0;
     mutable std::mutex mutex_;
@@ -185,7 +190,7 @@
     view_cost()
     {
         for (std::size_t n = 0; n < replica_count; ++n)
-            hosts_.push_back(std::make_unique<replica_host>(io_));
+            hosts_.push_back(std::make_unique<replica_host>(io_, denials_));
         const membership all({.members = members()});
         for (std::size_t n = 0; n < replica_count; ++n)
             hosts_[n]->start(all, n);
@@ -304,6 +309,7 @@
     }
 
     std::atomic<duration> now_ = duration(std::chrono::seconds(100));
+    std::atomic<int> denials_ = 0;
     std::mutex mutex_;
     std::condition_variable changed_;
     version_number changes_; //!< as many as were made
@@ -359,6 +365,16 @@
     io_.stop();
 }
 
+// A replica that can't answer costs no further round of heartbeats.
+TEST_F(view_cost, a_question_in_vain_goes_to_the_next_replica_at_once)
+{
+    change_catalog();
+    permit_client permits(client_, options(), hooks(member_role::entry));
+    denials_ = 1;
+    bytes_until_in_force(permits);
+    EXPECT_GE(asked(), replica_count + 2);
+}
+
 TEST_F(view_cost, slow_answers_do_not_add_up)
 {
     constexpr std::size_t rounds = 3;
