Let the fake fleet own the hooks of forwarded jobs

Cause: in the fakes. Two entries may forward one job to each other; each hook waits in the job state of the other entry and holds its own, which is a cycle. Over HTTP the hooks are held by the client, so the entry itself has no such cycle. Ruled out: backlogs of frozen processes, which are dropped. Change: the fleet owns the hooks by number, and they end with it.

--- a/process/entry/tests/fake_fleet.hpp
+++ b/process/entry/tests/fake_fleet.hpp
@@ -141,6 +141,10 @@
     std::map<submission_id, bool> idempotent_;
     //! Ends a running call early.
     std::map<task_key, std::function<void()>> stops_;
+    //! Who waits for the answer of a forwarded job. They are not held by the
+    //! job itself: two entries may forward one job to each other.
+    std::map<std::uint64_t, forwarded_hook> forwards_;
+    std::uint64_t forwards_made_ = 0;
     std::uint64_t runs_ = 1;
     fleet_record record_;
 };
--- a/process/entry/tests/fake_fleet_calls.cpp
+++ b/process/entry/tests/fake_fleet_calls.cpp
@@ -79,14 +79,13 @@
     const auto sender = entries_[from]->process;
     const auto n = std::stoul(address.substr(std::string("entry-").size()));
     const auto process = entries_[n]->process;
-    const auto answered = std::make_shared<bool>(false);
-    const auto finish =
-        [answered, done](const std::optional<job_answer>& answer)
+    const auto number = ++forwards_made_;
+    forwards_.emplace(number, done);
+    const auto finish = [this, number](const std::optional<job_answer>& answer)
     {
-        if (*answered)
-            return;
-        *answered = true;
-        done(answer);
+        const auto waiting = forwards_.extract(number);
+        if (!waiting.empty())
+            waiting.mapped()(answer);
     };
     if (!process->alive)
         return send(sender, [finish] { finish(std::nullopt); });
