Write a line when a run is given up, and when it is at its worker all the same

A run that the agent takes for over without an end that the worker listed was written as upstream_unreachable whatever the reason, and one that was at the worker afterwards left no line. run_given_up has the reason, the age of the run and that of the list that decided; run_resurfaced says that a run given up is there, how it was given up and how long before. No decision differs: the tests of the table pass unchanged.

--- a/process/agent/src/run_reports.cpp
+++ b/process/agent/src/run_reports.cpp
@@ -15,6 +15,7 @@
         const auto& id = each.run;
         if (runs_.contains(id))
             continue;
+        note_resurfaced(id, true, now);
         const auto known = foreign_.find(id);
         const bool told = known != foreign_.end() &&
                           now - known->second < options_.stop_retry;
@@ -27,13 +28,22 @@
         foreign_seen_ = now;
 }
 
-void run_table::note_ends(const std::vector<ended_run>& ended)
+// A run that was given up and is there all the same may run elsewhere by now.
+void run_table::note_resurfaced(const task_run& id, bool runs, instant now)
+{
+    const auto lost = given_up_.take(id);
+    if (lost)
+        output_.resurfaced.push_back({*lost, runs, now - lost->at});
+}
+
+void run_table::note_ends(const std::vector<ended_run>& ended, instant now)
 {
     for (const auto& it : ended)
     {
         if (it.number <= seen_)
             continue;
         seen_ = it.number;
+        note_resurfaced(it.run, false, now);
         switch (it.how)
         {
         case run_end::done:
@@ -98,8 +108,7 @@
             send_stop(id, it, now);
     }
     for (const auto& id : missing)
-        finish(id, failure_reason::upstream_unreachable, effect::unknown,
-               "the run is no longer at the worker");
+        give_up(id, give_up_reason::absent, now, now - asked_at);
 }
 
 // A run that makes no progress is stopped, so that it may run elsewhere. Slow
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -16,6 +16,22 @@
     return {call.submission, call.index, call.attempt};
 }
 
+std::string explain(give_up_reason why)
+{
+    switch (why)
+    {
+    case give_up_reason::absent:
+        return "the run is no longer at the worker";
+    case give_up_reason::lease_over:
+        return "the worker did not answer until its lease ran out";
+    case give_up_reason::refused:
+        return "the worker declined the start";
+    case give_up_reason::restarted:
+        return "the worker restarted";
+    }
+    return {};
+}
+
 } // namespace
 
 duration longest_alone(const leased_runs_options& options) noexcept
@@ -54,7 +70,7 @@
     extended_ = now - options_.look_period;
     lease_over_ = now;
     unanswered_.reset();
-    finish_all(failure_reason::upstream_unreachable, "the worker restarted");
+    give_up_all(give_up_reason::restarted, now);
     extend_if_needed(now);
     return true;
 }
@@ -76,6 +92,7 @@
     }
     run fresh;
     fresh.done = std::move(done);
+    fresh.ordered = now;
     fresh.settled = orders_;
     runs_.emplace(id, std::move(fresh));
     output_.starts.push_back({id, call.payload, next_lease_end(now), fence_});
@@ -100,8 +117,7 @@
     if (!worker_)
         return;
     if (!runs_.empty() && now > lease_over_ && !extending_)
-        finish_all(failure_reason::upstream_unreachable,
-                   "the worker did not answer until its lease ran out");
+        give_up_all(give_up_reason::lease_over, now);
     for (auto& [id, it] : runs_)
     {
         if (it.at == phase::stopping &&
@@ -140,15 +156,15 @@
     case order_result::superseded:
     case order_result::too_late:
     case order_result::no_room:
-        return finish(order.run, failure_reason::not_startable, effect::not_run,
-                      "the worker declined the start");
+        return decline(order.run, failure_reason::not_startable,
+                       "the worker declined the start", now);
     case order_result::unhealthy:
     case order_result::other_life:
-        return finish(order.run, failure_reason::upstream_unreachable,
-                      effect::not_run, "the worker takes no start now");
+        return decline(order.run, failure_reason::upstream_unreachable,
+                       "the worker takes no start now", now);
     case order_result::invalid:
-        return finish(order.run, failure_reason::upstream_failed,
-                      effect::not_run, "the worker can't read the start");
+        return decline(order.run, failure_reason::upstream_failed,
+                       "the worker can't read the start", now);
     }
 }
 
@@ -186,7 +202,7 @@
         return look_if_needed(now);
     reported_ = now;
     told_ = std::max(told_, sent.order.seen);
-    note_ends(reply.ended);
+    note_ends(reply.ended, now);
     note_running(reply.running, sent.number, sent.sent, now);
     note_progress(reply.running, now);
     stop_unknown(reply.running, now);
@@ -346,13 +362,38 @@
     runs_.erase(found);
 }
 
-void run_table::finish_all(failure_reason reason, const std::string& detail)
+void run_table::give_up(const task_run& id, give_up_reason why, instant now,
+                        duration list_age)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
+        return;
+    const given_up_run lost{id, why, now - found->second.ordered, list_age,
+                            now};
+    given_up_.add(lost);
+    output_.given_up.push_back(lost);
+    finish(id, failure_reason::upstream_unreachable, effect::unknown,
+           explain(why));
+}
+
+void run_table::give_up_all(give_up_reason why, instant now)
 {
     while (!runs_.empty())
-    {
-        const auto id = runs_.begin()->first;
-        finish(id, reason, effect::unknown, detail);
-    }
+        give_up(runs_.begin()->first, why, now);
+}
+
+void run_table::decline(const task_run& id, failure_reason reason,
+                        const std::string& detail, instant now)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
+        return;
+    const given_up_run refused{id, give_up_reason::refused,
+                               now - found->second.ordered, duration::zero(),
+                               now};
+    given_up_.add(refused);
+    output_.given_up.push_back(refused);
+    finish(id, reason, effect::not_run, detail);
 }
 
 } // namespace lagoonquay
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -1,6 +1,7 @@
 //! Decisions on the runs of one worker. Pure; the owner locks.
 #pragma once
 
+#include "given_up_runs.hpp"
 #include "lagoonquay/process/leased_runs.hpp"
 
 #include <map>
@@ -26,6 +27,17 @@
     task_result result;
 };
 
+//! A run that is at the worker although it was given up.
+struct resurfaced_run
+{
+    given_up_run run;
+    bool runs = false; //!< or has just ended
+    duration after{};  //!< since it was given up
+
+    friend bool operator==(const resurfaced_run&,
+                           const resurfaced_run&) = default;
+};
+
 //! What the owner must do, without the lock.
 struct run_table_output
 {
@@ -34,6 +46,8 @@
     std::vector<stop_order> stops;
     std::vector<numbered_extension> extensions;
     std::vector<run_result> results;
+    std::vector<given_up_run> given_up;     //!< to be logged
+    std::vector<resurfaced_run> resurfaced; //!< to be logged
     bool readiness_changed = false;
 };
 
@@ -72,6 +86,7 @@
     struct run
     {
         upstream_callback done;
+        instant ordered{};
         phase at = phase::starting;
         //! Orders with a higher number were sent after the last answer about
         //! this run.
@@ -92,7 +107,8 @@
     worker_time next_lease_end(instant now);
     void send_stop(const task_run& id, run& it, instant now);
     void stop_unknown(const std::vector<running_run>& running, instant now);
-    void note_ends(const std::vector<ended_run>& ended);
+    void note_ends(const std::vector<ended_run>& ended, instant now);
+    void note_resurfaced(const task_run& id, bool runs, instant now);
     void note_running(const std::vector<running_run>& running,
                       std::uint64_t number, instant asked_at, instant now);
     duration stop_time() const noexcept;
@@ -105,7 +121,11 @@
     numbered_extension number_order(lease_order order, instant now);
     void finish(const task_run& id, failure_reason reason, effect ran,
                 const std::string& detail);
-    void finish_all(failure_reason reason, const std::string& detail);
+    void give_up(const task_run& id, give_up_reason why, instant now,
+                 duration list_age = {});
+    void give_up_all(give_up_reason why, instant now);
+    void decline(const task_run& id, failure_reason reason,
+                 const std::string& detail, instant now);
 
     const leased_runs_options options_;
     std::optional<worker_address> worker_;
@@ -114,6 +134,7 @@
     std::optional<instant> unanswered_; //!< since when orders get no answer
     fencing_token fence_;
     std::map<task_run, run> runs_;
+    given_up_runs given_up_;
     std::map<task_run, instant> foreign_; //!< and when they were told to stop
     std::optional<instant> foreign_seen_;
     std::uint64_t seen_ = 0;
