--- /dev/null
+++ b/process/agent/tests/fake_lease_worker.hpp
@@ -0,0 +1,79 @@
+//! A worker with runs under a lease, written by hand, on virtual time.
+#pragma once
+
+#include "lagoonquay/connection/worker.hpp"
+#include "virtual_time.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonquay
+{
+
+//! Carries out orders as the interface in worker.hpp says. Its clock may be
+//! slow; a stop takes its time, and a run that is being stopped is in no list.
+class fake_lease_worker
+{
+public:
+    using end_hook = std::function<void(lease_reply)>;
+
+    //! @param clock_percent  of the true time that its clock shows.
+    fake_lease_worker(virtual_time& time, int clock_percent);
+
+    //! Forgets everything and begins its next life.
+    void restart();
+
+    worker_life life() const noexcept
+    {
+        return life_;
+    }
+    worker_time clock() const;
+    bool runs(const task_run& run) const;
+
+    order_reply start(const start_order& order, duration work);
+    order_reply stop(const stop_order& order, duration takes);
+    //! `answer` is called once: at once, at an end, or when the wait is over.
+    void extend(const lease_order& order, const end_hook& answer);
+
+    //! Told of each run that begins.
+    std::function<void(const task_run&)> on_begin;
+
+private:
+    using task = std::pair<submission_id, task_index>;
+    struct run_state
+    {
+        bool stopping = false;
+        instant began{};
+    };
+    struct waiting_answer
+    {
+        std::uint64_t number = 0;
+        end_hook answer;
+    };
+
+    order_reply reply(order_result result) const;
+    std::optional<order_reply> fenced(fencing_token token);
+    void hold_until(worker_time end);
+    void check_lease();
+    void end(const task_run& run, run_end how);
+    lease_reply lists() const;
+    void answer_waiting();
+
+    virtual_time& time_;
+    const int clock_percent_;
+    worker_life life_{1};
+    instant born_;
+    fencing_token fence_;
+    worker_time lease_end_{};
+    std::map<task_run, run_state> running_;
+    std::vector<ended_run> ended_;
+    std::map<task, attempt_number> over_; //!< highest that ended or was stopped
+    std::uint64_t last_end_ = 0;
+    std::uint64_t waits_ = 0;
+    std::vector<waiting_answer> waiting_;
+};
+
+} // namespace lagoonquay
--- a/process/agent/tests/run_table_test.cpp
+++ b/process/agent/tests/run_table_test.cpp
@@ -212,6 +212,44 @@
     EXPECT_EQ(table.size(), 2U);
 }
 
+// Answers overtake each other: a run was given up while it went on.
+TEST_F(leased_run_table, a_list_that_was_overtaken_ends_no_run)
+{
+    start(0);
+    now += leased_runs_options().look_period;
+    table.tick(now);
+    take();
+    const auto first = *last_order;
+    now += leased_runs_options().report_period;
+    table.tick(now);
+    take();
+    const auto second = *last_order;
+    ASSERT_GT(second.number, first.number);
+    report(second, {{run(0), 0}}, {});
+    take();
+    report(first, {}, {});
+    take();
+    EXPECT_TRUE(results.empty());
+    EXPECT_EQ(table.size(), 1U);
+}
+
+TEST_F(leased_run_table, a_run_that_is_in_no_later_list_is_given_up)
+{
+    start(0);
+    now += leased_runs_options().look_period;
+    table.tick(now);
+    take();
+    report(*last_order, {{run(0), 0}}, {});
+    take();
+    now += leased_runs_options().look_period;
+    table.tick(now);
+    take();
+    report(*last_order, {}, {});
+    EXPECT_EQ(take().given_up.size(), 1U);
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->ran, effect::unknown);
+}
+
 TEST_F(leased_run_table, a_declined_start_was_not_run)
 {
     for (const auto result :
--- a/process/entry/tests/fake_fleet.cpp
+++ b/process/entry/tests/fake_fleet.cpp
@@ -3,27 +3,6 @@
 namespace lagoonquay
 {
 
-instant virtual_time::now() const noexcept
-{
-    return now_;
-}
-
-void virtual_time::after(duration delay, event run)
-{
-    events_.emplace(now_ + delay, std::move(run));
-}
-
-void virtual_time::run_until(instant until)
-{
-    while (!events_.empty() && events_.begin()->first <= until)
-    {
-        auto node = events_.extract(events_.begin());
-        now_ = std::max(now_, node.key());
-        node.mapped()();
-    }
-    now_ = until;
-}
-
 fake_fleet::fake_fleet(fake_fleet_options options)
     : options_(options), random_(options.seed)
 {
--- a/process/entry/tests/fake_fleet.hpp
+++ b/process/entry/tests/fake_fleet.hpp
@@ -5,6 +5,7 @@
 #include "lagoonquay/process/agent_service.hpp"
 #include "lagoonquay/process/entry_service.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
+#include "virtual_time.hpp"
 
 #include <functional>
 #include <map>
@@ -17,22 +18,6 @@
 namespace lagoonquay
 {
 
-//! Runs events in the order of their virtual time.
-class virtual_time
-{
-public:
-    using event = std::function<void()>;
-
-    instant now() const noexcept;
-    void after(duration delay, event run);
-    //! Runs every event up to `until`.
-    void run_until(instant until);
-
-private:
-    instant now_{std::chrono::seconds(1000)};
-    std::multimap<instant, event> events_;
-};
-
 //! A process that can be frozen or killed; its pending events go with it.
 struct fake_process
 {
