Let a list that shows a run make older lists say nothing about it

Cause: an agent asks for two lists at a time, one that waits for an end and one that is answered at once. A run whose start got no answer, or none yet, became "running" when one list showed it; the other, asked for about then, made before the run began and answered later, lacked it. It counted, since only an answer to the start moved the mark before which lists say nothing. The run was given up while it went on, its room was given to others and the task to another agent.

Change: a list that shows a run is an answer about it, so that only lists asked for afterwards count. Why it works: a list that was asked for after the agent knew that the run is there was made after that, so a run that it lacks is over.

Ruled out: a start sent twice (the HTTP client never repeats a request) and a stop taken for an end (lists before the time that a stop takes do not count).

--- a/process/agent/src/run_reports.cpp
+++ b/process/agent/src/run_reports.cpp
@@ -78,9 +78,9 @@
 }
 
 // A report speaks of a run only if it was asked for after the last answer
-// about that run: answers on different connections overtake each other. A
-// start without an answer that is not there may still arrive, so it is stopped
-// first.
+// about that run, and a report that shows it is one: answers on different
+// connections overtake each other. A start without an answer that is not there
+// may still arrive, so it is stopped first.
 void run_table::note_running(const std::vector<running_run>& running,
                              std::uint64_t number, instant asked_at,
                              instant now)
@@ -94,6 +94,8 @@
         if (number <= it.settled)
             continue;
         const bool is_there = there.contains(id);
+        if (is_there)
+            it.settled = orders_;
         const bool settled =
             it.at == phase::running ||
             (it.at == phase::gone && asked_at > it.stopped + stop_time());
