Note when a worker's clock was heard in its report

Cause: a report of the worker set the clock that the agent reckons with, and left the time at which it was heard as it was. After 3 s without orders the agent took the worker's clock to be up to 3 s ahead, so that a start carried 11,600 ms on the worker's clock for 8,600 ms: an order that was carried out seconds late was not refused as too late, and leases lasted 0.4 s longer than the agent waited before it gave the runs up.

Class: two values that belong together, of which one was updated.

Change: reports and answers note the clock and the time together.

--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -52,7 +52,7 @@
     if (worker_ && worker_->life == worker.life && worker_->id == worker.id)
     {
         worker_ = worker;
-        clock_ = std::max(clock_, clock);
+        hear_clock(clock, now);
         extend_if_needed(now);
         return false;
     }
@@ -244,9 +244,16 @@
         unanswered_.reset();
     else if (!unanswered_)
         unanswered_ = now;
-    if (!reply.clock || *reply.clock < clock_)
+    if (reply.clock)
+        hear_clock(*reply.clock, now);
+}
+
+// An older time than the last says nothing: it was overtaken.
+void run_table::hear_clock(worker_time clock, instant now)
+{
+    if (clock < clock_)
         return;
-    clock_ = *reply.clock;
+    clock_ = clock;
     clock_heard_ = now;
 }
 
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -101,6 +101,7 @@
 
     bool current(worker_life life) const noexcept;
     void hear(const order_reply& reply, instant now);
+    void hear_clock(worker_time clock, instant now);
     void raise_fence(const order_reply& reply, instant now);
     bool silent(instant now) const;
     worker_time worker_now(instant now) const;
--- a/process/agent/tests/run_table_test.cpp
+++ b/process/agent/tests/run_table_test.cpp
@@ -250,6 +250,17 @@
     EXPECT_EQ(results[0]->ran, effect::unknown);
 }
 
+// A start that was carried out late began a run that had been given up.
+TEST_F(leased_run_table, a_start_after_a_quiet_span_has_no_longer_lease)
+{
+    now += std::chrono::seconds(3);
+    table.set_worker(worker(life), clock(), now);
+    take();
+    EXPECT_EQ(start(0).lease_end,
+              clock() + std::chrono::duration_cast<worker_time>(
+                            leased_runs_options().lease));
+}
+
 TEST_F(leased_run_table, a_declined_start_was_not_run)
 {
     for (const auto result :
