Ask a worker that left orders unanswered until it answers again

Cause: a worker that leaves orders unanswered for 200 ms gets no starts until an answer comes. Once its last run had been given up, the agent had nothing to ask for, so no answer came, and the worker stayed out of use until its next life.

Change: an agent is idle only if its worker answers.

--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -313,7 +313,7 @@
     look_if_needed(now);
     if (!worker_ || extending_)
         return;
-    const bool idle = runs_.empty() && ready_;
+    const bool idle = runs_.empty() && ready_ && !unanswered_;
     if (idle && told_ == seen_)
         return;
     const bool waits = !runs_.empty() && ready_ && !unanswered_;
--- a/process/agent/tests/run_table_test.cpp
+++ b/process/agent/tests/run_table_test.cpp
@@ -340,6 +340,30 @@
     EXPECT_EQ(results.back()->ran, effect::unknown);
 }
 
+// Nothing was asked once no run was left, so the worker stayed out of use.
+TEST_F(leased_run_table, a_worker_that_was_silent_is_asked_until_it_answers)
+{
+    answer(start(0), order_result::accepted);
+    while (table.size() > 0)
+    {
+        table.on_extended(life, *last_order, {}, now);
+        now += milliseconds(100);
+        table.tick(now);
+        take();
+    }
+    EXPECT_FALSE(table.ready(now));
+    table.on_extended(life, *last_order, {}, now);
+    take();
+    const auto last = last_order->number;
+    now += milliseconds(100);
+    table.tick(now);
+    take();
+    ASSERT_GT(last_order->number, last);
+    report(*last_order, {}, {});
+    take();
+    EXPECT_TRUE(table.ready(now));
+}
+
 TEST_F(leased_run_table, a_report_that_is_overdue_is_asked_for)
 {
     answer(start(0), order_result::accepted);
