Make a start void in the next life of a worker that keeps its name

Cause: an order names the worker and not its life, so that one on its way is carried out by the next life under the same name. The agent took a new life as the end of all runs, and an answer to such a start for one of the earlier life. The next life had also no token yet: an order of the earlier life, with a token from that life's clock, was obeyed, and then fenced the agent's own.

Change: a start that no answer or list has shown to be carried out stays in the table, is stopped in the next life, and is reported once that says so. An answer with a clock before that of the order, or of another life, leaves the start in doubt and gives no start until the worker has told of its life; a lease given by the next life may last as long as the worker grants by itself. The token rises across lives of one name, and doubles when it is refused, since a worker does not say how high its token is.

A 200 of another life was expected as "did nothing", which is not true of a life under the same name.

--- a/connection/include/lagoonquay/connection/worker.hpp
+++ b/connection/include/lagoonquay/connection/worker.hpp
@@ -115,6 +115,7 @@
     unhealthy,  //!< the worker takes no order now; it did nothing
     invalid,    //!< the worker can't read the order; it did nothing
     other_life, //!< the worker has restarted; it did nothing
+    next_life,  //!< the worker has restarted, and its new life carried it out
     unknown,    //!< no answer: may have been, or may yet be, carried out
 };
 
--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -15,6 +15,8 @@
     //! The longest that a run goes on without an agent. Until it is over, no
     //! young ledger can tell that the runs of a dead entry have ended.
     duration lease = std::chrono::milliseconds(600);
+    //! The longest lease that a worker grants, whatever it was asked for.
+    duration longest_lease = std::chrono::seconds(1);
     //! Time after which a lease is extended even if no run ends.
     duration extend_period = std::chrono::milliseconds(200);
     //! Allowance for what a worker's clock may lag.
--- a/process/agent/src/run_reports.cpp
+++ b/process/agent/src/run_reports.cpp
@@ -95,7 +95,10 @@
             continue;
         const bool is_there = there.contains(id);
         if (is_there)
+        {
             it.settled = orders_;
+            it.start_settled = true;
+        }
         const bool settled =
             it.at == phase::running ||
             (it.at == phase::gone && asked_at > it.stopped + stop_time());
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -8,9 +8,6 @@
 namespace
 {
 
-//! How much slower than ours a worker's clock may run: one part in this.
-constexpr std::int64_t clock_drift_part = 40;
-
 task_run run_of(const upstream_call& call)
 {
     return {call.submission, call.index, call.attempt};
@@ -44,37 +41,6 @@
 {
 }
 
-// The worker's clock rises during a life, so a token taken from it is higher
-// than that of any earlier agent of this life, without anything on a disk.
-bool run_table::set_worker(const worker_address& worker, worker_time clock,
-                           instant now)
-{
-    if (worker_ && worker_->life == worker.life && worker_->id == worker.id)
-    {
-        worker_ = worker;
-        hear_clock(clock, now);
-        extend_if_needed(now);
-        return false;
-    }
-    worker_ = worker;
-    clock_ = clock;
-    clock_heard_ = now;
-    fence_ = fencing_token(static_cast<std::uint64_t>(clock.count()) + 1);
-    seen_ = 0;
-    told_ = 0;
-    ready_ = false;
-    extending_.reset();
-    looking_.reset();
-    foreign_.clear();
-    foreign_seen_.reset();
-    extended_ = now - options_.look_period;
-    lease_over_ = now;
-    unanswered_.reset();
-    give_up_all(give_up_reason::restarted, now);
-    extend_if_needed(now);
-    return true;
-}
-
 void run_table::start(const upstream_call& call, upstream_callback done,
                       instant now)
 {
@@ -93,6 +59,7 @@
     run fresh;
     fresh.done = std::move(done);
     fresh.ordered = now;
+    fresh.clock_when_ordered = clock_;
     fresh.settled = orders_;
     runs_.emplace(id, std::move(fresh));
     output_.starts.push_back({id, call.payload, next_lease_end(now), fence_});
@@ -137,13 +104,17 @@
     if (found == runs_.end())
         return;
     auto& it = found->second;
-    switch (reply.result)
+    switch (result_in_this_life(it, reply))
     {
     case order_result::accepted:
         it.settled = orders_;
+        it.start_settled = true;
         if (it.at == phase::starting || it.at == phase::doubtful)
             it.at = phase::running;
         return extend_if_needed(now);
+    case order_result::next_life:
+        distrust_life(now);
+        [[fallthrough]];
     case order_result::unknown:
         if (it.at != phase::starting)
             return;
@@ -151,7 +122,7 @@
         it.settled = orders_;
         return look_if_needed(now);
     case order_result::fenced:
-        raise_fence(reply, now);
+        raise_fence(order.fence, reply, now);
         [[fallthrough]];
     case order_result::superseded:
     case order_result::too_late:
@@ -177,7 +148,7 @@
         return;
     hear(reply, now);
     if (reply.result == order_result::fenced)
-        raise_fence(reply, now);
+        raise_fence(order.fence, reply, now);
     const auto found = runs_.find(order.run);
     if (found == runs_.end() || reply.result != order_result::accepted)
         return;
@@ -197,7 +168,9 @@
         looking_.reset();
     hear(reply.order, now);
     if (reply.order.result == order_result::fenced)
-        raise_fence(reply.order, now);
+        raise_fence(sent.order.fence, reply.order, now);
+    if (reply.order.result == order_result::next_life)
+        distrust_life(now);
     if (reply.order.result != order_result::accepted)
         return look_if_needed(now);
     reported_ = now;
@@ -257,14 +230,6 @@
     clock_heard_ = now;
 }
 
-// Only an earlier agent of this worker can have used a higher token.
-void run_table::raise_fence(const order_reply& reply, instant now)
-{
-    const auto clock = std::max(reply.clock.value_or(clock_), worker_now(now));
-    fence_ = std::max(
-        fence_, fencing_token(static_cast<std::uint64_t>(clock.count()) + 1));
-}
-
 bool run_table::silent(instant now) const
 {
     return unanswered_ && now - *unanswered_ > options_.silence;
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -12,6 +12,9 @@
 namespace lagoonquay
 {
 
+//! How much slower than ours a worker's clock may run: one part in this.
+constexpr std::int64_t clock_drift_part = 40;
+
 //! An extension and its place among all orders of this object.
 struct numbered_extension
 {
@@ -87,6 +90,8 @@
     {
         upstream_callback done;
         instant ordered{};
+        worker_time clock_when_ordered{};
+        bool start_settled = false; //!< no order to start is under way
         phase at = phase::starting;
         //! Orders with a higher number were sent after the last answer about
         //! this run.
@@ -102,7 +107,13 @@
     bool current(worker_life life) const noexcept;
     void hear(const order_reply& reply, instant now);
     void hear_clock(worker_time clock, instant now);
-    void raise_fence(const order_reply& reply, instant now);
+    void raise_fence(fencing_token refused, const order_reply& reply,
+                     instant now);
+    void give_up_earlier_life(bool same_name, instant now);
+    static order_result result_in_this_life(const run& it,
+                                            const order_reply& reply);
+    void distrust_life(instant now);
+    instant longest_lease_end(instant now) const;
     bool silent(instant now) const;
     worker_time worker_now(instant now) const;
     worker_time next_lease_end(instant now);
--- a/process/agent/tests/leased_runs_schedule_test.cpp
+++ b/process/agent/tests/leased_runs_schedule_test.cpp
@@ -80,11 +80,9 @@
 
     std::string describe(const task_run& run) const
     {
-        return run.submission.text() + " at " +
-               std::to_string(
-                   std::chrono::duration_cast<milliseconds>(
-                       time_.now().time_since_epoch() - std::chrono::hours(1))
-                       .count()) +
+        const auto played =
+            std::chrono::duration_cast<milliseconds>(time_.now() - began_);
+        return run.submission.text() + " at " + std::to_string(played.count()) +
                " ms";
     }
 
@@ -271,7 +269,7 @@
                                        [this, life, answer](lease_reply reply)
                                        {
                                            if (life != worker_.life())
-                                               reply = other_life();
+                                               reply = next_life();
                                            answer(std::move(reply));
                                        });
                     });
@@ -279,10 +277,10 @@
     }
 
     //! Lists say which life they are of; answers to other orders don't.
-    static lease_reply other_life()
+    static lease_reply next_life()
     {
         lease_reply reply;
-        reply.order.result = order_result::other_life;
+        reply.order.result = order_result::next_life;
         return reply;
     }
 
@@ -341,6 +339,13 @@
 }
 
 TEST(leased_runs_schedules, a_next_life_under_the_same_name)
+{
+    play_seeds({.answers_lost = 5,
+                .orders_slow = 10,
+                .restarts = std::chrono::seconds(3)});
+}
+
+TEST(leased_runs_schedules, late_orders_reach_a_next_life)
 {
     play_seeds({.answers_lost = 5,
                 .orders_late = 5,
