Let a replica go on after its mark was written in part

Cause: the mark is overwritten in place after each sync. A disk that takes a part of these 20 bytes leaves a mark with a wrong checksum, and recover() read it before anything else: "mark: corrupt record at offset 0", each time, also with room.

Evidence: the new test fills the disk at each byte of the last records and of the mark; without the change to recover() it fails at the first byte of the mark (room 876). For this the mark is written through the disk's hooks.

Change: recover() first writes the mark that it has in memory, through the open file. If a compaction has put another mark in its place, that file is no longer the one that is read.

Open: a process that is killed, or a machine that loses power, while its mark is torn refuses to start.

--- a/process/control/src/disk_file.cpp
+++ b/process/control/src/disk_file.cpp
@@ -97,12 +97,12 @@
     return success();
 }
 
-process_result<void> disk_file::overwrite(std::string_view data)
+process_result<void> disk_file::overwrite(const disk_hooks& disk,
+                                          std::string_view data)
 {
-    const auto n = ::pwrite(descriptor_, data.data(), data.size(), 0);
-    if (n != static_cast<ssize_t>(data.size()))
-        return failed(path_, "write");
-    return success();
+    if (::lseek(descriptor_, 0, SEEK_SET) != 0)
+        return failed(path_, "seek");
+    return append(disk, data);
 }
 
 process_result<void> disk_file::truncate(std::uint64_t size)
--- a/process/control/src/disk_file.hpp
+++ b/process/control/src/disk_file.hpp
@@ -30,7 +30,8 @@
     process_result<void> append(const disk_hooks& disk, std::string_view data);
     process_result<void> sync(const disk_hooks& disk);
     //! Writes at the start, without a sync.
-    process_result<void> overwrite(std::string_view data);
+    process_result<void> overwrite(const disk_hooks& disk,
+                                   std::string_view data);
     process_result<void> truncate(std::uint64_t size);
 
     //! @return whether this process now holds the lock of the file.
--- a/process/control/src/durable_log.cpp
+++ b/process/control/src/durable_log.cpp
@@ -235,13 +235,15 @@
     BOOST_OUTCOME_TRY(log.append(disk, records));
     BOOST_OUTCOME_TRY(log.sync(disk));
     mark.synced += records.size();
-    return mark_file.overwrite(encode_mark(mark));
+    return mark_file.overwrite(disk, encode_mark(mark));
 }
 
 // A failed write may have moved to the next generation or not; once the folder
-// is synced, what it shows is what lasts.
+// is synced, what it shows is what lasts. The mark may be torn: it is written
+// anew, which changes nothing once another one was put in its place.
 process_result<void> durable_log::files::recover()
 {
+    BOOST_OUTCOME_TRY(mark_file.overwrite(disk, encode_mark(mark)));
     BOOST_OUTCOME_TRY(sync_folder(folder, disk));
     BOOST_OUTCOME_TRY(const auto content, read_file(path(mark_name)));
     BOOST_OUTCOME_TRY(const auto found, decode_mark(content, path(mark_name)));
@@ -251,7 +253,7 @@
     }
     stored = {};
     BOOST_OUTCOME_TRY(read());
-    return mark_file.overwrite(encode_mark(mark));
+    return mark_file.overwrite(disk, encode_mark(mark));
 }
 
 // After a failed sync the records beyond may be readable and yet not be on the
--- a/process/control/tests/durable_log_test.cpp
+++ b/process/control/tests/durable_log_test.cpp
@@ -271,6 +271,32 @@
     EXPECT_EQ(found.value().entries, write_of(1, 5).entries);
 }
 
+// The disk fills up at every byte of a record and of the mark after it.
+TEST_F(durable_log_test, goes_on_after_a_mark_that_was_written_in_part)
+{
+    constexpr std::size_t mark_bytes = 20;
+    const auto size = fill();
+    const auto most = fs::file_size(log_file()) - size + mark_bytes;
+    for (std::size_t room = most - 3 * mark_bytes; room < most; ++room)
+    {
+        fs::remove_all(folder_);
+        auto opened = open();
+        auto& log = opened.value();
+        EXPECT_TRUE(log.write({write_of(1, 5)}));
+        disk_.room = room;
+        EXPECT_FALSE(log.write({write_of(6, 10)}));
+        EXPECT_FALSE(log.recover());
+        disk_.room.reset();
+        const auto found = log.recover();
+        ASSERT_TRUE(found) << room << ": " << found.error().detail;
+        EXPECT_GE(found.value().entries.size(), 5);
+        const auto kept = found.value().entries.size();
+        EXPECT_TRUE(log.write({write_of(kept + 1, 12)}));
+        opened = open_again(std::move(opened));
+        EXPECT_EQ(opened.value().stored().entries.size(), 12);
+    }
+}
+
 // The disk fills up at every byte of a compaction.
 TEST_F(durable_log_test, goes_on_after_a_compaction_that_broke_off)
 {
