--- a/process/control/include/lagoonquay/process/control_replica.hpp
+++ b/process/control/include/lagoonquay/process/control_replica.hpp
@@ -133,6 +133,9 @@
 
     control_replica_state state() const;
 
+    //! @return whether a write waits to be stored or is being stored.
+    bool storing() const;
+
 private:
     struct shared;
     std::unique_ptr<shared> shared_;
--- a/process/control/src/control_replica.cpp
+++ b/process/control/src/control_replica.cpp
@@ -53,6 +53,7 @@
             step(
                 [&](deferred_calls& calls)
                 {
+                    storing = false;
                     if (stored)
                         core->stored(writes->back().sequence, calls);
                     else
@@ -107,6 +108,7 @@
         work_added.wait(lock, [this] { return ending || core->has_writes(); });
         if (ending)
             return std::nullopt;
+        storing = true;
         return core->take_writes();
     }
 
@@ -116,6 +118,7 @@
     const node_id node;
     control_replica_options options;
     std::optional<control_replica_core> core;
+    bool storing = false; //!< writes were taken and are not stored yet
     bool ending = false;
     std::thread storage;
 };
@@ -212,4 +215,10 @@
     return shared_->core->state();
 }
 
+bool control_replica::storing() const
+{
+    const std::lock_guard lock(shared_->mutex);
+    return shared_->storing || shared_->core->has_writes();
+}
+
 } // namespace lagoonquay
