Sync what a replica reads beyond its mark before it counts as stored

What callers would see: an acknowledged change that is lost (or shown in an older state) after a replica was killed in the middle of a sync and the machines then lost power.

Cause: a process that is killed between the write of records and the end of their sync leaves them readable. The next process counted them as stored and answered the leader so, though nothing had synced them; only the next write did.

Evidence: the new test leaves records whose sync failed; opening the log again made no sync, and succeeded while syncs failed.

Change: if the log is longer than the mark says, it is synced as it is opened (as one with a torn tail was already). One sync more at such a start, none otherwise.

--- a/process/control/src/durable_log.cpp
+++ b/process/control/src/durable_log.cpp
@@ -152,6 +152,8 @@
     return success();
 }
 
+// Records beyond the mark may be readable and not on the disk: a process that
+// was killed while it synced them leaves them so.
 process_result<void> durable_log::files::read_log(log_index& base)
 {
     const auto name = path(log_name(mark.generation));
@@ -171,8 +173,9 @@
     BOOST_OUTCOME_TRY(auto opened, disk_file::open(name, O_WRONLY | O_APPEND));
     log = std::move(opened);
     cut_bytes = content.size() - found.end;
+    const bool all_synced = content.size() == mark.synced;
     mark.synced = found.end;
-    if (cut_bytes == 0)
+    if (all_synced)
         return success();
     BOOST_OUTCOME_TRY(log.truncate(found.end));
     return log.sync(disk);
--- a/process/control/tests/durable_log_test.cpp
+++ b/process/control/tests/durable_log_test.cpp
@@ -271,6 +271,23 @@
     EXPECT_EQ(found.value().entries, write_of(1, 5).entries);
 }
 
+// A process that was killed during a sync leaves records that can be read, and
+// that a loss of power takes away.
+TEST_F(durable_log_test, counts_no_record_as_stored_that_was_never_synced)
+{
+    {
+        auto log = open();
+        EXPECT_TRUE(log.value().write({write_of(1, 5)}));
+        disk_.sync_fails = true;
+        EXPECT_FALSE(log.value().write({write_of(6, 10)}));
+    }
+    EXPECT_FALSE(open());
+    disk_.sync_fails = false;
+    const auto before = disk_.syncs;
+    EXPECT_EQ(open().value().stored().entries.size(), 10);
+    EXPECT_EQ(disk_.syncs, before + 1);
+}
+
 // The disk fills up at every byte of a record and of the mark after it.
 TEST_F(durable_log_test, goes_on_after_a_mark_that_was_written_in_part)
 {
