Start no later attempt at an agent where one still runs

What callers would see: a task that runs twice at one worker at the same time (TWICE).

Cause: an entry that has waited link_grace for an agent gives the attempt up and may send the next one to the same agent, whose link came back. The start guard let a later attempt of a repeatable task start whatever became of the earlier one, though this agent is the one that knows that it goes on.

Evidence: the new fleet test (a link away for 1.5 s with a grace of 1 s, a run of 3 s) saw 2 starts of the task where 1 is right; the guard's test failed too.

Change: a later attempt starts only once the earlier one has its result. The agent declines it and tells how the earlier one stands, which the entry then awaits.

Tests changed: two tests of the guard started a second attempt beside the first, which is the fault itself. They end the first one now, and one of them also asks that the second is refused before that: stricter than it was.

--- a/process/entry/tests/recovery_test.cpp
+++ b/process/entry/tests/recovery_test.cpp
@@ -387,6 +387,25 @@
     EXPECT_EQ(fleet.record().starts.at({failing, task_index(0)}), 2U);
 }
 
+// The agent's link came back after its entry had given the run up.
+TEST(recovery_of_lost_links, a_task_that_still_runs_at_the_agent_is_awaited)
+{
+    fake_fleet fleet({.agents = 1});
+    fleet.run_time = [](const upstream_call&)
+    {
+        return seconds(3);
+    };
+    fleet.submit(0, job_of(fleet, 1, true));
+    fleet.run_for(milliseconds(50));
+    fleet.separate(0, 0, true);
+    fleet.run_for(milliseconds(1500));
+    fleet.separate(0, 0, false);
+    fleet.run_for(seconds(5));
+    EXPECT_EQ(fleet.record().starts.begin()->second, 1U);
+    ASSERT_EQ(fleet.record().answers.size(), 1U);
+    EXPECT_TRUE(succeeded(fleet.record().answers.front()));
+}
+
 TEST_F(recovery, an_entry_waits_out_its_own_earlier_incarnation)
 {
     run_takes(milliseconds(1500));
--- a/request/src/start_guard.cpp
+++ b/request/src/start_guard.cpp
@@ -108,7 +108,8 @@
     if (dispatch.key.attempt <= earlier.forbidden)
         return start_verdict::fenced;
     const bool later = earlier.attempt < dispatch.key.attempt;
-    if (earlier.started && !(later && dispatch.repeatable))
+    const bool again = later && dispatch.repeatable && earlier.result;
+    if (earlier.started && !again)
         return start_verdict::duplicate;
     return std::nullopt;
 }
--- a/request/tests/recovery_message_test.cpp
+++ b/request/tests/recovery_message_test.cpp
@@ -91,6 +91,8 @@
     guard.try_start(attempt(1), now);
     auto again = attempt(2);
     again.repeatable = true;
+    EXPECT_EQ(guard.try_start(again, now), start_verdict::duplicate);
+    EXPECT_TRUE(guard.finish(key, attempt_number(1), body("old"), now));
     EXPECT_EQ(guard.try_start(again, now), start_verdict::start);
     EXPECT_FALSE(guard.finish(key, attempt_number(1), body("old"), now));
     EXPECT_EQ(guard.query(key, attempt_number(2), now).state,
--- a/request/tests/start_guard_test.cpp
+++ b/request/tests/start_guard_test.cpp
@@ -42,9 +42,24 @@
     EXPECT_EQ(guard.try_start(again, start), start_verdict::duplicate);
     auto third = again;
     third.key.attempt = attempt_number(3);
+    guard.finish(key, attempt_number(2), task_result(), start);
     EXPECT_EQ(guard.try_start(third, start), start_verdict::start);
 }
 
+// Its entry had given it up, and it went on.
+TEST(start_guard, starts_no_later_attempt_while_one_runs)
+{
+    start_guard guard({.agent_run = this_run});
+    auto again = dispatch(2);
+    again.repeatable = true;
+    EXPECT_EQ(guard.try_start(again, start), start_verdict::start);
+    again.key.attempt = attempt_number(3);
+    EXPECT_EQ(guard.try_start(again, start), start_verdict::duplicate);
+    guard.finish(key, attempt_number(2),
+                 task_result({.reason = failure_reason::link_lost}), start);
+    EXPECT_EQ(guard.try_start(again, start), start_verdict::start);
+}
+
 TEST(start_guard, a_tombstone_forbids_earlier_attempts_only)
 {
     start_guard guard({.agent_run = this_run});
