Keep the record of a run that goes on for as long as it does

What callers would see: a task that runs longer than record_retention (10 min by default, 1 min in deploy/) starts again, repeatable or not, when its entry asks for it after a cut.

Cause: start records were dropped by age, also of a run that had no result yet. A question then found no record and was answered "not started".

Evidence: the new test was told not_started of a run that goes on. Change: only tombstones and records with a result are dropped. After: the test passes.

--- a/request/src/start_guard.cpp
+++ b/request/src/start_guard.cpp
@@ -95,8 +95,13 @@
 
 void start_guard::expire(instant now)
 {
-    std::erase_if(records_, [&](const auto& it)
-                  { return now - it.second.touched > options_.retention; });
+    std::erase_if(records_,
+                  [&](const auto& it)
+                  {
+                      const auto& each = it.second;
+                      const bool runs = each.started && !each.result;
+                      return !runs && now - each.touched > options_.retention;
+                  });
 }
 
 // Attempt numbers of a later claim are larger than all of an earlier one, so
--- a/request/tests/start_guard_test.cpp
+++ b/request/tests/start_guard_test.cpp
@@ -69,6 +69,20 @@
     EXPECT_FALSE(guard.forbid(key, attempt_number(9), start));
 }
 
+// A run that lasted longer than records are kept was told as not started.
+TEST(start_guard, keeps_the_record_of_a_run_that_goes_on)
+{
+    start_guard guard({.agent_run = this_run});
+    guard.try_start(dispatch(1), start);
+    const auto later = start + std::chrono::hours(1);
+    guard.expire(later);
+    EXPECT_EQ(guard.query(key, attempt_number(1), later).state,
+              start_state::running);
+    guard.finish(key, attempt_number(1), task_result(), later);
+    guard.expire(later + std::chrono::hours(1));
+    EXPECT_EQ(guard.size(), 0U);
+}
+
 TEST(start_guard, starts_nothing_after_the_claim_ran_out)
 {
     start_guard guard({.agent_run = this_run});
