Give each loss of an agent's link its own grace

What callers would see: a run is given up at once, while it goes on, and its job fails or runs it again.

The end of the wait for a lost agent was kept until a tick saw the agent linked with a task of that job there. If the link came back and what was there was settled before the next tick, the old end stayed, and the next loss of the link was late from its first moment.

Evidence: in the new test the third run was given up at the first tick after its link was reset, and its job failed, though the agent was back 50 ms later.

Change: a new link ends the wait of all jobs for that agent, and so does each tick for agents that are linked. After: the run is awaited, 3 starts, the job completes.

--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -42,7 +42,8 @@
 
 } // namespace
 
-// Asks an agent that has just been linked about every task it may have.
+// Asks an agent that has just been linked about every task it may have. The
+// next loss of its link begins a wait of its own.
 void entry_service::ask_agent(const agent_run_id& agent)
 {
     std::vector<job_pointer> adopting;
@@ -50,8 +51,9 @@
     for (const auto& state : open_jobs())
     {
         with_job(state,
-                 [&](const job_state& it)
+                 [&](job_state& it)
                  {
+                     it.lost.erase(agent);
                      if (it.unheard.contains(agent))
                      {
                          adopting.push_back(state);
@@ -265,15 +267,19 @@
                              instant now) const
 {
     std::vector<lost_attempt> lost;
+    const auto is_linked = [&links](const agent_run_id& it)
+    {
+        const auto link = links.find(it.agent);
+        return link != links.end() && link->second == it.run;
+    };
+    std::erase_if(state.lost,
+                  [&](const auto& it) { return is_linked(it.first); });
     for (const auto& key : state.run.dispatched())
     {
         const agent_run_id agent{key.agent, key.agent_run};
-        const auto link = links.find(key.agent);
-        if (link != links.end() && link->second == key.agent_run)
-        {
-            state.lost.erase(agent);
+        if (is_linked(agent))
             continue;
-        }
+        const auto link = links.find(key.agent);
         const auto until =
             state.lost.try_emplace(agent, now + options_.link_grace)
                 .first->second;
--- a/process/entry/tests/recovery_test.cpp
+++ b/process/entry/tests/recovery_test.cpp
@@ -387,6 +387,47 @@
     EXPECT_EQ(fleet.record().starts.at({failing, task_index(0)}), 2U);
 }
 
+// The end of an earlier wait for the agent was kept: the run was given up at
+// once while it went on.
+TEST(recovery_of_lost_links, each_loss_of_a_link_has_its_own_grace)
+{
+    fake_fleet fleet({.agents = 2, .slots = 1});
+    std::uint64_t starts = 0;
+    fleet.on_start = [&](const upstream_call&)
+    {
+        ++starts;
+    };
+    fleet.run_time = [&](const upstream_call&)
+    {
+        return starts == 2 ? milliseconds(2000) : milliseconds(starts * 200);
+    };
+    fleet.fails = [&](const upstream_call&)
+    {
+        return starts < 3;
+    };
+    const auto busy = [&]
+    {
+        return fleet.agent(0).running() > 0 ? 0U : 1U;
+    };
+    fleet.submit(
+        0,
+        job_of(fleet, 1, true).with([](job_options& it) { it.attempts = 3; }));
+    fleet.run_for(milliseconds(50));
+    const auto first = busy();
+    fleet.separate(0, first, true);
+    fleet.run_for(milliseconds(300));
+    fleet.separate(0, first, false);
+    for (int n = 0; starts < 3 && n < 4000; ++n)
+        fleet.run_for(milliseconds(1));
+    ASSERT_EQ(starts, 3U);
+    ASSERT_EQ(busy(), first);
+    fleet.cut(0, first);
+    fleet.run_for(seconds(3));
+    EXPECT_EQ(starts, 3U);
+    ASSERT_EQ(fleet.record().answers.size(), 1U);
+    EXPECT_TRUE(succeeded(fleet.record().answers.front()));
+}
+
 // The agent's link came back after its entry had given the run up.
 TEST(recovery_of_lost_links, a_task_that_still_runs_at_the_agent_is_awaited)
 {
