Let no dispatch start after its entry may have given it up

What callers would see: one task at two workers at the same time (TWICE), after links that lose packets.

Cause: a dispatch may lie in a socket for seconds and arrive before the end of its link. Its start was bounded by the claim alone (5 s by default), while the entry gives it up link_grace (2 s) after the loss of the link.

Change: start_before is at most the time of the dispatch and link_grace. Why it works: the link is lost after the dispatch, so that it is given up later than that. What remains: a dispatch that starts late but before that time, over a link whose end doesn't reach the agent, is stopped only after the agent's own silence and orphan_grace (1.2 s and 0.6 s), which may be later than link_grace.

--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -27,6 +27,13 @@
            result->ran == effect::ran;
 }
 
+// The agent's clock was at least `agent_time` when it was heard, so this is
+// never later than `last`.
+instant at_agent(const taken_credit& credit, instant last) noexcept
+{
+    return credit.agent_time + (last - credit.heard);
+}
+
 task_result cancelled_result(task_index index)
 {
     return task_result({.index = index,
@@ -102,8 +109,8 @@
         { return it != nullptr && (*it)->run.is_waiting(key.index); });
 }
 
-// The agent's clock was at least `agent_time` when it was heard, so the sum
-// below is never later than the claim's end. An agent that the claim does not
+// An attempt starts neither after the claim's end nor after the time at which
+// it may be given up if its link is lost now. An agent that the claim does not
 // name could not be asked by an adopter: the task waits for a renewal that
 // names it. Tasks that wait for a renewal leave the queue.
 std::optional<dispatch_message>
@@ -111,6 +118,7 @@
                               const taken_credit& credit)
 {
     const auto now = hooks_.now();
+    const auto grace_end = now + options_.link_grace;
     const agent_run_id target{agent, credit.agent_run};
     job_pointer widen;
     auto message =
@@ -139,9 +147,9 @@
                        result.submission = key.submission;
                        result.key =
                            it.run.dispatch(key.index, agent, credit.agent_run);
-                       result.start_before = credit.agent_time +
-                                             (it.claim_end - credit.heard) -
-                                             options_.claim_margin;
+                       result.start_before =
+                           at_agent(credit, std::min(it.claim_end, grace_end)) -
+                           options_.claim_margin;
                        result.run_limit = it.deadline - now;
                        result.repeatable = it.submitted->idempotent;
                        result.work = it.submitted->tasks[key.index.number()];
--- a/process/entry/tests/recovery_test.cpp
+++ b/process/entry/tests/recovery_test.cpp
@@ -447,6 +447,33 @@
     EXPECT_TRUE(succeeded(fleet.record().answers.front()));
 }
 
+// The claim outlasts the wait for the agent.
+TEST(recovery_of_lost_links, a_dispatch_that_comes_after_the_grace_never_starts)
+{
+    fake_fleet fleet({.agents = 2, .slots = 1, .lease = seconds(5)});
+    fleet.run_time = [](const upstream_call&)
+    {
+        return milliseconds(400);
+    };
+    for (std::size_t n = 0; n < 2; ++n)
+        fleet.stall(0, n, milliseconds(2500));
+    fleet.submit(0, job_of(fleet, 2, true));
+    fleet.run_for(milliseconds(20));
+    ASSERT_EQ(fleet.entry(0).counts().dispatched, 2U);
+    for (std::size_t n = 0; n < 2; ++n)
+    {
+        fleet.cut(0, n, false);
+        fleet.separate(0, n, true);
+    }
+    fleet.run_for(milliseconds(1300));
+    fleet.separate(0, 1, false);
+    fleet.run_for(seconds(4));
+    for (const auto& [key, starts] : fleet.record().starts)
+        EXPECT_EQ(starts, 1U) << key.index.number();
+    ASSERT_EQ(fleet.record().answers.size(), 1U);
+    EXPECT_TRUE(succeeded(fleet.record().answers.front()));
+}
+
 TEST_F(recovery, an_entry_waits_out_its_own_earlier_incarnation)
 {
     run_takes(milliseconds(1500));
