Take no report of an earlier life for a worker's next one

What callers would see: a task that runs twice, where agents have more than one thread (deploy/ has one).

Cause: worker_agent checks under its lock that a report is newer, and hands it to the table after that. Two threads may do so in the other order; the table then took the earlier life for a next one, and all runs of the worker for over.

Evidence: the new test of the table. Change: the table leaves a life that is lower than the known one alone. After: the test passes.

--- a/process/agent/src/run_lives.cpp
+++ b/process/agent/src/run_lives.cpp
@@ -18,6 +18,9 @@
         extend_if_needed(now);
         return false;
     }
+    // Reports are handed over by several threads, without an order.
+    if (worker_ && worker.life < worker_->life)
+        return false;
     const bool same_name = worker_ && worker_->id == worker.id;
     worker_ = worker;
     clock_ = clock;
--- a/process/agent/tests/run_table_test.cpp
+++ b/process/agent/tests/run_table_test.cpp
@@ -292,6 +292,25 @@
     EXPECT_FALSE(table.ready(now));
 }
 
+// Reports are handed over by several threads, without an order.
+TEST_F(leased_run_table, a_report_of_an_earlier_life_ends_no_run)
+{
+    const worker_life next(2000);
+    table.set_worker(worker(next), worker_time(10), now);
+    take();
+    lease_reply reply;
+    reply.order = {order_result::accepted, worker_time(12)};
+    table.on_extended(next, *last_order, reply, now);
+    take();
+    const auto order = start(0);
+    table.on_start(next, order, {order_result::accepted, worker_time(14)}, now);
+    take();
+    EXPECT_FALSE(table.set_worker(worker(life), worker_time(6000), now));
+    take();
+    EXPECT_TRUE(results.empty());
+    EXPECT_TRUE(table.ready(now));
+}
+
 // A worker that lived anew under its name had begun what was on its way.
 TEST_F(leased_run_table, a_start_on_its_way_to_a_next_life_is_not_over)
 {
