Give a new life of a worker no start before it has told what runs

What callers would see: a worker over its capacity (LIMIT) after it lived anew as a smaller kind.

Cause: the runs of the earlier life are reported before the agent hears that the worker is not ready. Each report frees a slot by the old capacity, and what waited started at once; the table looked at the worker's silence only.

Evidence: the new test of the table. Change: the table declines a start, as not run, until the worker is ready. After: the test passes.

--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -45,7 +45,7 @@
                       instant now)
 {
     const auto id = run_of(call);
-    if (!worker_ || runs_.contains(id) || silent(now))
+    if (!worker_ || runs_.contains(id) || !ready(now))
     {
         output_.results.push_back(
             {std::move(done),
--- a/process/agent/tests/run_table_test.cpp
+++ b/process/agent/tests/run_table_test.cpp
@@ -292,6 +292,18 @@
     EXPECT_FALSE(table.ready(now));
 }
 
+// The next life may be smaller, and what waited for room came at once.
+TEST_F(leased_run_table, no_start_is_given_before_a_new_life_has_answered)
+{
+    answer(start(0), order_result::accepted);
+    table.set_worker(worker(worker_life(2000)), worker_time(10), now);
+    take();
+    results.clear();
+    EXPECT_EQ(start(1), start_order());
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->ran, effect::not_run);
+}
+
 // Reports are handed over by several threads, without an order.
 TEST_F(leased_run_table, a_report_of_an_earlier_life_ends_no_run)
 {
