Await the stop of an earlier agent's run before a worker is ready

A run that is being stopped is in no list, and the time of the stop was counted from when the run was seen last, not from when the worker took the stop. A stop that came 30 ms late was not over when a list without the run made the worker ready; the entry then gives the task on.

Evidence: the new test of the table. Change: such a run is over once its end is listed, or a list was asked for later than the time of a stop after the worker took it; until then it is told to stop again. Note that this holds back readiness after an agent's start until a stop is answered.

Test changed: one test had no answer to the stop; it has one now. The moments at which the worker is ready and not ready are as they were.

--- a/process/agent/src/run_lives.cpp
+++ b/process/agent/src/run_lives.cpp
@@ -34,7 +34,6 @@
     extending_.reset();
     looking_.reset();
     foreign_.clear();
-    foreign_seen_.reset();
     extended_ = now - options_.look_period;
     lease_over_ = now;
     unanswered_.reset();
--- a/process/agent/src/run_reports.cpp
+++ b/process/agent/src/run_reports.cpp
@@ -6,26 +6,32 @@
 namespace lagoonquay
 {
 
+// A run that is being stopped is in no list, and its stop may come late: it is
+// over once its end is listed, or the time of a stop that was taken has passed.
 void run_table::stop_unknown(const std::vector<running_run>& running,
-                             instant now)
+                             instant asked_at, instant now)
 {
-    std::map<task_run, instant> still;
     for (const auto& each : running)
     {
         const auto& id = each.run;
         if (runs_.contains(id))
             continue;
         note_resurfaced(id, true, now);
-        const auto known = foreign_.find(id);
-        const bool told = known != foreign_.end() &&
-                          now - known->second < options_.stop_retry;
-        still.emplace(id, told ? known->second : now);
-        if (!told)
-            output_.stops.push_back({id, fence_});
+        foreign_.try_emplace(id);
+    }
+    std::erase_if(foreign_,
+                  [&](const auto& each)
+                  {
+                      const auto& stopped = each.second.stopped;
+                      return stopped && asked_at > *stopped + stop_time();
+                  });
+    for (auto& [id, it] : foreign_)
+    {
+        if (it.told != instant() && now - it.told < options_.stop_retry)
+            continue;
+        it.told = now;
+        output_.stops.push_back({id, fence_});
     }
-    foreign_ = std::move(still);
-    if (!foreign_.empty())
-        foreign_seen_ = now;
 }
 
 // A run that was given up and is there all the same may run elsewhere by now.
@@ -44,6 +50,7 @@
             continue;
         seen_ = it.number;
         note_resurfaced(it.run, false, now);
+        foreign_.erase(it.run);
         switch (it.how)
         {
         case run_end::done:
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -149,8 +149,13 @@
     hear(reply, now);
     if (reply.result == order_result::fenced)
         raise_fence(order.fence, reply, now);
+    if (reply.result != order_result::accepted)
+        return;
+    const auto unknown = foreign_.find(order.run);
+    if (unknown != foreign_.end())
+        unknown->second.stopped = now;
     const auto found = runs_.find(order.run);
-    if (found == runs_.end() || reply.result != order_result::accepted)
+    if (found == runs_.end())
         return;
     found->second.at = phase::gone;
     found->second.stopped = now;
@@ -178,10 +183,8 @@
     note_ends(reply.ended, now);
     note_running(reply.running, sent.number, sent.sent, now);
     note_progress(reply.running, now);
-    stop_unknown(reply.running, now);
-    ready_ = ready_ ||
-             (foreign_.empty() &&
-              (!foreign_seen_ || sent.sent > *foreign_seen_ + stop_time()));
+    stop_unknown(reply.running, sent.sent, now);
+    ready_ = ready_ || foreign_.empty();
     extend_if_needed(now);
 }
 
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -104,6 +104,13 @@
         duration longest_gap{}; //!< between two rises
     };
 
+    //! A run of an earlier agent, or one that was given up.
+    struct foreign_run
+    {
+        instant told{};                 //!< to stop, last
+        std::optional<instant> stopped; //!< when the worker took the stop
+    };
+
     bool current(worker_life life) const noexcept;
     void hear(const order_reply& reply, instant now);
     void hear_clock(worker_time clock, instant now);
@@ -118,7 +125,8 @@
     worker_time worker_now(instant now) const;
     worker_time next_lease_end(instant now);
     void send_stop(const task_run& id, run& it, instant now);
-    void stop_unknown(const std::vector<running_run>& running, instant now);
+    void stop_unknown(const std::vector<running_run>& running, instant asked_at,
+                      instant now);
     void note_ends(const std::vector<ended_run>& ended, instant now);
     void note_resurfaced(const task_run& id, bool runs, instant now);
     void note_running(const std::vector<running_run>& running,
@@ -147,8 +155,7 @@
     fencing_token fence_;
     std::map<task_run, run> runs_;
     given_up_runs given_up_;
-    std::map<task_run, instant> foreign_; //!< and when they were told to stop
-    std::optional<instant> foreign_seen_;
+    std::map<task_run, foreign_run> foreign_;
     std::uint64_t seen_ = 0;
     std::uint64_t told_ = 0;   //!< `seen_` as the worker has heard it
     std::uint64_t orders_ = 0; //!< counts extensions
--- a/process/agent/tests/run_table_test.cpp
+++ b/process/agent/tests/run_table_test.cpp
@@ -323,6 +323,36 @@
     EXPECT_TRUE(table.ready(now));
 }
 
+// A run that is being stopped is in no list, and its stop may come late.
+TEST_F(leased_run_table, a_run_of_an_earlier_agent_is_awaited_after_its_stop)
+{
+    const worker_life next(2000);
+    table.set_worker(worker(next), worker_time(700), now);
+    const auto first = take().extensions.at(0);
+    lease_reply reply;
+    reply.order = {order_result::accepted, worker_time(710)};
+    reply.running = {{run(9, 4), 0}};
+    table.on_extended(next, first, reply, now);
+    take();
+    ASSERT_EQ(stops, std::vector<task_run>{run(9, 4)});
+    now += milliseconds(80);
+    table.tick(now);
+    take();
+    const auto asked = *last_order;
+    // The stop began just before this list was made.
+    table.on_stop(next, {run(9, 4), {}},
+                  {order_result::accepted, worker_time(788)}, now);
+    take();
+    reply.running.clear();
+    table.on_extended(next, asked, reply, now);
+    EXPECT_FALSE(table.ready(now));
+    now += milliseconds(80);
+    table.tick(now);
+    take();
+    table.on_extended(next, *last_order, reply, now);
+    EXPECT_TRUE(table.ready(now));
+}
+
 // A worker that lived anew under its name had begun what was on its way.
 TEST_F(leased_run_table, a_start_on_its_way_to_a_next_life_is_not_over)
 {
@@ -404,6 +434,8 @@
     take();
     EXPECT_EQ(stops, std::vector<task_run>{run(9, 4)});
     EXPECT_FALSE(table.ready(now));
+    table.on_stop(worker_life(2000), {run(9, 4), {}},
+                  {order_result::accepted, worker_time(712)}, now);
     now += milliseconds(60);
     table.tick(now);
     take();
