--- /dev/null
+++ b/process/agent/tests/run_lives_test.cpp
@@ -0,0 +1,182 @@
+// Lives of a worker, and what an earlier agent left there.
+#include "leased_run_table.hpp"
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+TEST_F(leased_run_table, a_new_life_ends_every_run)
+{
+    answer(start(0), order_result::accepted);
+    EXPECT_TRUE(
+        table.set_worker(worker(worker_life(2000)), worker_time(10), now));
+    take();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->ran, effect::unknown);
+    EXPECT_FALSE(table.ready(now));
+}
+
+// The next life may be smaller, and what waited for room came at once.
+TEST_F(leased_run_table, no_start_is_given_before_a_new_life_has_answered)
+{
+    answer(start(0), order_result::accepted);
+    table.set_worker(worker(worker_life(2000)), worker_time(10), now);
+    take();
+    results.clear();
+    EXPECT_EQ(start(1), start_order());
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->ran, effect::not_run);
+}
+
+// Reports are handed over by several threads, without an order.
+TEST_F(leased_run_table, a_report_of_an_earlier_life_ends_no_run)
+{
+    const worker_life next(2000);
+    table.set_worker(worker(next), worker_time(10), now);
+    take();
+    lease_reply reply;
+    reply.order = {order_result::accepted, worker_time(12)};
+    table.on_extended(next, *last_order, reply, now);
+    take();
+    const auto order = start(0);
+    table.on_start(next, order, {order_result::accepted, worker_time(14)}, now);
+    take();
+    EXPECT_FALSE(table.set_worker(worker(life), worker_time(6000), now));
+    take();
+    EXPECT_TRUE(results.empty());
+    EXPECT_TRUE(table.ready(now));
+}
+
+// A run that is being stopped is in no list, and its stop may come late.
+TEST_F(leased_run_table, a_run_of_an_earlier_agent_is_awaited_after_its_stop)
+{
+    const worker_life next(2000);
+    table.set_worker(worker(next), worker_time(700), now);
+    const auto first = take().extensions.at(0);
+    lease_reply reply;
+    reply.order = {order_result::accepted, worker_time(710)};
+    reply.running = {{run(9, 4), 0}};
+    table.on_extended(next, first, reply, now);
+    take();
+    ASSERT_EQ(stops, std::vector<task_run>{run(9, 4)});
+    now += milliseconds(80);
+    table.tick(now);
+    take();
+    const auto asked = *last_order;
+    // The stop began just before this list was made.
+    table.on_stop(next, {run(9, 4), {}},
+                  {order_result::accepted, worker_time(788)}, now);
+    take();
+    reply.running.clear();
+    table.on_extended(next, asked, reply, now);
+    EXPECT_FALSE(table.ready(now));
+    now += milliseconds(80);
+    table.tick(now);
+    take();
+    table.on_extended(next, *last_order, reply, now);
+    EXPECT_TRUE(table.ready(now));
+}
+
+// A worker that lived anew under its name had begun what was on its way.
+TEST_F(leased_run_table, a_start_on_its_way_to_a_next_life_is_not_over)
+{
+    start(0);
+    const worker_life next(2000);
+    table.set_worker(worker(next), worker_time(10), now);
+    take();
+    EXPECT_TRUE(results.empty());
+    EXPECT_EQ(stops, std::vector<task_run>{run(0)});
+    table.on_stop(next, {run(0), {}}, {order_result::accepted, worker_time(12)},
+                  now);
+    take();
+    lease_reply reply;
+    reply.order = {order_result::accepted, worker_time(13)};
+    for (int n = 0; n < 2; ++n)
+    {
+        EXPECT_TRUE(results.empty());
+        table.on_extended(next, *last_order, reply, now);
+        take();
+        now += milliseconds(80);
+        table.tick(now);
+        take();
+    }
+    table.on_extended(next, *last_order, reply, now);
+    take();
+    EXPECT_EQ(results.size(), 1U);
+}
+
+TEST_F(leased_run_table, a_start_answered_by_an_earlier_clock_is_in_doubt)
+{
+    const auto order = start(0);
+    table.on_start(life, order, {order_result::accepted, worker_time(30)}, now);
+    take();
+    EXPECT_FALSE(table.ready(now));
+    table.set_worker(worker(worker_life(2000)), worker_time(40), now);
+    take();
+    EXPECT_TRUE(results.empty());
+    EXPECT_EQ(stops, std::vector<task_run>{run(0)});
+}
+
+TEST_F(leased_run_table, a_worker_of_another_name_has_not_begun_what_was_sent)
+{
+    start(0);
+    auto other = worker(worker_life(2000));
+    other.id = "v";
+    table.set_worker(other, worker_time(10), now);
+    take();
+    EXPECT_EQ(results.size(), 1U);
+}
+
+// A token of an earlier agent was higher than the worker's clock for seconds.
+TEST_F(leased_run_table, a_token_that_is_refused_again_rises_quickly)
+{
+    constexpr std::uint64_t needed = 100000;
+    int refusals = 0;
+    while (last_order->order.fence < fencing_token(needed))
+    {
+        lease_reply refused;
+        refused.order = {order_result::fenced, clock()};
+        table.on_extended(life, *last_order, refused, now);
+        ASSERT_LT(++refusals, 8);
+        now += milliseconds(50);
+        start(static_cast<std::uint64_t>(refusals));
+        table.tick(now);
+        take();
+    }
+}
+
+TEST_F(leased_run_table, what_ran_for_an_earlier_agent_is_stopped_first)
+{
+    table.set_worker(worker(worker_life(2000)), worker_time(700), now);
+    const auto first = take().extensions.at(0);
+    // Orders to the earlier life have 5001 at most, and may still come.
+    EXPECT_EQ(first.order.fence, fencing_token(5002));
+    lease_reply reply;
+    reply.order = {order_result::accepted, worker_time(710)};
+    reply.running = {{run(9, 4), 0}};
+    table.on_extended(worker_life(2000), first, reply, now);
+    take();
+    EXPECT_EQ(stops, std::vector<task_run>{run(9, 4)});
+    EXPECT_FALSE(table.ready(now));
+    table.on_stop(worker_life(2000), {run(9, 4), {}},
+                  {order_result::accepted, worker_time(712)}, now);
+    now += milliseconds(60);
+    table.tick(now);
+    take();
+    reply.running.clear();
+    table.on_extended(worker_life(2000), *last_order, reply, now);
+    EXPECT_FALSE(table.ready(now));
+    now += milliseconds(80);
+    table.tick(now);
+    take();
+    table.on_extended(worker_life(2000), *last_order, reply, now);
+    EXPECT_TRUE(table.ready(now));
+}
+
+} // namespace
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/entry/tests/lost_link_test.cpp
@@ -0,0 +1,116 @@
+// Losses of an agent's link: when a run is given up, and what starts late.
+#include "fake_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+//! @return a job whose tasks may run again.
+job job_of(const fake_fleet& fleet, std::size_t tasks,
+           std::uint32_t attempts = 1)
+{
+    return job({.submission = submission_id("s"),
+                .customer = customer_id("c"),
+                .created = fleet.wall(),
+                .attempts = attempts,
+                .time_limit = seconds(10),
+                .idempotent = true,
+                .tasks = std::vector<task>(tasks)});
+}
+
+// The end of an earlier wait for the agent was kept: the run was given up at
+// once while it went on.
+TEST(lost_links, each_loss_of_a_link_has_its_own_grace)
+{
+    fake_fleet fleet({.agents = 2, .slots = 1});
+    std::uint64_t starts = 0;
+    fleet.on_start = [&](const upstream_call&)
+    {
+        ++starts;
+    };
+    fleet.run_time = [&](const upstream_call&)
+    {
+        return starts == 2 ? milliseconds(2000) : milliseconds(starts * 200);
+    };
+    fleet.fails = [&](const upstream_call&)
+    {
+        return starts < 3;
+    };
+    const auto busy = [&]
+    {
+        return fleet.agent(0).running() > 0 ? 0U : 1U;
+    };
+    fleet.submit(
+        0, job_of(fleet, 1).with([](job_options& it) { it.attempts = 3; }));
+    fleet.run_for(milliseconds(50));
+    const auto first = busy();
+    fleet.separate(0, first, true);
+    fleet.run_for(milliseconds(300));
+    fleet.separate(0, first, false);
+    for (int n = 0; starts < 3 && n < 4000; ++n)
+        fleet.run_for(milliseconds(1));
+    ASSERT_EQ(starts, 3U);
+    ASSERT_EQ(busy(), first);
+    fleet.cut(0, first);
+    fleet.run_for(seconds(3));
+    EXPECT_EQ(starts, 3U);
+    ASSERT_EQ(fleet.record().answers.size(), 1U);
+    EXPECT_TRUE(succeeded(fleet.record().answers.front()));
+}
+
+// The agent's link came back after its entry had given the run up.
+TEST(lost_links, a_task_that_still_runs_at_the_agent_is_awaited)
+{
+    fake_fleet fleet({.agents = 1});
+    fleet.run_time = [](const upstream_call&)
+    {
+        return seconds(3);
+    };
+    fleet.submit(0, job_of(fleet, 1));
+    fleet.run_for(milliseconds(50));
+    fleet.separate(0, 0, true);
+    fleet.run_for(milliseconds(1500));
+    fleet.separate(0, 0, false);
+    fleet.run_for(seconds(5));
+    EXPECT_EQ(fleet.record().starts.begin()->second, 1U);
+    ASSERT_EQ(fleet.record().answers.size(), 1U);
+    EXPECT_TRUE(succeeded(fleet.record().answers.front()));
+}
+
+// The claim outlasts the wait for the agent.
+TEST(lost_links, a_dispatch_that_comes_after_the_grace_never_starts)
+{
+    fake_fleet fleet({.agents = 2, .slots = 1, .lease = seconds(5)});
+    fleet.run_time = [](const upstream_call&)
+    {
+        return milliseconds(400);
+    };
+    for (std::size_t n = 0; n < 2; ++n)
+        fleet.stall(0, n, milliseconds(2500));
+    fleet.submit(0, job_of(fleet, 2));
+    fleet.run_for(milliseconds(20));
+    ASSERT_EQ(fleet.entry(0).counts().dispatched, 2U);
+    for (std::size_t n = 0; n < 2; ++n)
+    {
+        fleet.cut(0, n, false);
+        fleet.separate(0, n, true);
+    }
+    fleet.run_for(milliseconds(1300));
+    fleet.separate(0, 1, false);
+    fleet.run_for(seconds(4));
+    for (const auto& [key, starts] : fleet.record().starts)
+        EXPECT_EQ(starts, 1U) << key.index.number();
+    ASSERT_EQ(fleet.record().answers.size(), 1U);
+    EXPECT_TRUE(succeeded(fleet.record().answers.front()));
+}
+
+} // namespace
+
+} // namespace lagoonquay
