--- a/request/tests/start_guard_test.cpp
+++ b/request/tests/start_guard_test.cpp
@@ -42,9 +42,24 @@
     EXPECT_EQ(guard.try_start(again, start), start_verdict::duplicate);
     auto third = again;
     third.key.attempt = attempt_number(3);
+    guard.finish(key, attempt_number(2), task_result(), start);
     EXPECT_EQ(guard.try_start(third, start), start_verdict::start);
 }
 
+// Its entry had given it up, and it went on.
+TEST(start_guard, starts_no_later_attempt_while_one_runs)
+{
+    start_guard guard({.agent_run = this_run});
+    auto again = dispatch(2);
+    again.repeatable = true;
+    EXPECT_EQ(guard.try_start(again, start), start_verdict::start);
+    again.key.attempt = attempt_number(3);
+    EXPECT_EQ(guard.try_start(again, start), start_verdict::duplicate);
+    guard.finish(key, attempt_number(2),
+                 task_result({.reason = failure_reason::link_lost}), start);
+    EXPECT_EQ(guard.try_start(again, start), start_verdict::start);
+}
+
 TEST(start_guard, a_tombstone_forbids_earlier_attempts_only)
 {
     start_guard guard({.agent_run = this_run});
@@ -54,6 +69,20 @@
     EXPECT_FALSE(guard.forbid(key, attempt_number(9), start));
 }
 
+// A run that lasted longer than records are kept was told as not started.
+TEST(start_guard, keeps_the_record_of_a_run_that_goes_on)
+{
+    start_guard guard({.agent_run = this_run});
+    guard.try_start(dispatch(1), start);
+    const auto later = start + std::chrono::hours(1);
+    guard.expire(later);
+    EXPECT_EQ(guard.query(key, attempt_number(1), later).state,
+              start_state::running);
+    guard.finish(key, attempt_number(1), task_result(), later);
+    guard.expire(later + std::chrono::hours(1));
+    EXPECT_EQ(guard.size(), 0U);
+}
+
 TEST(start_guard, starts_nothing_after_the_claim_ran_out)
 {
     start_guard guard({.agent_run = this_run});
