Do not believe a report whose clock has run ahead

Callers would see a worker that gets no more work though it answers: after one report of another writer with a clock far ahead, each true answer looked like one of a next life, and starts carried a lease end of 2^53 ms.

Cause: the clock of a report was taken as the worker's, and an older time than the last one is ignored as overtaken.

Change: a reported clock beyond what the clock heard last can show by now (its drift and the margin allowed) is not taken; the worker is asked, and the clock of its own answer counts, as before. So a true worker whose clock was heard late, as after a freeze of the agent, is right again one answer later.

--- a/process/agent/src/run_lives.cpp
+++ b/process/agent/src/run_lives.cpp
@@ -14,7 +14,7 @@
     if (worker_ && worker_->life == worker.life && worker_->id == worker.id)
     {
         worker_ = worker;
-        hear_clock(clock, now);
+        hear_reported_clock(clock, now);
         extend_if_needed(now);
         return false;
     }
@@ -40,6 +40,24 @@
     return true;
 }
 
+// A clock that seems to have run ahead is not believed, for all that comes
+// after it would look late: the worker is asked, and its answer counts.
+void run_table::hear_reported_clock(worker_time clock, instant now)
+{
+    const auto heard_ago = now - clock_heard_;
+    const auto most = worker_now(now) +
+                      std::chrono::duration_cast<worker_time>(
+                          heard_ago / clock_drift_part + options_.clock_margin);
+    if (clock <= most)
+        return hear_clock(clock, now);
+    if (looking_)
+        return;
+    looked_ = now;
+    output_.extensions.push_back(
+        number_order({std::nullopt, {}, seen_, {}}, now));
+    looking_ = orders_;
+}
+
 // Orders name the worker, not its life, so a start without an answer may be
 // carried out by the next life under the same name. It is made void there.
 void run_table::give_up_earlier_life(bool same_name, instant now)
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -107,6 +107,7 @@
     bool current(worker_life life) const noexcept;
     void hear(const order_reply& reply, instant now);
     void hear_clock(worker_time clock, instant now);
+    void hear_reported_clock(worker_time clock, instant now);
     void raise_fence(fencing_token refused, const order_reply& reply,
                      instant now);
     void give_up_earlier_life(bool same_name, instant now);
