Let a member that can't be read hide neither the others nor the vote

Callers would see an entry lose control (no permit, no agents, no queues) for as long as one replica's list of members holds a row that the entry can't read: the whole answer counted as none, its vote included.

Control refuses such heartbeats with the same code, so a row gets there only through another writer or another version of a replica.

Change: such a row is left out, and its reason is logged by the process that reads it; lists carry changes only, so that is once a change. A replica logs why it refuses a heartbeat. The fuzz test of decoders calls this one through a lambda, since it has a second parameter now.

--- a/process/common/src/permit_client.cpp
+++ b/process/common/src/permit_client.cpp
@@ -24,13 +24,18 @@
             .bearer = {}};
 }
 
+void log_odd_member(const std::string& reason)
+{
+    write_log(log_level::warning, part, "Member not followed: " + reason + ".");
+}
+
 // A replica that gives no answer is no news: the others of the round do.
 std::optional<permit_reply>
 reply_of(const connection_result<http_response>& answer)
 {
     if (!answer || answer.value().status != http_status::ok)
         return std::nullopt;
-    auto reply = decode_permit_reply(answer.value().body);
+    auto reply = decode_permit_reply(answer.value().body, log_odd_member);
     if (reply)
         return std::move(reply).value();
     write_log(log_level::warning, part,
--- a/process/common/tests/decoder_fuzz_test.cpp
+++ b/process/common/tests/decoder_fuzz_test.cpp
@@ -263,8 +263,10 @@
                      .gone = {"side-1"}};
     reply.queue_changes = changes_between(queue_catalog(), sample_catalog());
     reply.queue_changes->gone = {{"h", "/old/"}};
-    check("reply", encode_permit_reply(reply), decode_permit_reply,
-          encode_permit_reply);
+    check(
+        "reply", encode_permit_reply(reply),
+        [](std::string_view text) { return decode_permit_reply(text); },
+        encode_permit_reply);
 }
 
 TEST(decoder_fuzz, announcement)
--- a/process/control/src/control_http.cpp
+++ b/process/control/src/control_http.cpp
@@ -2,6 +2,7 @@
 
 #include "lagoonquay/connection/http_routes.hpp"
 #include "lagoonquay/process/control_service.hpp"
+#include "lagoonquay/process/log.hpp"
 #include "lagoonquay/process/operator_codec.hpp"
 #include "lagoonquay/process/operator_http.hpp"
 #include "lagoonquay/version/fleet_settings.hpp"
@@ -14,6 +15,8 @@
 namespace
 {
 
+constexpr std::string_view part = "control";
+
 http_response malformed(const std::string& detail)
 {
     return error_response(http_status::bad_request, "malformed", detail);
@@ -24,7 +27,11 @@
 {
     const auto asked = decode_permit_request(body);
     if (!asked)
+    {
+        write_log(log_level::warning, part,
+                  "Heartbeat not readable: " + asked.error().detail + ".");
         return malformed(asked.error().detail);
+    }
     return {.body = encode_permit_reply(service.on_heartbeat(asked.value()))};
 }
 
--- a/version/include/lagoonquay/version/version_codec.hpp
+++ b/version/include/lagoonquay/version/version_codec.hpp
@@ -5,12 +5,15 @@
 #include "lagoonquay/version/error.hpp"
 #include "lagoonquay/version/member.hpp"
 
+#include <functional>
 #include <string>
 #include <string_view>
 
 namespace lagoonquay
 {
 
+using odd_member_hook = std::function<void(const std::string& reason)>;
+
 std::string encode_command(const command& asked);
 //! @return the command, or malformed.
 version_result<command> decode_command(std::string_view text);
@@ -29,6 +32,9 @@
 
 std::string encode_permit_reply(const permit_reply& reply);
 //! @return the reply, or malformed.
-version_result<permit_reply> decode_permit_reply(std::string_view text);
+//! @param on_odd  gets the reason for each member that can't be read; the
+//! others count.
+version_result<permit_reply>
+decode_permit_reply(std::string_view text, const odd_member_hook& on_odd = {});
 
 } // namespace lagoonquay
--- a/version/src/version_codec.cpp
+++ b/version/src/version_codec.cpp
@@ -182,8 +182,11 @@
     return array;
 }
 
+// One member that can't be read must not hide the others, nor the vote beside
+// them.
 std::vector<member> fleet_members_from_json(json_fields& fields,
-                                            std::string_view key)
+                                            std::string_view key,
+                                            const odd_member_hook& on_odd)
 {
     std::vector<member> members;
     if (fields.member(key) == nullptr)
@@ -192,7 +195,14 @@
     if (source == nullptr)
         return members;
     for (const auto& it : *source)
-        members.push_back(member_from_json(it, fields));
+    {
+        json_fields row(it, std::string(key));
+        auto found = member_from_json(it, row);
+        if (!row.failed())
+            members.push_back(std::move(found));
+        else if (on_odd)
+            on_odd(row.error().detail);
+    }
     return members;
 }
 
@@ -262,15 +272,16 @@
     return gone;
 }
 
-member_changes changes_from_json(const json::value& source, json_fields& parent)
+member_changes changes_from_json(const json::value& source, json_fields& parent,
+                                 const odd_member_hook& on_odd)
 {
     json_fields fields(source, "members");
     member_changes changes;
     if (const auto* mark = fields.member("mark"))
         changes.mark = mark_from_json(*mark, fields);
     changes.whole = fields.flag_or("whole", false);
-    changes.agents = fleet_members_from_json(fields, "agents");
-    changes.entries = fleet_members_from_json(fields, "entries");
+    changes.agents = fleet_members_from_json(fields, "agents", on_odd);
+    changes.entries = fleet_members_from_json(fields, "entries", on_odd);
     changes.gone = gone_from_json(fields);
     parent.absorb(fields);
     return changes;
@@ -435,7 +446,8 @@
     return json::serialize(object);
 }
 
-version_result<permit_reply> decode_permit_reply(std::string_view text)
+version_result<permit_reply> decode_permit_reply(std::string_view text,
+                                                 const odd_member_hook& on_odd)
 {
     BOOST_OUTCOME_TRY(const auto document, parse(text));
     json_fields fields(document, "");
@@ -453,7 +465,7 @@
         fields.absorb(nested);
     }
     if (const auto* members = fields.member("members"))
-        reply.members = changes_from_json(*members, fields);
+        reply.members = changes_from_json(*members, fields, on_odd);
     if (fields.failed())
         return malformed(fields);
     return reply;
