--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -62,7 +62,10 @@
     //! Takes over a worker, or its next life: what ran in an earlier one is
     //! over. What a new worker still runs for an earlier agent is stopped.
     //! @param clock  the worker's clock as it was just heard.
-    void set_worker(const worker_address& worker, worker_time clock);
+    //! @param decision  rises with each decision on the worker, since threads
+    //! may hand them over in another order; a lower one changes nothing.
+    void set_worker(const worker_address& worker, worker_time clock,
+                    std::uint64_t decision = 0);
 
     //! @return whether the worker answers orders and runs nothing unknown.
     bool ready() const;
--- a/process/agent/src/leased_runs.cpp
+++ b/process/agent/src/leased_runs.cpp
@@ -118,11 +118,13 @@
 
 leased_runs::~leased_runs() = default;
 
-void leased_runs::set_worker(const worker_address& worker, worker_time clock)
+void leased_runs::set_worker(const worker_address& worker, worker_time clock,
+                             std::uint64_t decision)
 {
     bool fresh = false;
-    state_->step([&](instant now)
-                 { fresh = state_->table.set_worker(worker, clock, now); });
+    state_->step(
+        [&](instant now)
+        { fresh = state_->table.set_worker(worker, clock, now, decision); });
     if (fresh)
         write_log(log_level::info, part,
                   "Worker " + worker.id + " at " + to_text(worker.address) +
--- a/process/agent/src/run_lives.cpp
+++ b/process/agent/src/run_lives.cpp
@@ -9,8 +9,11 @@
 // The worker's clock rises during a life, so a token taken from it is higher
 // than that of any earlier agent of this life, without anything on a disk.
 bool run_table::set_worker(const worker_address& worker, worker_time clock,
-                           instant now)
+                           instant now, std::uint64_t decision)
 {
+    if (decision < worker_decision_)
+        return false;
+    worker_decision_ = decision;
     if (worker_ && worker_->life == worker.life && worker_->id == worker.id)
     {
         worker_ = worker;
@@ -18,9 +21,6 @@
         extend_if_needed(now);
         return false;
     }
-    // Reports are handed over by several threads, without an order.
-    if (worker_ && worker.life < worker_->life)
-        return false;
     const bool same_name = worker_ && worker_->id == worker.id;
     worker_ = worker;
     clock_ = clock;
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -59,9 +59,11 @@
 public:
     explicit run_table(leased_runs_options options);
 
+    //! @param decision  that the worker is in use; one with a lower number
+    //! than the last changes nothing.
     //! @return whether the worker is new, or lives anew.
     bool set_worker(const worker_address& worker, worker_time clock,
-                    instant now);
+                    instant now, std::uint64_t decision = 0);
     void start(const upstream_call& call, upstream_callback done, instant now);
     void stop(const task_run& run, instant now);
     void tick(instant now);
@@ -150,6 +152,7 @@
 
     const leased_runs_options options_;
     std::optional<worker_address> worker_;
+    std::uint64_t worker_decision_ = 0;
     worker_time clock_{}; //!< as last heard
     instant clock_heard_{};
     std::optional<instant> unanswered_; //!< since when orders get no answer
