A red test: a replica whose mark was torn refuses to start

The mark is overwritten in place and never synced, so a loss of power may tear it; the replica then ends at each start. Two slots would not mend it, since both may be torn; a mark whose generation has a checksum of its own would.

--- a/process/control/tests/durable_log_test.cpp
+++ b/process/control/tests/durable_log_test.cpp
@@ -216,6 +216,21 @@
     EXPECT_FALSE(open());
 }
 
+// The mark is overwritten without a sync: a loss of power may tear it.
+TEST_F(durable_log_test, starts_after_a_loss_of_power_tore_its_mark)
+{
+    constexpr std::streamoff synced_at = 8;
+    fill();
+    {
+        std::fstream mark(folder_ / "mark",
+                          std::ios::in | std::ios::out | std::ios::binary);
+        mark.seekp(synced_at);
+        mark.put('\x7f');
+    }
+    const auto log = open();
+    ASSERT_TRUE(log) << log.error().detail;
+}
+
 TEST_F(durable_log_test, a_wiped_folder_draws_a_new_node)
 {
     fill();
