Ask a worker that stays silent five times a second, not fifty

With no run left, the next question waits for extend_period (200 ms). The test of the silent worker asks for that now too.

--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -285,7 +285,10 @@
     if (idle && told_ == seen_)
         return;
     const bool waits = !runs_.empty() && ready_ && !unanswered_;
-    if (!waits && now - extended_ < options_.look_period)
+    const bool awaits_answer = runs_.empty() && ready_ && unanswered_;
+    const auto period =
+        awaits_answer ? options_.extend_period : options_.look_period;
+    if (!waits && now - extended_ < period)
         return;
     lease_order order;
     order.seen = seen_;
--- a/process/agent/tests/run_table_test.cpp
+++ b/process/agent/tests/run_table_test.cpp
@@ -232,7 +232,11 @@
     table.on_extended(life, *last_order, {}, now);
     take();
     const auto last = last_order->number;
-    now += milliseconds(100);
+    now += leased_runs_options().look_period;
+    table.tick(now);
+    take();
+    ASSERT_EQ(last_order->number, last);
+    now += leased_runs_options().extend_period;
     table.tick(now);
     take();
     ASSERT_GT(last_order->number, last);
