--- a/process/agent/tests/fake_lease_worker.cpp
+++ b/process/agent/tests/fake_lease_worker.cpp
@@ -155,7 +155,8 @@
         end(running_.begin()->first, run_end::lapsed);
 }
 
-void fake_lease_worker::end(const task_run& run, run_end how)
+// By value: callers name the run by its place in the map.
+void fake_lease_worker::end(task_run run, run_end how)
 {
     running_.erase(run);
     auto& over = over_[{run.submission, run.index}];
--- a/process/agent/tests/fake_lease_worker.hpp
+++ b/process/agent/tests/fake_lease_worker.hpp
@@ -58,7 +58,7 @@
     std::optional<order_reply> fenced(fencing_token token);
     void hold_until(worker_time end);
     void check_lease();
-    void end(const task_run& run, run_end how);
+    void end(task_run run, run_end how);
     lease_reply lists() const;
     void answer_waiting();
 
