Start a control replica whose mark was torn

Change: the mark, which names the generation, is only replaced as a whole. How much of the log was synced is noted in a file of its own, "synced", which may be torn: the log is then used as long as it ends with a sound record. If its end is unsound too, or neither file can be read, the replica can't tell what it acknowledged; it begins anew under a new name, as one whose disk was lost, and logs an error.

Ruled out: two marks written in turn, since both may be unsynced at once; syncing the mark, which would double the syncs of each write.

--- a/process/control/include/lagoonquay/process/durable_log.hpp
+++ b/process/control/include/lagoonquay/process/durable_log.hpp
@@ -28,7 +28,8 @@
 class durable_log
 {
 public:
-    //! Opens a data folder and reads it whole; creates it if it is missing.
+    //! Opens a data folder and reads it whole; creates it if it is missing. A
+    //! log of which it can't be told how much was synced is given up.
     //! @param draw_node  names a folder that is empty.
     //! @return the log, or storage: the folder is in use, not writable, or a
     //!         file is corrupt (the error names file and offset).
@@ -45,6 +46,9 @@
     const node_id& node() const noexcept;
     const stored_log& stored() const noexcept; //!< as it was opened
     std::size_t cut_bytes() const noexcept;    //!< of a torn tail
+    //! @return why an earlier log was given up, so that the folder begins anew
+    //! under a new name; empty if none was.
+    const std::string& discarded() const noexcept;
 
     //! Writes in order and returns once all is synced. After a failure the
     //! log takes no more writes until recover().
--- a/process/control/src/control_node.cpp
+++ b/process/control/src/control_node.cpp
@@ -129,6 +129,10 @@
     };
     BOOST_OUTCOME_TRY(auto storage, durable_log::open(settings.data_folder,
                                                       draw, real_disk()));
+    if (!storage.discarded().empty())
+        write_log(log_level::error, part,
+                  "Gave up the log, begins anew as " + storage.node().text() +
+                      ": " + storage.discarded() + ".");
     if (storage.cut_bytes() > 0)
         write_log(log_level::warning, part,
                   "Cut a torn tail of " + std::to_string(storage.cut_bytes()) +
--- a/process/control/src/durable_log.cpp
+++ b/process/control/src/durable_log.cpp
@@ -4,6 +4,8 @@
 #include "lagoonquay/version/replica_codec.hpp"
 #include "record_file.hpp"
 
+#include <algorithm>
+#include <charconv>
 #include <fcntl.h>
 #include <filesystem>
 
@@ -16,6 +18,7 @@
 {
 
 constexpr const char* mark_name = "mark";
+constexpr const char* synced_name = "synced";
 constexpr const char* lock_name = "lock";
 
 auto success()
@@ -67,34 +70,45 @@
     return success();
 }
 
-bool holds_files_of_a_log(const std::string& folder)
+//! @return the highest generation that a file of the folder belongs to; zero
+//! without such a file.
+std::uint64_t highest_generation(const std::string& folder)
 {
+    std::uint64_t highest = 0;
     for (const auto& it : fs::directory_iterator(folder))
     {
         const auto name = it.path().filename().string();
-        if (name.starts_with("log-") || name.starts_with("snapshot-"))
-            return true;
+        if (!name.starts_with("log-") && !name.starts_with("snapshot-"))
+            continue;
+        const char* end = name.data() + name.size();
+        std::uint64_t n = 0;
+        std::from_chars(name.data() + name.find('-') + 1, end, n);
+        highest = std::max(highest, n);
     }
-    return false;
+    return highest;
 }
 
 } // namespace
 
 // One generation is a snapshot (unless it starts from nothing) and the log
 // after it. The mark names the generation in use; replacing it is the one
-// step that switches to the next.
+// step that switches to the next. How much of the log was synced since is in a
+// file of its own, which is overwritten in place and may be torn by a loss of
+// power.
 struct durable_log::files
 {
     std::string folder;
     disk_hooks disk;
     disk_file lock;
     disk_file log;
-    disk_file mark_file;
+    disk_file synced_file;
     log_mark mark;
+    bool is_synced_file_torn = false;
     node_id node;
     stored_log stored;
     hard_state last_state;
     std::size_t cut_bytes = 0;
+    std::string discarded; //!< why an earlier log was given up
     bool failed = false;
 
     std::string path(const std::string& name) const
@@ -103,7 +117,11 @@
     }
 
     process_result<void> open(const std::function<node_id()>& draw_node);
+    process_result<void> discard(const std::function<node_id()>& draw_node,
+                                 const std::string& why);
+    process_result<void> read_mark();
     process_result<void> read();
+    process_result<void> open_synced_file();
     process_result<void> read_snapshot(log_index base);
     process_result<void> read_log(log_index& base);
     process_result<void> write(const std::vector<log_write>& writes);
@@ -125,20 +143,59 @@
     if (!lock.lock())
         return fail(process_errc::storage,
                     folder + ": in use by another process");
-    if (fs::exists(path(mark_name)))
-        return read();
-    if (holds_files_of_a_log(folder))
-        return fail(process_errc::storage,
-                    path(mark_name) + ": missing beside a log");
+    if (!fs::exists(path(mark_name)))
+    {
+        if (highest_generation(folder) > 0)
+            return fail(process_errc::storage,
+                        path(mark_name) + ": missing beside a log");
+        node = draw_node();
+        return start_generation({});
+    }
+    if (const auto marked = read_mark(); !marked)
+        return discard(draw_node, marked.error().detail);
+    const auto found = read();
+    if (!found && is_synced_file_torn && cut_bytes > 0)
+        return discard(draw_node, found.error().detail);
+    return found;
+}
+
+// A replica that can't tell what it had acknowledged must not vote on it. It
+// begins as one whose disk was lost: under a new name, as a learner.
+process_result<void>
+durable_log::files::discard(const std::function<node_id()>& draw_node,
+                            const std::string& why)
+{
+    discarded = why;
+    stored = {};
+    cut_bytes = 0;
     node = draw_node();
+    mark.generation = highest_generation(folder);
     return start_generation({});
 }
 
-process_result<void> durable_log::files::read()
+// Either file may be behind what is synced, never ahead of it. Earlier versions
+// overwrote the mark itself, so it may be torn as well.
+process_result<void> durable_log::files::read_mark()
 {
     BOOST_OUTCOME_TRY(const auto content, read_file(path(mark_name)));
-    BOOST_OUTCOME_TRY(auto found, decode_mark(content, path(mark_name)));
-    mark = found;
+    const auto replaced = decode_mark(content, path(mark_name));
+    std::string overwritten;
+    if (fs::exists(path(synced_name)))
+    {
+        BOOST_OUTCOME_TRY(overwritten, read_file(path(synced_name)));
+    }
+    const auto later = decode_mark(overwritten, path(synced_name));
+    is_synced_file_torn = !later && !overwritten.empty();
+    if (!replaced && !later)
+        return replaced.error();
+    mark = replaced ? replaced.value() : later.value();
+    if (later && later.value().generation == mark.generation)
+        mark.synced = std::max(mark.synced, later.value().synced);
+    return success();
+}
+
+process_result<void> durable_log::files::read()
+{
     log_index base;
     BOOST_OUTCOME_TRY(read_log(base));
     if (base != log_index())
@@ -146,12 +203,19 @@
         BOOST_OUTCOME_TRY(read_snapshot(base));
     }
     last_state = stored.state;
-    BOOST_OUTCOME_TRY(auto opened, disk_file::open(path(mark_name), O_WRONLY));
-    mark_file = std::move(opened);
+    BOOST_OUTCOME_TRY(open_synced_file());
     remove_other_generations();
     return success();
 }
 
+process_result<void> durable_log::files::open_synced_file()
+{
+    BOOST_OUTCOME_TRY(auto opened,
+                      disk_file::open(path(synced_name), O_WRONLY | O_CREAT));
+    synced_file = std::move(opened);
+    return success();
+}
+
 // Records beyond the mark may be readable and not on the disk: a process that
 // was killed while it synced them leaves them so.
 process_result<void> durable_log::files::read_log(log_index& base)
@@ -173,6 +237,11 @@
     BOOST_OUTCOME_TRY(auto opened, disk_file::open(name, O_WRONLY | O_APPEND));
     log = std::move(opened);
     cut_bytes = content.size() - found.end;
+    if (is_synced_file_torn && cut_bytes > 0)
+        return fail(process_errc::storage,
+                    name + ": unreadable record at offset " +
+                        std::to_string(found.end) +
+                        ", which may have been synced");
     const bool all_synced = content.size() == mark.synced;
     mark.synced = found.end;
     if (all_synced)
@@ -231,22 +300,22 @@
     return append(records);
 }
 
-// The mark is written after the sync and never synced itself: it may be behind
-// what is synced, never ahead of it.
+// What was synced is noted after the sync and without one: the note may be
+// behind, never ahead.
 process_result<void> durable_log::files::append(const std::string& records)
 {
     BOOST_OUTCOME_TRY(log.append(disk, records));
     BOOST_OUTCOME_TRY(log.sync(disk));
     mark.synced += records.size();
-    return mark_file.overwrite(disk, encode_mark(mark));
+    return synced_file.overwrite(disk, encode_mark(mark));
 }
 
 // A failed write may have moved to the next generation or not; once the folder
-// is synced, what it shows is what lasts. The mark may be torn: it is written
-// anew, which changes nothing once another one was put in its place.
+// is synced, what it shows is what lasts. The note of what was synced may have
+// been written in part and is written anew.
 process_result<void> durable_log::files::recover()
 {
-    BOOST_OUTCOME_TRY(mark_file.overwrite(disk, encode_mark(mark)));
+    BOOST_OUTCOME_TRY(synced_file.overwrite(disk, encode_mark(mark)));
     BOOST_OUTCOME_TRY(sync_folder(folder, disk));
     BOOST_OUTCOME_TRY(const auto content, read_file(path(mark_name)));
     BOOST_OUTCOME_TRY(const auto found, decode_mark(content, path(mark_name)));
@@ -255,8 +324,9 @@
         BOOST_OUTCOME_TRY(cut_unsynced());
     }
     stored = {};
+    BOOST_OUTCOME_TRY(read_mark());
     BOOST_OUTCOME_TRY(read());
-    return mark_file.overwrite(disk, encode_mark(mark));
+    return synced_file.overwrite(disk, encode_mark(mark));
 }
 
 // After a failed sync the records beyond may be readable and yet not be on the
@@ -289,8 +359,7 @@
     BOOST_OUTCOME_TRY(auto opened, disk_file::open(path(log_name(next)),
                                                    O_WRONLY | O_APPEND));
     log = std::move(opened);
-    BOOST_OUTCOME_TRY(auto marked, disk_file::open(path(mark_name), O_WRONLY));
-    mark_file = std::move(marked);
+    BOOST_OUTCOME_TRY(open_synced_file());
     mark = moved;
     last_state = from.state;
     remove_other_generations();
@@ -303,8 +372,7 @@
     for (const auto& it : fs::directory_iterator(folder, ec))
     {
         const auto name = it.path().filename().string();
-        const bool ours = name == mark_name || name == lock_name ||
-                          name == log_name(mark.generation) ||
+        const bool ours = name == log_name(mark.generation) ||
                           name == snapshot_name(mark.generation);
         const bool other = name.starts_with("log-") ||
                            name.starts_with("snapshot-") ||
@@ -349,6 +417,11 @@
     return files_->cut_bytes;
 }
 
+const std::string& durable_log::discarded() const noexcept
+{
+    return files_->discarded;
+}
+
 // After a failed sync nobody knows what the disk holds, so nothing later may
 // be acknowledged either.
 process_result<void> durable_log::write(const std::vector<log_write>& writes)
--- a/process/control/tests/durable_log_test.cpp
+++ b/process/control/tests/durable_log_test.cpp
@@ -128,6 +128,14 @@
         file.put(static_cast<char>(old ^ 1));
     }
 
+    void tear(const std::string& name, std::streamoff offset)
+    {
+        std::fstream file(folder_ / name,
+                          std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp(offset);
+        file.put('\x7f');
+    }
+
     void append_bytes(const std::string& bytes)
     {
         std::ofstream file(log_file(), std::ios::app | std::ios::binary);
@@ -231,6 +239,67 @@
     ASSERT_TRUE(log) << log.error().detail;
 }
 
+TEST_F(durable_log_test, keeps_its_log_if_the_note_of_what_was_synced_is_torn)
+{
+    constexpr std::streamoff note_bytes = 20;
+    for (std::streamoff at = 0; at < note_bytes; ++at)
+    {
+        fs::remove_all(folder_);
+        draws_ = 0;
+        fill();
+        tear("synced", at);
+        const auto log = open();
+        ASSERT_TRUE(log) << log.error().detail;
+        EXPECT_EQ(log.value().node(), node_id("a-1"));
+        EXPECT_EQ(log.value().stored().entries, write_of(1, 10).entries);
+        EXPECT_TRUE(log.value().discarded().empty());
+    }
+}
+
+// What follows the last sound record may have been acknowledged.
+TEST_F(durable_log_test, begins_anew_if_it_cannot_tell_what_was_synced)
+{
+    fill();
+    fs::resize_file(log_file(), fs::file_size(log_file()) - 1);
+    tear("synced", 8);
+    {
+        const auto log = open();
+        ASSERT_TRUE(log) << log.error().detail;
+        EXPECT_EQ(log.value().node(), node_id("a-2"));
+        EXPECT_TRUE(log.value().stored().entries.empty());
+        EXPECT_FALSE(log.value().discarded().empty());
+    }
+    const auto again = open();
+    EXPECT_EQ(again.value().node(), node_id("a-2"));
+    EXPECT_TRUE(again.value().discarded().empty());
+}
+
+TEST_F(durable_log_test, begins_anew_if_no_file_names_its_generation)
+{
+    fill();
+    tear("mark", 0);
+    tear("synced", 0);
+    auto log = open();
+    ASSERT_TRUE(log) << log.error().detail;
+    EXPECT_EQ(log.value().node(), node_id("a-2"));
+    EXPECT_TRUE(log.value().stored().entries.empty());
+    EXPECT_TRUE(log.value().write({write_of(1, 3)}));
+    log = open_again(std::move(log));
+    EXPECT_EQ(log.value().node(), node_id("a-2"));
+    EXPECT_EQ(log.value().stored().entries, write_of(1, 3).entries);
+}
+
+// Earlier versions kept the note of what was synced in the mark.
+TEST_F(durable_log_test, opens_a_folder_without_a_note_of_what_was_synced)
+{
+    fill();
+    fs::rename(folder_ / "synced", folder_ / "mark");
+    const auto log = open();
+    ASSERT_TRUE(log) << log.error().detail;
+    EXPECT_EQ(log.value().node(), node_id("a-1"));
+    EXPECT_EQ(log.value().stored().entries, write_of(1, 10).entries);
+}
+
 TEST_F(durable_log_test, a_wiped_folder_draws_a_new_node)
 {
     fill();
