Hold the result of a revoked start while its task may be retried

Cause: a start without an answer was revoked at the worker and reported as over. Nothing in the protocol lets the agent prevent that: an order names the worker and not its life, and a new life has seen no fencing token.

Change: such a result is of unknown effect. It is held until the start can't arrive any more (max_order_delay, 15 s) or until the caller no longer retries (upstream_call::retry_window: the time left of a repeatable task, zero for any other). So a task that is started elsewhere can't begin in the next life. A run that was seen to begin, and a start addressed to a worker of another name, are reported at once as before.

Ruled out: raising the fencing token after a revocation, as the next life refuses the start only once it has seen a later order.

The fixture of the table's tests starts calls that are never retried, which were its only kind before.

--- a/connection/include/lagoonquay/connection/upstream.hpp
+++ b/connection/include/lagoonquay/connection/upstream.hpp
@@ -45,6 +45,9 @@
     incarnation agent_run; //!< of the caller
     std::string payload;
     duration run_limit{};
+    //! Time in which the caller may start the task again elsewhere after a
+    //! result of unknown effect; zero if it never does.
+    duration retry_window = duration::max();
 
     friend bool operator==(const upstream_call&,
                            const upstream_call&) = default;
--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -36,6 +36,8 @@
     duration stop_time = std::chrono::milliseconds(50);
     //! Time after which a stop without a known end is sent again.
     duration stop_retry_delay = std::chrono::milliseconds(150);
+    //! Maximum time after which an order without an answer is still executed.
+    duration max_order_delay = std::chrono::seconds(15);
 
     friend bool operator==(const leased_runs_options&,
                            const leased_runs_options&) = default;
@@ -79,9 +81,11 @@
     bool ready() const;
 
     //! Starts a run. `done` gets its result once the run has certainly ended
-    //! and no longer takes capacity of the worker. It gets
-    //! failure_reason::not_startable at once if ready() is false or the run
-    //! has been started already and has no result yet.
+    //! and no longer takes capacity of the worker. A start without an answer
+    //! may still begin in the worker's next life: the result is then of unknown
+    //! effect, and is held until that is impossible or the call's retry window
+    //! is over. `done` gets failure_reason::not_startable at once if ready() is
+    //! false or the run has been started already and has no result yet.
     void start(const upstream_call& call, upstream_callback done);
 
     //! Stops a run; its result is still passed to the callback of start(). Does
@@ -91,7 +95,7 @@
     //! Handles timeouts and extends the lease. Call about every 50 ms.
     void tick();
 
-    //! @return the number of runs without a result.
+    //! @return the number of runs that may take capacity of the worker.
     std::size_t size() const;
 
 private:
--- a/process/agent/src/agent_starts.cpp
+++ b/process/agent/src/agent_starts.cpp
@@ -177,10 +177,15 @@
         {{"task", static_cast<std::int64_t>(dispatch.key.index.number())},
          {"attempt", static_cast<std::int64_t>(dispatch.key.attempt.number())},
          {"need_milli", std::int64_t{dispatch.work->need.processors_milli}}});
-    const upstream_call call{upstream,           dispatch.submission,
-                             dispatch.key.index, dispatch.key.attempt,
-                             options_.run,       dispatch.work->payload,
-                             dispatch.run_limit};
+    const upstream_call call{upstream,
+                             dispatch.submission,
+                             dispatch.key.index,
+                             dispatch.key.attempt,
+                             options_.run,
+                             dispatch.work->payload,
+                             dispatch.run_limit,
+                             dispatch.repeatable ? dispatch.run_limit
+                                                 : duration::zero()};
     hooks_.call_upstream(call, [this, link, dispatch, started = hooks_.now()](
                                    const task_result& result)
                          { on_result(link, dispatch, result, started); });
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -45,7 +45,7 @@
                       instant now)
 {
     const auto id = run_of(call);
-    if (!worker_ || runs_.contains(id) || !ready(now))
+    if (!worker_ || runs_.contains(id) || held_.contains(id) || !ready(now))
     {
         output_.results.push_back(
             {std::move(done),
@@ -59,6 +59,8 @@
     run fresh;
     fresh.done = std::move(done);
     fresh.ordered = now;
+    fresh.retry_end =
+        now + std::min(call.retry_window, options_.max_order_delay);
     fresh.clock_when_ordered = clock_;
     fresh.stale_reports_up_to = last_extension_number_;
     runs_.emplace(id, std::move(fresh));
@@ -82,6 +84,7 @@
 // no earlier start, because each start contains the end of its lease.
 void run_table::tick(instant now)
 {
+    release_held_results(now);
     if (!worker_)
         return;
     if (!runs_.empty() && now > all_runs_end_at_ && !extension_in_flight_)
@@ -350,6 +353,9 @@
     runs_.erase(found);
 }
 
+// A start without an answer can't begin in this life any more: it was revoked,
+// or its lease is over. The next life knows of neither, so the caller must not
+// run the task elsewhere while the start may still arrive there.
 void run_table::give_up(const task_run& id, give_up_reason why, instant now,
                         duration list_age)
 {
@@ -360,8 +366,28 @@
                             now};
     given_up_.add(lost);
     output_.given_up.push_back(lost);
+    const bool may_begin_later = !found->second.is_start_resolved;
+    const auto until = found->second.retry_end;
     finish(id, failure_reason::upstream_unreachable, effect::unknown,
            explain(why));
+    if (!may_begin_later || now >= until)
+        return;
+    held_.emplace(id, held_result{std::move(output_.results.back()), until});
+    output_.results.pop_back();
+}
+
+void run_table::release_held_results(instant now)
+{
+    for (auto it = held_.begin(); it != held_.end();)
+    {
+        if (now < it->second.until)
+        {
+            ++it;
+            continue;
+        }
+        output_.results.push_back(std::move(it->second.result));
+        it = held_.erase(it);
+    }
 }
 
 void run_table::give_up_all(give_up_reason why, instant now)
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -94,6 +94,7 @@
         instant ordered{};
         worker_time clock_when_ordered{};
         bool is_start_resolved = false; //!< no start is in flight
+        instant retry_end{}; //!< until when an unknown result may be retried
         phase current_phase = phase::starting;
         //! Reports of extensions with a higher number were requested after
         //! the last answer about this run.
@@ -106,6 +107,14 @@
         duration max_progress_gap{}; //!< maximum time between two rises
     };
 
+    //! The result of a run that ended in this life of the worker, but whose
+    //! start may still reach the next one.
+    struct held_result
+    {
+        run_result result;
+        instant until{};
+    };
+
     //! A run at the worker that is not in the table: of an earlier agent, or
     //! one that was given up.
     struct unknown_run
@@ -148,6 +157,7 @@
     void give_up(const task_run& id, give_up_reason why, instant now,
                  duration list_age = {});
     void give_up_all(give_up_reason why, instant now);
+    void release_held_results(instant now);
     void decline(const task_run& id, failure_reason reason,
                  const std::string& detail, instant now);
 
@@ -160,6 +170,7 @@
     std::optional<instant> unanswered_since_;
     fencing_token fence_;
     std::map<task_run, run> runs_;
+    std::map<task_run, held_result> held_;
     given_up_runs given_up_;
     std::map<task_run, unknown_run> unknown_runs_;
     std::uint64_t last_end_seen_ = 0;
--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -73,6 +73,8 @@
     {
         if (it.is_start_resolved || !is_same_worker)
         {
+            // A worker of another name refuses orders to this one.
+            it.is_start_resolved = true;
             over.push_back(id);
             continue;
         }
--- a/process/agent/tests/leased_run_table.hpp
+++ b/process/agent/tests/leased_run_table.hpp
@@ -40,6 +40,7 @@
         call.submission = submission_id("s");
         call.index = task_index(index);
         call.attempt = attempt_number(1);
+        call.retry_window = retry_window;
         table.start(
             call, [this](const task_result& it) { results.push_back(it); },
             now);
@@ -87,6 +88,7 @@
     }
 
     instant now = began;
+    duration retry_window{}; //!< of the calls to start
     run_table table;
     std::vector<task_result> results;
     std::vector<task_run> stops;
--- a/process/agent/tests/run_table_restarts_test.cpp
+++ b/process/agent/tests/run_table_restarts_test.cpp
@@ -111,6 +111,40 @@
     EXPECT_EQ(results.size(), 1U);
 }
 
+// Regression: a start without an answer was revoked in one life, its task was
+// started elsewhere, and the next life executed the start.
+TEST_F(leased_run_table, a_revoked_start_has_no_result_while_it_may_be_retried)
+{
+    retry_window = std::chrono::seconds(2);
+    const auto order = start(0);
+    answer(order, order_result::unknown);
+    report(*last_order, {}, {});
+    take();
+    ASSERT_EQ(stops, std::vector<task_run>{run(0)});
+    table.on_stop(life, {run(0), {}}, {order_result::accepted, clock()}, now);
+    while (now < began + retry_window)
+    {
+        EXPECT_TRUE(results.empty());
+        now += milliseconds(80);
+        table.tick(now);
+        take();
+        report(*last_order, {}, {});
+        take();
+    }
+    EXPECT_EQ(table.size(), 0U);
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->ran, effect::unknown);
+}
+
+TEST_F(leased_run_table, a_started_run_that_is_gone_has_its_result_at_once)
+{
+    retry_window = std::chrono::seconds(2);
+    answer(start(0), order_result::accepted);
+    table.set_worker(worker(worker_life(2000)), worker_time(10), now);
+    take();
+    EXPECT_EQ(results.size(), 1U);
+}
+
 TEST_F(leased_run_table, a_start_answered_with_an_earlier_clock_is_unconfirmed)
 {
     const auto order = start(0);
