Link an entry to a subset of agents whose load it knows

Cause: in the large site each entry linked to 128 of 240 agents, and each agent was shared by 29 entries. An entry hears of an agent's load with the results of its own tasks, about once in three seconds, so it placed tasks on workers that had long been full. Each link also holds a credit at least, so that in a burst the tasks that waited at full workers were handed back and sent again without end: the entries had processor time for nothing else. Trials ruled out the queue at the entry (0 to 1 ms) and the claim (8 ms); in the small twin the wait is that of its links of 2 Mbit/s.

Change: subset_size() gives 24 agents for each entry, more only where an agent would have under four entries on average. The setting subset_agents remains as the upper bound. lagoonquay-policy-bench has a part "subsets".

--- a/process/agent/tests/worker_limits_test.cpp
+++ b/process/agent/tests/worker_limits_test.cpp
@@ -136,6 +136,15 @@
     EXPECT_EQ(agent_subset(entry_id("e"), fleet_of(11), 128), fleet_of(11));
 }
 
+TEST(agent_subset, its_size_covers_every_agent_several_times)
+{
+    EXPECT_EQ(subset_size(11, 4, 128), 24U);
+    EXPECT_EQ(subset_size(240, 55, 128), 24U);
+    EXPECT_EQ(subset_size(240, 12, 128), 80U);
+    EXPECT_EQ(subset_size(240, 1, 128), 128U);
+    EXPECT_EQ(subset_size(240, 0, 16), 16U);
+}
+
 TEST(agent_subset, spreads_over_domains_and_covers_every_agent)
 {
     const auto fleet = fleet_of(900);
--- a/process/bench/bench_fleet.cpp
+++ b/process/bench/bench_fleet.cpp
@@ -1,6 +1,7 @@
 #include "bench_fleet.hpp"
 
 #include "lagoonquay/process/agent_service.hpp"
+#include "lagoonquay/process/agent_subset.hpp"
 
 #include "fake_link.hpp"
 
@@ -150,7 +151,7 @@
 struct bench_fleet::agent_side
 {
     agent_slots slots;
-    std::vector<grant_pacing> pacing;
+    std::map<std::size_t, grant_pacing> pacing; //!< by entry that has a link
     std::uint32_t domain = 0;
     bool failing = false;
     bool accepting = true;
@@ -164,7 +165,6 @@
     {
         auto& it = *agents_.emplace_back(std::make_unique<agent_side>());
         it.slots.resize(options_.slots, worker_capacity);
-        it.pacing.resize(options_.entries);
         it.id = agent_id("agent" + std::to_string(n));
         it.domain = n % options_.domains;
         member_options about;
@@ -174,31 +174,38 @@
     }
     for (std::size_t e = 0; e < options_.entries; ++e)
     {
-        auto& it =
-            *entries_.emplace_back(std::make_unique<entry_side>(*this, e));
-        it.tasks.agents().learn(members, clock_.now());
-        for (std::size_t a = 0; a < agents_.size(); ++a)
-        {
-            it.tasks.agents().open(
-                agents_[a]->id,
-                std::make_shared<fake_link>(
-                    [this, a, e](const link_message& message)
-                    {
-                        clock_.after(options_.one_way, [this, a, e, message]
-                                     { deliver_to_agent(a, e, message); });
-                    }));
-        }
+        entries_.emplace_back(std::make_unique<entry_side>(*this, e));
+        link(e, members);
     }
     for (std::size_t a = 0; a < agents_.size(); ++a)
-    {
-        for (std::size_t e = 0; e < options_.entries; ++e)
-            agents_[a]->slots.open(link_number(e + 1));
         send_changed(a);
-    }
     tick();
     return_overdue_tasks();
 }
 
+void bench_fleet::link(std::size_t entry, const std::vector<member>& members)
+{
+    auto& agents = entries_[entry]->tasks.agents();
+    const auto known = agent_subset(entry_id("entry" + std::to_string(entry)),
+                                    members, options_.subset);
+    agents.learn(known, clock_.now());
+    for (const auto& it : known)
+    {
+        const auto a = static_cast<std::size_t>(
+            std::find(members.begin(), members.end(), it) - members.begin());
+        agents_[a]->pacing.emplace(entry, grant_pacing());
+        agents_[a]->slots.open(link_number(entry + 1));
+        agents.open(agents_[a]->id,
+                    std::make_shared<fake_link>(
+                        [this, a, entry](const link_message& message)
+                        {
+                            clock_.after(
+                                options_.one_way, [this, a, entry, message]
+                                { deliver_to_agent(a, entry, message); });
+                        }));
+    }
+}
+
 bench_fleet::~bench_fleet() = default;
 
 virtual_clock& bench_fleet::clock() noexcept
@@ -251,8 +258,9 @@
         if (agents_[a]->domain != domain)
             continue;
         agents_[a]->accepting = in_service;
-        for (std::size_t e = 0; e < entries_.size(); ++e)
-            send_grant(a, agents_[a]->slots.total(link_number(e + 1)), true);
+        for (const auto& [entry, pacing] : agents_[a]->pacing)
+            send_grant(a, agents_[a]->slots.total(link_number(entry + 1)),
+                       true);
     }
 }
 
@@ -412,15 +420,21 @@
     --unfinished_;
 }
 
-void bench_fleet::tick()
+void bench_fleet::send_grants_if_due()
 {
-    for (auto& it : entries_)
-        it->tasks.tick();
     for (std::size_t a = 0; a < agents_.size(); ++a)
     {
-        for (std::size_t e = 0; e < entries_.size(); ++e)
-            send_grant(a, agents_[a]->slots.total(link_number(e + 1)), true);
+        for (const auto& [entry, pacing] : agents_[a]->pacing)
+            send_grant(a, agents_[a]->slots.total(link_number(entry + 1)),
+                       true);
     }
+}
+
+void bench_fleet::tick()
+{
+    for (auto& it : entries_)
+        it->tasks.tick();
+    send_grants_if_due();
     clock_.after(entry_tick, [this] { tick(); });
 }
 
--- a/process/bench/bench_fleet.hpp
+++ b/process/bench/bench_fleet.hpp
@@ -51,6 +51,7 @@
     std::uint32_t agents = 11;
     std::uint32_t slots = 8;
     std::uint32_t domains = 3;
+    std::uint32_t subset = 1024; //!< most agents that an entry links to
     duration one_way = std::chrono::microseconds(1500);
     bool admission = true; //!< false takes every job
     std::string settings;  //!< of the fleet, as INI
@@ -124,6 +125,8 @@
                std::uint64_t credits, duration ran);
     void send_changed(std::size_t agent);
     void send_grant(std::size_t agent, const link_grant& totals, bool if_due);
+    void link(std::size_t entry, const std::vector<member>& members);
+    void send_grants_if_due();
     void on_result(std::size_t entry, std::size_t agent,
                    const result_message& message);
     void tick();
--- a/process/bench/policy_bench.cpp
+++ b/process/bench/policy_bench.cpp
@@ -1,5 +1,6 @@
 //! lagoonquay-policy-bench: measures the policy under load on virtual time.
 #include "bench_fleet.hpp"
+#include "subset_bench.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -378,7 +379,7 @@
         cxxopts::value<std::uint32_t>()->default_value("3"))(
         "seed", "of the offered jobs",
         cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "part", "policies, flood, quarantine, domain, cost or all",
+        "part", "policies, flood, quarantine, domain, cost, subsets or all",
         cxxopts::value<std::string>()->default_value("all"));
     const auto parsed = options.parse(argc, argv);
     workload what;
@@ -401,5 +402,7 @@
         measure_domain(what);
     if (wants("cost"))
         measure_cost();
+    if (wants("subsets"))
+        measure_subsets(what.seed, what.load);
     return 0;
 }
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -146,7 +146,8 @@
     void set_permit(const permit& granted);
 
     //! Updates the list of the fleet's agents and links to a subset of them.
-    void learn(const std::vector<member>& agents);
+    //! @param entries  entries of the fleet, this one included.
+    void learn(const std::vector<member>& agents, std::size_t entries);
 
     //! Handles deadlines, renewals and retention. Call a few times a second.
     void tick();
--- a/process/entry/src/agent_subset.cpp
+++ b/process/entry/src/agent_subset.cpp
@@ -3,12 +3,21 @@
 #include "lagoonquay/request/domain_spread.hpp"
 #include "lagoonquay/request/stable_hash.hpp"
 
+#include <algorithm>
+
 namespace lagoonquay
 {
 
 namespace
 {
 
+//! Enough for a wide job to find free workers.
+constexpr std::size_t min_subset = 24;
+
+//! Entries that link to one agent, on average and at least. Subsets overlap at
+//! random, so with fewer some agents would have none.
+constexpr std::size_t entries_per_agent = 4;
+
 std::uint64_t score(const entry_id& entry, const member& agent) noexcept
 {
     const auto own = stable_hash(stable_hash_start, entry.text());
@@ -17,6 +26,14 @@
 
 } // namespace
 
+std::size_t subset_size(std::size_t agents, std::size_t entries,
+                        std::size_t max_agents) noexcept
+{
+    const auto sharing = std::max(entries, std::size_t{1});
+    const auto covering = (entries_per_agent * agents + sharing - 1) / sharing;
+    return std::min(std::max(min_subset, covering), max_agents);
+}
+
 std::vector<member> agent_subset(const entry_id& entry,
                                  const std::vector<member>& agents,
                                  std::size_t max_agents)
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -190,7 +190,7 @@
                            const std::vector<member>& entries)
                 {
                     peers.learn(entries);
-                    service.learn(agents);
+                    service.learn(agents, peers.current().size() + 1);
                 }};
     }
 
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -145,10 +145,12 @@
          .ramp = current.ramp});
 }
 
-void entry_service::learn(const std::vector<member>& agents)
+void entry_service::learn(const std::vector<member>& agents,
+                          std::size_t entries)
 {
-    const auto max_agents = (*settings_.current())->subset_agents;
-    dispatcher_.agents().learn(agent_subset(options_.id, agents, max_agents),
+    const auto size = subset_size(agents.size(), entries,
+                                  (*settings_.current())->subset_agents);
+    dispatcher_.agents().learn(agent_subset(options_.id, agents, size),
                                hooks_.now());
 }
 
--- a/process/entry/tests/fake_fleet.cpp
+++ b/process/entry/tests/fake_fleet.cpp
@@ -122,7 +122,7 @@
     for (std::size_t n = 0; n < options_.agents; ++n)
         agents.push_back(
             member({.id = agent_name(n), .capacity = {1000, 1000, 0}}));
-    host.service->learn(agents);
+    host.service->learn(agents, entries_.size());
     tick_entry(entry);
 }
 
--- a/tests/scenarios/runner/fake_fleet.cpp
+++ b/tests/scenarios/runner/fake_fleet.cpp
@@ -294,7 +294,7 @@
     auto* node = &it;
     const auto beat = [this, service, name = it.name]
     {
-        service->learn(known_agents());
+        service->learn(known_agents(), entries_.size());
         ask_permit(
             name, [service] { return service->view(); },
             [service](const permit& granted) { service->set_permit(granted); });
