Let an unexpected error end the work that met it, not the process

Decoders return errors as values and were fuzzed before, so that no message is known that does this; memory that can't be had or a map without its key would.

Change: io_threads logs the exception and goes on with the next handler; a repeating timer and the reload at SIGHUP are set again. A request whose handler throws is answered with status 500, which says that it is unknown whether anything was run, unless the handler had answered before; its connection then closes, so that a late answer reaches no other request. A link whose hook throws closes, as which of its messages took effect is unknown. A listener accepts its next connection before it begins the last one, and a deadline that throws keeps no other from passing.

Ruled out: a catch around each callback, which hides errors where the state behind them is unknown.

--- a/connection/src/deadlines.cpp
+++ b/connection/src/deadlines.cpp
@@ -47,8 +47,9 @@
         if (!waiting_.empty())
             arm(waiting_.begin()->first.at);
     }
+    // Those after a call that throws are due as well.
     for (const auto& it : passed)
-        it();
+        net::post(timer_.get_executor(), it);
 }
 
 // Call under the lock.
--- a/connection/src/http_server.cpp
+++ b/connection/src/http_server.cpp
@@ -48,10 +48,10 @@
                                       if (ec == net::error::operation_aborted ||
                                           !server->acceptor.is_open())
                                           return;
+                                      accept_next(server);
                                       if (!ec)
                                           begin_session(server,
                                                         std::move(socket));
-                                      accept_next(server);
                                   });
 }
 
--- a/connection/src/http_session.cpp
+++ b/connection/src/http_session.cpp
@@ -233,13 +233,40 @@
     if (!admitted(request))
         return respond(error_response(http_status::unauthorized, "unauthorized",
                                       "a valid bearer token is needed"));
-    listener_->handler(request,
-                       [self = shared_from_this()](http_response answer)
-                       {
-                           net::post(self->stream_.get_executor(),
-                                     [self, it = std::move(answer)]() mutable
-                                     { self->respond(std::move(it)); });
-                       });
+    awaits_response_ = true;
+    try
+    {
+        listener_->handler(request,
+                           [self = shared_from_this()](http_response answer)
+                           { self->post_response(std::move(answer)); });
+    }
+    catch (const std::exception& e)
+    {
+        fail_request(e.what());
+    }
+}
+
+// Only the first response is sent.
+void http_session::post_response(http_response answer)
+{
+    net::post(stream_.get_executor(),
+              [self = shared_from_this(), it = std::move(answer)]() mutable
+              {
+                  if (std::exchange(self->awaits_response_, false))
+                      self->respond(std::move(it));
+              });
+}
+
+// The handler may have begun something, and may even have answered. Its later
+// answers must not reach another request, so the connection ends.
+void http_session::fail_request(std::string_view error)
+{
+    keep_alive_ = false;
+    if (listener_->options.on_refused)
+        listener_->options.on_refused(http_status::internal_error, error);
+    post_response(error_response(http_status::internal_error, "internal",
+                                 "an unexpected error; whether anything was "
+                                 "run is unknown"));
 }
 
 bool http_session::admitted(const http_request& request) const noexcept
--- a/connection/src/http_session.hpp
+++ b/connection/src/http_session.hpp
@@ -90,6 +90,8 @@
     void upgrade();
     void reject(http_status status, std::string_view code,
                 std::string_view detail);
+    void post_response(http_response answer);
+    void fail_request(std::string_view error);
     void respond(http_response answer);
     void finish_sending();
     void discard();
@@ -105,9 +107,10 @@
     idle_connections::number idle_ = 0;
     std::optional<deadlines::handle> limit_; //!< of what is under way
     std::uint64_t limits_set_ = 0;
-    bool reading_ = false;   //!< a request has begun to arrive
-    bool timed_out_ = false; //!< it did not arrive in time
-    bool gave_way_ = false;  //!< closed while it was idle
+    bool reading_ = false;         //!< a request has begun to arrive
+    bool timed_out_ = false;       //!< it did not arrive in time
+    bool awaits_response_ = false; //!< the handler has not answered yet
+    bool gave_way_ = false;        //!< closed while it was idle
     bool keep_alive_ = false;
 };
 
--- a/connection/src/websocket_link.cpp
+++ b/connection/src/websocket_link.cpp
@@ -135,11 +135,27 @@
         return end();
     }
     messages_received_ += messages.value().size();
-    if (hooks_.on_messages)
-        hooks_.on_messages(messages.value());
+    pass_on(messages.value());
     read();
 }
 
+// Which messages took effect before an exception is unknown, as after the loss
+// of the link, so the link ends.
+void websocket_link::pass_on(const std::vector<link_message>& messages)
+{
+    if (!hooks_.on_messages)
+        return;
+    try
+    {
+        hooks_.on_messages(messages);
+    }
+    catch (...)
+    {
+        end();
+        throw;
+    }
+}
+
 void websocket_link::write()
 {
     writing_ = true;
--- a/connection/src/websocket_link.hpp
+++ b/connection/src/websocket_link.hpp
@@ -32,6 +32,7 @@
 private:
     void read();
     void on_read(error_code ec);
+    void pass_on(const std::vector<link_message>& messages);
     void write();
     void on_write(error_code ec);
     void end();
--- a/connection/tests/http_server_test.cpp
+++ b/connection/tests/http_server_test.cpp
@@ -5,12 +5,15 @@
 #include "lagoonquay/connection/message_link.hpp"
 #include "lagoonquay/connection/traffic_meter.hpp"
 #include "lagoonquay/connection/upstream.hpp"
+#include "lagoonquay/request/dispatch_codec.hpp"
 #include "raw_connection.hpp"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <future>
 #include <gtest/gtest.h>
 #include <memory>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -20,11 +23,11 @@
 namespace
 {
 
-//! Runs an I/O context on one thread.
+//! Runs an I/O context on one thread, and counts what handlers throw.
 class io_thread
 {
 public:
-    io_thread() : guard_(io_.get_executor()), thread_([this] { io_.run(); })
+    io_thread() : guard_(io_.get_executor()), thread_([this] { run(); })
     {
     }
     ~io_thread()
@@ -40,7 +43,24 @@
         return io_;
     }
 
+    std::atomic<int> thrown{0};
+
 private:
+    void run()
+    {
+        while (!io_.stopped())
+        {
+            try
+            {
+                io_.run();
+            }
+            catch (const std::exception&)
+            {
+                ++thrown;
+            }
+        }
+    }
+
     boost::asio::io_context io_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
         guard_;
@@ -309,12 +329,75 @@
            std::string(4, '\0') + text;
 }
 
+const std::string open_link_request =
+    "GET /v1/link HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
+    "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
+    "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n";
+
+TEST_F(http_server_test, an_error_in_a_handler_ends_its_request_only)
+{
+    std::vector<std::string> refused;
+    auto options = limited(
+        [&](auto& to)
+        {
+            to.on_refused = [&](http_status, std::string_view detail)
+            {
+                refused.emplace_back(detail);
+            };
+        });
+    const auto server =
+        start(std::move(options),
+              [](const http_request& request, const http_responder& respond)
+              {
+                  if (request.path != "/fails")
+                      respond({.body = "done"});
+                  if (request.path != "/works")
+                      throw std::runtime_error("unexpected");
+              });
+    const auto failed = answer(server, "GET /fails HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(has_status(failed, "500"));
+    EXPECT_NE(failed.find("Connection: close"), std::string::npos);
+    EXPECT_EQ(refused, std::vector<std::string>{"unexpected"});
+    const auto answered = answer(server, "GET /late HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(has_status(answered, "200"));
+    EXPECT_TRUE(
+        has_status(answer(server, "GET /works HTTP/1.1\r\n\r\n"), "200"));
+    EXPECT_EQ(server.requests_in_progress(), 0U);
+    EXPECT_EQ(thread_.thrown, 0);
+}
+
+// Which messages took effect is unknown, so the link does not go on.
+TEST_F(http_server_test, an_error_in_a_hook_of_a_link_closes_it)
+{
+    std::promise<void> closed;
+    auto options = limited([](auto& to) { to.link_path = "/v1/link"; });
+    options.listen = {"127.0.0.1", 0};
+    const auto server = http_server::listen(
+        thread_.io(), options, echo_routes(),
+        [&](const std::shared_ptr<message_link>& link)
+        {
+            link->start({.on_messages = [](const auto&)
+                         { throw std::runtime_error("unexpected"); },
+                         .on_close =
+                             [&]
+                         {
+                             closed.set_value();
+                         }});
+        });
+    ASSERT_TRUE(server);
+    const raw_connection peer(server.value().port());
+    peer.send(open_link_request);
+    EXPECT_TRUE(has_status(peer.read_until("\r\n\r\n"), "101"));
+    peer.send(frame(encode_frame({return_message{}})));
+    closed.get_future().wait();
+    const raw_connection next(server.value().port());
+    next.send(open_link_request);
+    EXPECT_TRUE(has_status(next.read_until("\r\n\r\n"), "101"));
+    EXPECT_EQ(thread_.thrown, 1);
+}
+
 TEST_F(http_server_test, closes_a_link_that_sends_what_is_no_frame)
 {
-    const std::string open =
-        "GET /v1/link HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
-        "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
-        "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n";
     const std::string bad[] = {
         frame("{}"), frame("[1]"), frame("[{\"type\":\"none\"}]"),
         frame("\xff\xfe"), frame("[{\"type\":\"grant\"}]"),
@@ -338,7 +421,7 @@
                                 });
         ASSERT_TRUE(server);
         const raw_connection peer(server.value().port());
-        peer.send(open);
+        peer.send(open_link_request);
         EXPECT_TRUE(has_status(peer.read_until("\r\n\r\n"), "101"));
         peer.send(it);
         closed.get_future().wait();
--- a/process/common/include/lagoonquay/process/io_threads.hpp
+++ b/process/common/include/lagoonquay/process/io_threads.hpp
@@ -15,7 +15,8 @@
 namespace lagoonquay
 {
 
-//! A pool of threads over one I/O context. Thread-safe.
+//! A pool of threads over one I/O context. An exception ends the work that
+//! threw it, is logged, and leaves all other work as it is. Thread-safe.
 class io_threads
 {
 public:
--- a/process/common/src/io_threads.cpp
+++ b/process/common/src/io_threads.cpp
@@ -1,5 +1,7 @@
 #include "lagoonquay/process/io_threads.hpp"
 
+#include "lagoonquay/process/log.hpp"
+
 #include <atomic>
 #include <boost/asio.hpp>
 #include <csignal>
@@ -15,6 +17,35 @@
 namespace
 {
 
+constexpr std::string_view part = "io";
+
+void log_unexpected(const std::exception& error)
+{
+    write_log(log_level::error, part,
+              std::string("Work ended by an unexpected error: ") +
+                  error.what() + ".");
+}
+
+// An error ends the work that met it, and not the process.
+void run_logged(const std::function<void()>& work)
+{
+    try
+    {
+        work();
+    }
+    catch (const std::exception& e)
+    {
+        log_unexpected(e);
+    }
+}
+
+// A context goes on after an exception with the next handler.
+void run_context(net::io_context& context)
+{
+    while (!context.stopped())
+        run_logged([&] { context.run(); });
+}
+
 using lateness_hook =
     std::function<void(net::steady_timer::clock_type::duration)>;
 
@@ -39,7 +70,7 @@
                     return;
                 self->on_delay_(net::steady_timer::clock_type::now() -
                                 self->timer_.expiry());
-                self->work_();
+                run_logged(self->work_);
                 self->wait();
             });
     }
@@ -87,7 +118,7 @@
             {
                 if (ec)
                     return;
-                reload();
+                run_logged(reload);
                 wait_for_reload();
             });
     }
@@ -97,7 +128,7 @@
     : state_(std::make_unique<state>(threads))
 {
     for (std::size_t n = 0; n < threads; ++n)
-        state_->threads.emplace_back([this] { state_->context.run(); });
+        state_->threads.emplace_back([this] { run_context(state_->context); });
 }
 
 io_threads::~io_threads()
