--- a/process/control/src/durable_log.cpp
+++ b/process/control/src/durable_log.cpp
@@ -153,7 +153,7 @@
     }
     if (const auto marked = read_mark(); !marked)
         return discard(draw_node, marked.error().detail);
-    const auto found = read();
+    auto found = read();
     if (!found && is_synced_file_torn && cut_bytes > 0)
         return discard(draw_node, found.error().detail);
     return found;
