Keep the name of a run whose result is held

Cause: give_up() may get the key of the run that it erases. The address sanitizer found it in leased_runs_schedules (two schedules that end by the lease); the release tests passed. Only calls that may be retried are held, so no run on the users' platform came there: its jobs are not repeatable.

Change: the held result is stored under the copy of the name that the log entry has.

--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -372,7 +372,8 @@
            explain(why));
     if (!may_begin_later || now >= until)
         return;
-    held_.emplace(id, held_result{std::move(output_.results.back()), until});
+    held_.emplace(lost.run,
+                  held_result{std::move(output_.results.back()), until});
     output_.results.pop_back();
 }
 
