--- /dev/null
+++ b/review/tests/cases.cpp
@@ -0,0 +1,185 @@
+// The cases of the review that can't be put as a day of the users' bench.
+#include "deployment.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <future>
+#include <iostream>
+
+namespace lagoonquay::review
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Bounds of the small installations.
+constexpr milliseconds apply_time{2000};      // config_apply_ms
+constexpr milliseconds cancel_time{3000};     // cancel_ms
+constexpr milliseconds stop_time{50};         // stop_timeout_ms
+constexpr milliseconds contact_time{3000};    // contact_ms
+constexpr milliseconds retransmit_time{1300}; // retransmit_ms
+constexpr milliseconds margin{1000};          // of this test
+
+constexpr unsigned ok = 200;
+constexpr unsigned gone = 410;
+
+const std::string job = "5c0e7a21d94b36f8";
+
+bool with_trouble()
+{
+    const char* it = std::getenv("TROUBLE");
+    return it == nullptr || std::string(it) != "0";
+}
+
+bool acknowledged(const answer& it)
+{
+    return it.status == ok || it.status == gone;
+}
+
+//! A manifest adds a queue whose service has no workers yet. Without the
+//! trouble, the added queue is one of the old service.
+bool queue_of_a_new_service(record& log)
+{
+    constexpr int jobs = 10;
+    deployment fleet(log, 2, milliseconds(60));
+    fleet.publish(1, {{"q1", "s1"}});
+    fleet.become_ready("q1");
+    const std::string service = with_trouble() ? "s2" : "s1";
+    fleet.publish(2, {{"q1", "s1"}, {"q2", service}});
+    pause(2 * apply_time);
+    std::size_t wrong = 0;
+    for (int n = 0; n < jobs; ++n)
+    {
+        const auto id = "5c0e7a21d94b36" + std::to_string(10 + n);
+        fleet.post(static_cast<std::size_t>(n) % 3, "q2", id, 2, seconds(2));
+        for (const auto& it : fleet.starts_of(id))
+            wrong += it.service == service ? 0 : 1;
+    }
+    log.write("starts on a worker of a service to which no manifest sends the "
+              "queue: " +
+              std::to_string(wrong));
+    return wrong > 0;
+}
+
+//! The channel of a job's client is reset, the client sends the job again to
+//! another entry, and cancels it there.
+bool cancel_after_a_resend(record& log)
+{
+    constexpr int tasks = 160;
+    constexpr std::size_t at_once = 8;
+    deployment fleet(log, 2, milliseconds(900));
+    fleet.publish(1, {{"q1", "s1"}});
+    fleet.become_ready("q1");
+    const auto first = fleet.submit(0, "q1", job, tasks, seconds(30));
+    if (!within(seconds(5),
+                [&] { return fleet.starts_of(job).size() >= at_once; }))
+        throw cannot_run("the job does not begin");
+    std::size_t entry = 0;
+    std::unique_ptr<channel> second;
+    if (with_trouble())
+    {
+        log.write("the channel of the job's client is reset");
+        first->reset();
+        pause(retransmit_time);
+        entry = 1;
+        second = fleet.submit(entry, "q1", job, tasks, seconds(30));
+        pause(milliseconds(300));
+    }
+    const auto cancelled = fleet.call(entry, http_method::remove, "/q1/" + job);
+    if (!acknowledged(cancelled))
+        throw cannot_run("the cancelling is not acknowledged");
+    const auto last = log.now() + cancel_time.count();
+    pause(contact_time + cancel_time + stop_time + margin);
+    std::size_t late = 0;
+    for (const auto& it : fleet.starts_of(job))
+        late += it.at > last ? 1 : 0;
+    const auto channel_answer = second ? second->received() : first->received();
+    log.write("the job's client has received: " + channel_answer);
+    log.write("starts later than cancel_ms after the acknowledgement: " +
+              std::to_string(late) + "; tasks that run now: " +
+              std::to_string(fleet.running_of(job).size()));
+    return late > 0;
+}
+
+//! An entry is frozen for a moment, and a job is cancelled there meanwhile.
+bool cancel_at_a_frozen_entry(record& log)
+{
+    constexpr int tasks = 8;
+    constexpr milliseconds frozen{1500};
+    constexpr milliseconds before_cancel{1000};
+    deployment fleet(log, 2, milliseconds(60));
+    fleet.publish(1, {{"q1", "s1"}});
+    fleet.become_ready("q1");
+    fleet.set_work(seconds(15));
+    const auto first = fleet.submit(0, "q1", job, tasks, seconds(40));
+    if (!within(seconds(5),
+                [&] { return fleet.running_of(job).size() == tasks; }))
+        throw cannot_run("the job does not run");
+    if (with_trouble())
+    {
+        log.write("entry 1 is frozen");
+        fleet.entry(0).signal(SIGSTOP);
+    }
+    pause(before_cancel);
+    auto cancelled =
+        std::async(std::launch::async,
+                   [&] {
+                       return fleet.call(0, http_method::remove, "/q1/" + job,
+                                         {}, seconds(5));
+                   });
+    pause(frozen - before_cancel);
+    if (with_trouble())
+    {
+        fleet.entry(0).signal(SIGCONT);
+        log.write("entry 1 goes on");
+    }
+    if (!acknowledged(cancelled.get()))
+        throw cannot_run("the cancelling is not acknowledged");
+    pause(contact_time + cancel_time + stop_time + margin);
+    const auto left = fleet.running_of(job).size();
+    log.write("the job's client has received: " + first->received());
+    log.write("tasks that run although the cancelling was acknowledged: " +
+              std::to_string(left));
+    return left > 0;
+}
+
+bool play(const std::string& name, record& log)
+{
+    if (name == "queue_of_a_new_service")
+        return queue_of_a_new_service(log);
+    if (name == "cancel_after_a_resend")
+        return cancel_after_a_resend(log);
+    if (name == "cancel_at_a_frozen_entry")
+        return cancel_at_a_frozen_entry(log);
+    throw cannot_run("no case " + name);
+}
+
+} // namespace
+
+} // namespace lagoonquay::review
+
+//! Arguments: the case and the file of the record.
+//! @return 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+int main(int argc, char** argv)
+{
+    constexpr int could_not_run = 2;
+    if (argc != 3)
+        return could_not_run;
+    lagoonquay::review::record log(argv[2]);
+    try
+    {
+        const bool broken = lagoonquay::review::play(argv[1], log);
+        log.write(broken ? "the rule was broken" : "the rule held");
+        std::cout << (broken ? "the rule was broken\n" : "the rule held\n");
+        return broken ? 1 : 0;
+    }
+    catch (const std::exception& e)
+    {
+        log.write(std::string("the case couldn't run: ") + e.what());
+        std::cout << "the case couldn't run: " << e.what() << "\n";
+        return could_not_run;
+    }
+}
--- /dev/null
+++ b/review/tests/deployment.cpp
@@ -0,0 +1,328 @@
+#include "deployment.hpp"
+
+#include "messages.hpp"
+
+#include <algorithm>
+#include <filesystem>
+#include <future>
+#include <thread>
+#include <unistd.h>
+
+namespace lagoonquay::review
+{
+
+namespace
+{
+
+constexpr int replicas = 5;
+constexpr int entries = 3;
+constexpr int first_entry = 11;
+constexpr int first_side = 21;
+constexpr int first_worker = 41;
+constexpr int own_port = 7001; // of what clients, operators and workers call
+constexpr int ready_port = 7004;
+constexpr int worker_port = 7008;
+constexpr std::chrono::seconds longest_start{30};
+
+std::string zone_of(int n)
+{
+    return "z" + std::to_string(n % 3 + 1);
+}
+
+std::string own_network()
+{
+    const int id = ::getpid();
+    return "127." + std::to_string(70 + (id >> 8) % 50) + "." +
+           std::to_string(id % 256) + ".";
+}
+
+std::string job_body(const std::string& id, int tasks,
+                     std::chrono::milliseconds work)
+{
+    return message("job", {{"id", id},
+                           {"count", std::to_string(tasks)},
+                           {"work", std::to_string(work.count())}});
+}
+
+} // namespace
+
+bool within(std::chrono::milliseconds time, const std::function<bool()>& is)
+{
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (!is())
+    {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        pause(std::chrono::milliseconds(10));
+    }
+    return true;
+}
+
+void pause(std::chrono::milliseconds time)
+{
+    std::this_thread::sleep_for(time);
+}
+
+deployment::deployment(record& log, std::size_t workers,
+                       std::chrono::milliseconds work)
+    : log_(log), work_(work), net_(own_network()),
+      folder_((std::filesystem::temp_directory_path() /
+               ("lagoonquay-review-" + std::to_string(::getpid())))
+                  .string())
+{
+    std::filesystem::create_directories(folder_);
+    for (int n = 0; n < replicas; ++n)
+        run("control", "core-" + std::to_string(n + 1), n + 1, zone_of(n));
+    for (int n = 0; n < entries; ++n)
+    {
+        entries_.push_back(processes_.size());
+        run("entry", "front-" + std::to_string(n + 1), first_entry + n,
+            zone_of(n));
+    }
+    for (std::size_t n = 0; n < workers; ++n)
+    {
+        const int side = first_side + static_cast<int>(n);
+        const auto name = std::to_string(n + 1);
+        run("agent", "side-" + name, side, zone_of(static_cast<int>(n)));
+        workers_.push_back(std::make_unique<sound_worker>(
+            io_, client_, log_,
+            worker_options{"w-" + name, "s1", zone_of(static_cast<int>(n)),
+                           parse_endpoint(at(first_worker + static_cast<int>(n),
+                                             worker_port))
+                               .value(),
+                           parse_endpoint(at(side, own_port)).value(), work}));
+    }
+}
+
+deployment::~deployment()
+{
+    processes_.clear();
+    io_.stop();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string deployment::at(int host, int port) const
+{
+    return net_ + std::to_string(host) + ":" + std::to_string(port);
+}
+
+void deployment::run(const std::string& role, const std::string& id, int host,
+                     const std::string& zone)
+{
+    const auto path = folder_ + "/" + id + ".ini";
+    const auto seeds =
+        at(1, own_port) + "," + at(2, own_port) + "," + at(3, own_port);
+    std::ofstream(path) << settings(role, {{"id", id},
+                                           {"zone", zone},
+                                           {"ip", net_ + std::to_string(host)},
+                                           {"seeds", seeds},
+                                           {"folder", folder_}});
+    processes_.emplace_back("lagoonquay-platform-" + role,
+                            std::vector<std::string>{"--config", path},
+                            folder_ + "/" + id + ".log");
+}
+
+answer deployment::send(const std::string& to, http_method method,
+                        const std::string& path, const std::string& body,
+                        std::chrono::milliseconds limit)
+{
+    http_request request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    request.headers = {
+        {"Host", "h.example"},
+        {word("time_limit_header"), std::to_string(limit.count())}};
+    const auto got = std::make_shared<std::promise<answer>>();
+    auto result = got->get_future();
+    client_.send(parse_endpoint(to).value(), request, limit,
+                 [got](connection_result<http_response> it)
+                 {
+                     if (!it)
+                         return got->set_value({});
+                     got->set_value({static_cast<unsigned>(it.value().status),
+                                     it.value().body});
+                 });
+    return result.get();
+}
+
+void deployment::publish(unsigned version, const std::vector<queue>& queues)
+{
+    std::string routes;
+    std::string services;
+    std::vector<std::string> named;
+    for (const auto& it : queues)
+    {
+        routes +=
+            (routes.empty() ? "" : ",") +
+            message("route", {{"queue", it.name}, {"service", it.service}});
+        if (std::find(named.begin(), named.end(), it.service) != named.end())
+            continue;
+        named.push_back(it.service);
+        services += (services.empty() ? "" : ",") +
+                    message("service", {{"service", it.service}});
+    }
+    const auto body = message("manifest", {{"version", std::to_string(version)},
+                                           {"routes", routes},
+                                           {"services", services}});
+    log_.write("operator sends manifest " + body);
+    const bool acknowledged =
+        within(longest_start,
+               [&]
+               {
+                   return send(at(1, own_port), http_method::put,
+                               word("manifest"), body, std::chrono::seconds(1))
+                              .status == 200;
+               });
+    if (!acknowledged)
+        throw cannot_run("the manifest is not acknowledged");
+    log_.write("manifest " + std::to_string(version) + " is acknowledged");
+}
+
+void deployment::become_ready(const std::string& queue)
+{
+    for (int n = 0; n < entries; ++n)
+    {
+        const bool ready = within(
+            longest_start,
+            [&]
+            {
+                return send(at(first_entry + n, ready_port), http_method::get,
+                            "/ready", {}, std::chrono::seconds(1))
+                           .status == 200;
+            });
+        if (!ready)
+            throw cannot_run("entry " + std::to_string(n + 1) +
+                             " is not ready");
+    }
+    // Each worker runs a task of some job before the case begins.
+    int number = 0;
+    const auto all_started = [&]
+    {
+        for (const auto& it : workers_)
+        {
+            if (it->starts().empty())
+                return false;
+        }
+        return true;
+    };
+    const bool warm =
+        within(longest_start,
+               [&]
+               {
+                   pause(std::chrono::milliseconds(100));
+                   const auto id =
+                       "0000000000000" + std::to_string(100 + number++);
+                   call(static_cast<std::size_t>(number) % entries,
+                        http_method::post, "/" + queue + "/" + id,
+                        job_body(id, static_cast<int>(workers_.size()), work_),
+                        std::chrono::seconds(1));
+                   return all_started();
+               });
+    if (!warm)
+        throw cannot_run("a worker runs nothing");
+    pause(std::chrono::seconds(1));
+    log_.write("all entries are ready, and each worker has run a task");
+}
+
+endpoint deployment::entry_address(std::size_t entry) const
+{
+    return parse_endpoint(at(first_entry + static_cast<int>(entry), own_port))
+        .value();
+}
+
+child_process& deployment::entry(std::size_t entry)
+{
+    return processes_.at(entries_.at(entry));
+}
+
+sound_worker& deployment::worker(std::size_t n)
+{
+    return *workers_.at(n);
+}
+
+std::size_t deployment::workers() const
+{
+    return workers_.size();
+}
+
+void deployment::set_work(std::chrono::milliseconds work)
+{
+    work_ = work;
+    for (const auto& it : workers_)
+        it->set_work(work);
+}
+
+answer deployment::call(std::size_t entry, http_method method,
+                        const std::string& path, const std::string& body,
+                        std::chrono::milliseconds limit)
+{
+    const char* name = method == http_method::post     ? "POST "
+                       : method == http_method::remove ? "DELETE "
+                                                       : "GET ";
+    const auto who =
+        "client " + (name + path) + " at entry " + std::to_string(entry + 1);
+    log_.write(who);
+    const auto got = send(at(first_entry + static_cast<int>(entry), own_port),
+                          method, path, body, limit);
+    log_.write(who + ": " +
+               (got.status == 0 ? "no answer"
+                                : std::to_string(got.status) + " " + got.body));
+    return got;
+}
+
+answer deployment::post(std::size_t entry, const std::string& queue,
+                        const std::string& job, int tasks,
+                        std::chrono::milliseconds limit)
+{
+    return call(entry, http_method::post, "/" + queue + "/" + job,
+                job_body(job, tasks, work_), limit);
+}
+
+std::unique_ptr<channel> deployment::submit(std::size_t entry,
+                                            const std::string& queue,
+                                            const std::string& job, int tasks,
+                                            std::chrono::milliseconds limit)
+{
+    const auto body = job_body(job, tasks, work_);
+    log_.write("client POST /" + queue + "/" + job + " at entry " +
+               std::to_string(entry + 1) + ": " + body);
+    return std::make_unique<channel>(
+        entry_address(entry),
+        "POST /" + queue + "/" + job +
+            " HTTP/1.1\r\nHost: h.example\r\nContent-Type: "
+            "application/json\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n" + word("time_limit_header") +
+            ": " + std::to_string(limit.count()) + "\r\n\r\n" + body);
+}
+
+std::vector<started_task> deployment::starts_of(const std::string& job)
+{
+    std::vector<started_task> found;
+    for (const auto& worker : workers_)
+    {
+        for (const auto& it : worker->starts())
+        {
+            if (it.task.starts_with(job + "."))
+                found.push_back(it);
+        }
+    }
+    return found;
+}
+
+std::vector<std::string> deployment::running_of(const std::string& job)
+{
+    std::vector<std::string> found;
+    for (const auto& worker : workers_)
+    {
+        for (const auto& it : worker->running())
+        {
+            if (it.starts_with(job + "."))
+                found.push_back(it);
+        }
+    }
+    return found;
+}
+
+} // namespace lagoonquay::review
--- /dev/null
+++ b/review/tests/deployment.hpp
@@ -0,0 +1,108 @@
+//! A small deployment of the project's programs, with workers and clients.
+#pragma once
+
+#include "channel.hpp"
+#include "child_process.hpp"
+#include "record.hpp"
+#include "worker.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace lagoonquay::review
+{
+
+//! The case can't run here.
+class cannot_run : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+//! A queue of the manifest, and the service that its tasks are for.
+struct queue
+{
+    std::string name;
+    std::string service;
+};
+
+struct answer
+{
+    unsigned status = 0; //!< 0 if none came
+    std::string body;
+};
+
+//! Five replicas of control, three entries, and an agent beside each worker.
+class deployment
+{
+public:
+    deployment(record& log, std::size_t workers,
+               std::chrono::milliseconds work);
+    ~deployment();
+    deployment(const deployment&) = delete;
+    deployment& operator=(const deployment&) = delete;
+
+    //! Sends the manifest until it is acknowledged.
+    void publish(unsigned version, const std::vector<queue>& queues);
+
+    //! Waits until every entry is ready and every worker has run a task.
+    void become_ready(const std::string& queue);
+
+    endpoint entry_address(std::size_t entry) const;
+    child_process& entry(std::size_t entry);
+    sound_worker& worker(std::size_t n);
+    std::size_t workers() const;
+
+    //! One request of a client; waits for its answer.
+    answer call(std::size_t entry, http_method method, const std::string& path,
+                const std::string& body = {},
+                std::chrono::milliseconds limit = std::chrono::seconds(2));
+
+    //! Submits a job and waits for its answer.
+    answer post(std::size_t entry, const std::string& queue,
+                const std::string& job, int tasks,
+                std::chrono::milliseconds limit);
+
+    //! Submits a job on a channel of its own.
+    std::unique_ptr<channel> submit(std::size_t entry, const std::string& queue,
+                                    const std::string& job, int tasks,
+                                    std::chrono::milliseconds limit);
+
+    //! @return starts of all workers for the job.
+    std::vector<started_task> starts_of(const std::string& job);
+
+    //! @return tasks of the job that run at this moment.
+    std::vector<std::string> running_of(const std::string& job);
+
+    //! Sets how long each task works that starts from now on.
+    void set_work(std::chrono::milliseconds work);
+
+private:
+    std::string at(int host, int port) const;
+    void run(const std::string& role, const std::string& id, int host,
+             const std::string& zone);
+    answer send(const std::string& to, http_method method,
+                const std::string& path, const std::string& body,
+                std::chrono::milliseconds limit);
+
+    record& log_;
+    std::chrono::milliseconds work_;
+    const std::string net_;
+    const std::string folder_;
+    io_threads io_{2};
+    http_client client_{io_.context(), {}};
+    std::vector<std::unique_ptr<sound_worker>> workers_;
+    std::vector<child_process> processes_;
+    std::vector<std::size_t> entries_; //!< places in processes_
+};
+
+//! @return whether it became true within the time.
+bool within(std::chrono::milliseconds time, const std::function<bool()>& is);
+
+void pause(std::chrono::milliseconds time);
+
+} // namespace lagoonquay::review
