Show that a zone's cut lets two entries hold one job

Cause: the entries' ledger takes a refused connection for the proof that a replica's memory is gone, and lowers the quorum to one. Change: a proxy between the machines of the stand-in deployment that resets and refuses connections.

--- a/review/tests/cases.cpp
+++ b/review/tests/cases.cpp
@@ -113,7 +113,7 @@
     deployment fleet(log, 2, milliseconds(60));
     fleet.publish(1, {{"q1", "s1"}});
     fleet.become_ready("q1");
-    fleet.set_work(seconds(15));
+    fleet.set_work(seconds(15), seconds(15));
     const auto first = fleet.submit(0, "q1", job, tasks, seconds(40));
     if (!within(seconds(5),
                 [&] { return fleet.running_of(job).size() == tasks; }))
@@ -146,6 +146,52 @@
     return left > 0;
 }
 
+//! A zone is cut off, and a job that was taken there is sent again to an entry
+//! outside it, since its client had no answer in time.
+bool two_holders_in_a_cut(record& log)
+{
+    constexpr milliseconds client_limit{3000};
+    constexpr milliseconds work{4800};
+    constexpr milliseconds estimate{2880}; // three fifths, as on the sites
+    constexpr milliseconds to_start{100};
+    constexpr int jobs = 8;
+    deployment fleet(log, 2, milliseconds(60), true);
+    fleet.publish(1, {{"q1", "s1"}});
+    fleet.become_ready("q1");
+    fleet.set_work(work, estimate);
+    if (with_trouble())
+        fleet.cut_zone();
+    // Right after the cut, entry 1 refuses a job or two (503, not run). Those
+    // are not sent again.
+    std::unique_ptr<channel> first;
+    std::string taken;
+    for (int n = 0; n < jobs && taken.empty(); ++n)
+    {
+        const auto id = "5c0e7a21d94b36" + std::to_string(10 + n);
+        first = fleet.submit(0, "q1", id, 1, client_limit);
+        if (within(to_start, [&] { return !fleet.starts_of(id).empty(); }))
+            taken = id;
+        else
+            log.write("its client has received: " + first->received());
+    }
+    if (taken.empty())
+        throw cannot_run("entry 1 takes no job");
+    pause(client_limit);
+    log.write("the client of " + taken + " has received: " + first->received());
+    pause(retransmit_time);
+    const auto second = fleet.submit(1, "q1", taken, 1, client_limit);
+    pause(to_start);
+    if (with_trouble())
+        fleet.heal_zone();
+    pause(work);
+    log.write("the client of " + taken +
+              " has received: " + second->received());
+    const auto twice = fleet.doubled().size();
+    log.write("tasks that ran twice at the same time: " +
+              std::to_string(twice));
+    return twice > 0;
+}
+
 bool play(const std::string& name, record& log)
 {
     if (name == "queue_of_a_new_service")
@@ -154,6 +200,8 @@
         return cancel_after_a_resend(log);
     if (name == "cancel_at_a_frozen_entry")
         return cancel_at_a_frozen_entry(log);
+    if (name == "two_holders_in_a_cut")
+        return two_holders_in_a_cut(log);
     throw cannot_run("no case " + name);
 }
 
--- a/review/tests/deployment.cpp
+++ b/review/tests/deployment.cpp
@@ -16,24 +16,33 @@
 
 constexpr int replicas = 5;
 constexpr int entries = 3;
-constexpr int first_entry = 11;
-constexpr int first_side = 21;
-constexpr int first_worker = 41;
+constexpr int first_replica = 101;
+constexpr int first_entry = 111;
+constexpr int first_side = 121;
+constexpr int first_worker = 141;
 constexpr int own_port = 7001; // of what clients, operators and workers call
+constexpr int inner_port = 7002;
 constexpr int ready_port = 7004;
 constexpr int worker_port = 7008;
 constexpr std::chrono::seconds longest_start{30};
 
-std::string zone_of(int n)
+// An entry and a worker share a zone; zone 1 has no replica.
+int zone_of(int host)
 {
-    return "z" + std::to_string(n % 3 + 1);
+    constexpr int replica_zones[replicas] = {2, 2, 3, 3, 4};
+    if (host < first_entry)
+        return replica_zones[host - first_replica];
+    return host % 10;
 }
 
-std::string own_network()
+std::string zone_name(int host)
 {
-    const int id = ::getpid();
-    return "127." + std::to_string(70 + (id >> 8) % 50) + "." +
-           std::to_string(id % 256) + ".";
+    return "z" + std::to_string(zone_of(host));
+}
+
+std::string first_bytes()
+{
+    return "127." + std::to_string(100 + ::getpid() % 100) + ".";
 }
 
 std::string job_body(const std::string& id, int tasks,
@@ -64,29 +73,29 @@
 }
 
 deployment::deployment(record& log, std::size_t workers,
-                       std::chrono::milliseconds work)
-    : log_(log), work_(work), net_(own_network()),
+                       std::chrono::milliseconds work, bool relays)
+    : log_(log), estimate_(work), net_(first_bytes() + "100."),
       folder_((std::filesystem::temp_directory_path() /
                ("lagoonquay-review-" + std::to_string(::getpid())))
-                  .string())
+                  .string()),
+      has_relays_(relays)
 {
     std::filesystem::create_directories(folder_);
     for (int n = 0; n < replicas; ++n)
-        run("control", "core-" + std::to_string(n + 1), n + 1, zone_of(n));
+        run("control", "core-" + std::to_string(n + 1), first_replica + n);
     for (int n = 0; n < entries; ++n)
     {
         entries_.push_back(processes_.size());
-        run("entry", "front-" + std::to_string(n + 1), first_entry + n,
-            zone_of(n));
+        run("entry", "front-" + std::to_string(n + 1), first_entry + n);
     }
     for (std::size_t n = 0; n < workers; ++n)
     {
         const int side = first_side + static_cast<int>(n);
         const auto name = std::to_string(n + 1);
-        run("agent", "side-" + name, side, zone_of(static_cast<int>(n)));
+        run("agent", "side-" + name, side);
         workers_.push_back(std::make_unique<sound_worker>(
             io_, client_, log_,
-            worker_options{"w-" + name, "s1", zone_of(static_cast<int>(n)),
+            worker_options{"w-" + name, "s1", zone_name(side),
                            parse_endpoint(at(first_worker + static_cast<int>(n),
                                              worker_port))
                                .value(),
@@ -94,10 +103,80 @@
     }
 }
 
+// The proxies before the machines that `viewer` calls listen in a network of
+// their own, and what it is told names these addresses.
+void deployment::add_relays(int viewer, const std::string& view)
+{
+    std::vector<std::pair<int, int>> targets; // host and port
+    for (int n = 0; n < replicas; ++n)
+        targets.emplace_back(first_replica + n, own_port);
+    if (viewer < first_side)
+    {
+        for (int n = 0; n < entries; ++n)
+            targets.emplace_back(first_entry + n, inner_port);
+        for (int n = 0; n < 2; ++n)
+            targets.emplace_back(first_side + n, inner_port);
+    }
+    replacements told;
+    for (const auto& [host, port] : targets)
+    {
+        if (host != viewer)
+            told[net_ + std::to_string(host)] = view + std::to_string(host);
+    }
+    for (const auto& [host, port] : targets)
+    {
+        if (host == viewer)
+            continue;
+        const auto listen = view + std::to_string(host) + ":";
+        relays_.push_back(std::make_unique<relay>(
+            relay_io_.context(),
+            parse_endpoint(listen + std::to_string(port)).value(),
+            parse_endpoint(at(host, port)).value(), told));
+        if ((zone_of(viewer) == 1) != (zone_of(host) == 1))
+            crossing_.push_back(relays_.back().get());
+    }
+}
+
+void deployment::cut_zone()
+{
+    log_.write("zone 1 (entry 1, worker 1) is cut off from the others");
+    for (auto* it : crossing_)
+        it->cut();
+}
+
+void deployment::heal_zone()
+{
+    log_.write("zone 1 is connected again");
+    for (auto* it : crossing_)
+        it->heal();
+}
+
+std::vector<std::string> deployment::doubled()
+{
+    std::vector<std::string> found;
+    std::vector<started_task> all;
+    for (const auto& worker : workers_)
+    {
+        for (auto it : worker->starts())
+        {
+            it.ended = it.ended == 0 ? log_.now() : it.ended;
+            for (const auto& other : all)
+            {
+                if (other.task == it.task && other.at < it.ended &&
+                    it.at < other.ended)
+                    found.push_back(it.task);
+            }
+            all.push_back(it);
+        }
+    }
+    return found;
+}
+
 deployment::~deployment()
 {
     processes_.clear();
     io_.stop();
+    relay_io_.stop();
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
 }
@@ -107,14 +186,22 @@
     return net_ + std::to_string(host) + ":" + std::to_string(port);
 }
 
-void deployment::run(const std::string& role, const std::string& id, int host,
-                     const std::string& zone)
+void deployment::run(const std::string& role, const std::string& id, int host)
 {
+    auto view = net_;
+    if (has_relays_ && host >= first_entry)
+    {
+        view = first_bytes() + std::to_string(host) + ".";
+        add_relays(host, view);
+    }
+    std::string seeds;
+    for (int n = 0; n < 3; ++n)
+        seeds += (n == 0 ? "" : ",") + view +
+                 std::to_string(first_replica + n) + ":" +
+                 std::to_string(own_port);
     const auto path = folder_ + "/" + id + ".ini";
-    const auto seeds =
-        at(1, own_port) + "," + at(2, own_port) + "," + at(3, own_port);
     std::ofstream(path) << settings(role, {{"id", id},
-                                           {"zone", zone},
+                                           {"zone", zone_name(host)},
                                            {"ip", net_ + std::to_string(host)},
                                            {"seeds", seeds},
                                            {"folder", folder_}});
@@ -171,7 +258,7 @@
         within(longest_start,
                [&]
                {
-                   return send(at(1, own_port), http_method::put,
+                   return send(at(first_replica, own_port), http_method::put,
                                word("manifest"), body, std::chrono::seconds(1))
                               .status == 200;
                });
@@ -207,19 +294,18 @@
         }
         return true;
     };
-    const bool warm =
-        within(longest_start,
-               [&]
-               {
-                   pause(std::chrono::milliseconds(100));
-                   const auto id =
-                       "0000000000000" + std::to_string(100 + number++);
-                   call(static_cast<std::size_t>(number) % entries,
-                        http_method::post, "/" + queue + "/" + id,
-                        job_body(id, static_cast<int>(workers_.size()), work_),
-                        std::chrono::seconds(1));
-                   return all_started();
-               });
+    const bool warm = within(
+        longest_start,
+        [&]
+        {
+            pause(std::chrono::milliseconds(100));
+            const auto id = "0000000000000" + std::to_string(100 + number++);
+            call(static_cast<std::size_t>(number) % entries, http_method::post,
+                 "/" + queue + "/" + id,
+                 job_body(id, static_cast<int>(workers_.size()), estimate_),
+                 std::chrono::seconds(1));
+            return all_started();
+        });
     if (!warm)
         throw cannot_run("a worker runs nothing");
     pause(std::chrono::seconds(1));
@@ -247,9 +333,10 @@
     return workers_.size();
 }
 
-void deployment::set_work(std::chrono::milliseconds work)
+void deployment::set_work(std::chrono::milliseconds work,
+                          std::chrono::milliseconds estimate)
 {
-    work_ = work;
+    estimate_ = estimate;
     for (const auto& it : workers_)
         it->set_work(work);
 }
@@ -277,7 +364,7 @@
                         std::chrono::milliseconds limit)
 {
     return call(entry, http_method::post, "/" + queue + "/" + job,
-                job_body(job, tasks, work_), limit);
+                job_body(job, tasks, estimate_), limit);
 }
 
 std::unique_ptr<channel> deployment::submit(std::size_t entry,
@@ -285,7 +372,7 @@
                                             const std::string& job, int tasks,
                                             std::chrono::milliseconds limit)
 {
-    const auto body = job_body(job, tasks, work_);
+    const auto body = job_body(job, tasks, estimate_);
     log_.write("client POST /" + queue + "/" + job + " at entry " +
                std::to_string(entry + 1) + ": " + body);
     return std::make_unique<channel>(
--- a/review/tests/deployment.hpp
+++ b/review/tests/deployment.hpp
@@ -4,6 +4,7 @@
 #include "channel.hpp"
 #include "child_process.hpp"
 #include "record.hpp"
+#include "relay.hpp"
 #include "worker.hpp"
 
 #include <functional>
@@ -40,8 +41,10 @@
 class deployment
 {
 public:
-    deployment(record& log, std::size_t workers,
-               std::chrono::milliseconds work);
+    //! @param relays  whether a proxy stands before each machine for each other
+    //! one, so that the zone of entry 1 and worker 1 can be cut off.
+    deployment(record& log, std::size_t workers, std::chrono::milliseconds work,
+               bool relays = false);
     ~deployment();
     deployment(const deployment&) = delete;
     deployment& operator=(const deployment&) = delete;
@@ -52,6 +55,14 @@
     //! Waits until every entry is ready and every worker has run a task.
     void become_ready(const std::string& queue);
 
+    //! Cuts zone 1 off from the others: open connections are reset, new ones
+    //! refused. Clients still reach it.
+    void cut_zone();
+    void heal_zone();
+
+    //! @return tasks of which two runs went on at the same time.
+    std::vector<std::string> doubled();
+
     endpoint entry_address(std::size_t entry) const;
     child_process& entry(std::size_t entry);
     sound_worker& worker(std::size_t n);
@@ -78,21 +89,27 @@
     //! @return tasks of the job that run at this moment.
     std::vector<std::string> running_of(const std::string& job);
 
-    //! Sets how long each task works that starts from now on.
-    void set_work(std::chrono::milliseconds work);
+    //! Sets how long each task works that starts from now on, and the estimate
+    //! that clients give.
+    void set_work(std::chrono::milliseconds work,
+                  std::chrono::milliseconds estimate);
 
 private:
     std::string at(int host, int port) const;
-    void run(const std::string& role, const std::string& id, int host,
-             const std::string& zone);
+    void run(const std::string& role, const std::string& id, int host);
+    void add_relays(int viewer, const std::string& view);
     answer send(const std::string& to, http_method method,
                 const std::string& path, const std::string& body,
                 std::chrono::milliseconds limit);
 
     record& log_;
-    std::chrono::milliseconds work_;
+    std::chrono::milliseconds estimate_;
     const std::string net_;
     const std::string folder_;
+    const bool has_relays_;
+    io_threads relay_io_{1};
+    std::vector<std::unique_ptr<relay>> relays_;
+    std::vector<relay*> crossing_; //!< those between zone 1 and another
     io_threads io_{2};
     http_client client_{io_.context(), {}};
     std::vector<std::unique_ptr<sound_worker>> workers_;
--- a/review/tests/worker.cpp
+++ b/review/tests/worker.cpp
@@ -126,7 +126,7 @@
     if (there != runs_.end() || (last != over_.end() && asked <= last->second))
         return reply(409, "old");
     runs_[task] = {asked, clock(), work_.count(), std::nullopt};
-    starts_.push_back({log_.now(), task, options_.service});
+    starts_.push_back({log_.now(), 0, task, options_.service});
     log_.write("worker " + options_.id + " of service " + options_.service +
                " starts " + task + " run " + std::to_string(asked));
     return reply(200);
@@ -218,6 +218,11 @@
                        const std::string& how)
 {
     runs_.erase(task);
+    for (auto& it : starts_)
+    {
+        if (it.task == task && it.ended == 0)
+            it.ended = log_.now();
+    }
     over_[task] = std::max(over_[task], which);
     ended_.push_back({++ends_, task, which, how});
     log_.write("worker " + options_.id + " ends " + task + " run " +
--- a/review/tests/worker.hpp
+++ b/review/tests/worker.hpp
@@ -31,8 +31,9 @@
 //! A start that the worker carried out.
 struct started_task
 {
-    std::int64_t at = 0; //!< milliseconds of the record
-    std::string task;    //!< as the platform names it
+    std::int64_t at = 0;    //!< milliseconds of the record
+    std::int64_t ended = 0; //!< likewise; 0 while it runs
+    std::string task;       //!< as the platform names it
     std::string service;
 };
 
