Show that an adoption over a cut bridge runs a task twice at once

Cause: an entry that takes a claim over counts an agent that it can't reach for 2 s as lost and starts the agent's tasks elsewhere, while the agent still runs them for the entry that answered 504. Change: the stand-in proxies can also hold all bytes back, as a silent cut does.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/review/review_cases ] || exit 2
-exec ../../target/review/review_cases cancel_after_a_resend record.txt
+exec ../../target/review/review_cases queue_of_a_new_service record.txt
--- a/review/tests/cases.cpp
+++ b/review/tests/cases.cpp
@@ -1,6 +1,7 @@
 // The cases of the review that can't be put as a day of the users' bench.
 #include "deployment.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <future>
@@ -183,7 +184,7 @@
     const auto second = fleet.submit(1, "q1", taken, 1, client_limit);
     pause(to_start);
     if (with_trouble())
-        fleet.heal_zone();
+        fleet.heal();
     pause(work);
     log.write("the client of " + taken +
               " has received: " + second->received());
@@ -193,6 +194,66 @@
     return twice > 0;
 }
 
+//! Two zones can't reach each other while a third reaches both. A job of an
+//! entry in the third, which runs in zone 1, is sent again to zone 2.
+bool adoption_over_a_cut_bridge(record& log)
+{
+    constexpr milliseconds client_limit{9200};
+    constexpr milliseconds work{15000};
+    constexpr milliseconds estimate{9000}; // three fifths, as on the sites
+    constexpr milliseconds cut{5000};
+    constexpr std::size_t third = 2; // entry 3, in zone 3
+    constexpr int jobs = 8;
+    deployment fleet(log, 2, milliseconds(60), true);
+    fleet.publish(1, {{"q1", "s1"}});
+    fleet.become_ready("q1");
+    fleet.set_work(work, estimate);
+    // The job is the first that worker 1 gets.
+    std::unique_ptr<channel> first;
+    std::string taken;
+    for (int n = 0; n < jobs && taken.empty(); ++n)
+    {
+        const auto id = "5c0e7a21d94b36" + std::to_string(10 + n);
+        first = fleet.submit(third, "q1", id, 1, client_limit);
+        within(milliseconds(200), [&] { return !fleet.starts_of(id).empty(); });
+        for (const auto& it : fleet.worker(0).starts())
+            taken = it.task.starts_with(id) ? id : taken;
+    }
+    if (taken.empty())
+        throw cannot_run("worker 1 gets no job");
+    const auto began = log.now();
+    const auto wait_until = [&](milliseconds time)
+    {
+        pause(milliseconds(
+            std::max<std::int64_t>(0, began + time.count() - log.now())));
+    };
+    wait_until(client_limit - milliseconds(200));
+    if (with_trouble())
+        fleet.cut_bridge();
+    const auto healed = client_limit - milliseconds(200) + cut;
+    wait_until(client_limit);
+    // The client sends the job again after no answer, 502 or 504.
+    std::unique_ptr<channel> again;
+    for (int n = 0; n < 2; ++n)
+    {
+        pause(retransmit_time);
+        log.write("the client has received: " +
+                  (again ? again->received() : first->received()));
+        again = fleet.submit(1, "q1", taken, 1, client_limit);
+        if (!within(milliseconds(300),
+                    [&] { return !again->received().empty(); }))
+            break;
+    }
+    wait_until(healed);
+    if (with_trouble())
+        fleet.heal();
+    wait_until(work + seconds(1));
+    const auto twice = fleet.doubled().size();
+    log.write("tasks that ran twice at the same time: " +
+              std::to_string(twice));
+    return twice > 0;
+}
+
 bool play(const std::string& name, record& log)
 {
     if (name == "queue_of_a_new_service")
@@ -205,6 +266,8 @@
         return cancel_at_a_frozen_entry(log);
     if (name == "two_holders_in_a_cut")
         return two_holders_in_a_cut(log);
+    if (name == "adoption_over_a_cut_bridge")
+        return adoption_over_a_cut_bridge(log);
     throw cannot_run("no case " + name);
 }
 
--- a/review/tests/deployment.cpp
+++ b/review/tests/deployment.cpp
@@ -132,8 +132,12 @@
             relay_io_.context(),
             parse_endpoint(listen + std::to_string(port)).value(),
             parse_endpoint(at(host, port)).value(), told));
-        if ((zone_of(viewer) == 1) != (zone_of(host) == 1))
+        const int zones = zone_of(viewer) * zone_of(host);
+        if (zone_of(viewer) != zone_of(host) &&
+            (zone_of(viewer) == 1 || zone_of(host) == 1))
             crossing_.push_back(relays_.back().get());
+        if (zones == 2)
+            bridging_.push_back(relays_.back().get());
     }
 }
 
@@ -144,9 +148,17 @@
         it->cut();
 }
 
-void deployment::heal_zone()
+void deployment::cut_bridge()
 {
-    log_.write("zone 1 is connected again");
+    log_.write("zones 1 (entry 1, worker 1) and 2 (entry 2, worker 2) are cut "
+               "off from each other");
+    for (auto* it : bridging_)
+        it->silence();
+}
+
+void deployment::heal()
+{
+    log_.write("all zones are connected again");
     for (auto* it : crossing_)
         it->heal();
 }
--- a/review/tests/deployment.hpp
+++ b/review/tests/deployment.hpp
@@ -58,7 +58,10 @@
     //! Cuts zone 1 off from the others: open connections are reset, new ones
     //! refused. Clients still reach it.
     void cut_zone();
-    void heal_zone();
+    //! Lets nothing pass between zones 1 and 2, without a word to either;
+    //! others reach both.
+    void cut_bridge();
+    void heal();
 
     //! @return tasks of which two runs went on at the same time.
     std::vector<std::string> doubled();
@@ -110,6 +113,7 @@
     io_threads relay_io_{1};
     std::vector<std::unique_ptr<relay>> relays_;
     std::vector<relay*> crossing_; //!< those between zone 1 and another
+    std::vector<relay*> bridging_; //!< those of them between zones 1 and 2
     io_threads io_{2};
     http_client client_{io_.context(), {}};
     std::vector<std::unique_ptr<sound_worker>> workers_;
--- a/review/tests/relay.cpp
+++ b/review/tests/relay.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <fcntl.h>
 #include <optional>
@@ -76,14 +77,18 @@
 class passage : public std::enable_shared_from_this<passage>
 {
 public:
-    passage(tcp::socket client, const replacements& answers)
+    passage(tcp::socket client, const replacements& answers,
+            std::shared_ptr<const bool> silent)
         : client_(std::move(client)), target_(client_.get_executor()),
-          answers_(answers), replacer_(answers_)
+          silent_(std::move(silent)), answers_(answers), replacer_(answers_)
     {
     }
 
     void start(const tcp::endpoint& target)
     {
+        if (*silent_)
+            return later([self = shared_from_this(), target]
+                         { self->start(target); });
         target_.async_connect(target,
                               [self = shared_from_this()](error_code ec)
                               {
@@ -106,6 +111,14 @@
     }
 
 private:
+    template <typename Then>
+    void later(Then then)
+    {
+        const auto waiting = std::make_shared<net::steady_timer>(
+            client_.get_executor(), std::chrono::milliseconds(20));
+        waiting->async_wait([waiting, then](error_code) { then(); });
+    }
+
     void pass_question()
     {
         client_.async_read_some(
@@ -133,18 +146,27 @@
                 if (ec)
                     return self->end();
                 self->out_ = self->replacer_.pass({self->answer_.data(), n});
-                net::async_write(self->client_, net::buffer(self->out_),
-                                 [self](error_code failed, std::size_t)
-                                 {
-                                     if (failed)
-                                         return self->end();
-                                     self->pass_answer();
-                                 });
+                self->send_answer();
+            });
+    }
+
+    void send_answer()
+    {
+        if (*silent_)
+            return later([self = shared_from_this()] { self->send_answer(); });
+        net::async_write(
+            client_, net::buffer(out_),
+            [self = shared_from_this()](error_code failed, std::size_t)
+            {
+                if (failed)
+                    return self->end();
+                self->pass_answer();
             });
     }
 
     tcp::socket client_;
     tcp::socket target_;
+    const std::shared_ptr<const bool> silent_;
     const replacements answers_;
     replacer replacer_;
     std::array<char, 65536> question_{};
@@ -182,8 +204,8 @@
             {
                 if (ec)
                     return;
-                const auto fresh =
-                    std::make_shared<passage>(std::move(client), self->answers);
+                const auto fresh = std::make_shared<passage>(
+                    std::move(client), self->answers, self->silent);
                 self->passages.push_back(fresh);
                 fresh->start(self->target);
                 self->accept();
@@ -206,6 +228,7 @@
     const tcp::endpoint listen;
     const tcp::endpoint target;
     const replacements answers;
+    const std::shared_ptr<bool> silent = std::make_shared<bool>(false);
     std::vector<std::weak_ptr<passage>> passages;
 };
 
@@ -226,9 +249,21 @@
     net::post(state_->acceptor.get_executor(), [it = state_] { it->close(); });
 }
 
+void relay::silence()
+{
+    net::post(state_->acceptor.get_executor(),
+              [it = state_] { *it->silent = true; });
+}
+
 void relay::heal()
 {
-    net::post(state_->acceptor.get_executor(), [it = state_] { it->open(); });
+    net::post(state_->acceptor.get_executor(),
+              [it = state_]
+              {
+                  *it->silent = false;
+                  if (!it->acceptor.is_open())
+                      it->open();
+              });
 }
 
 } // namespace lagoonquay::review
--- a/review/tests/relay.hpp
+++ b/review/tests/relay.hpp
@@ -17,8 +17,7 @@
 //! same length: the addresses of machines by those of the proxies before them.
 using replacements = std::map<std::string, std::string>;
 
-//! Passes connections on to a target. While it is cut, open connections have
-//! been reset and new ones are refused. Thread-safe.
+//! Passes connections on to a target. Thread-safe.
 class relay
 {
 public:
@@ -28,7 +27,10 @@
     relay(const relay&) = delete;
     relay& operator=(const relay&) = delete;
 
+    //! Resets open connections and refuses new ones.
     void cut();
+    //! Holds all bytes back, as a cut that tells neither end.
+    void silence();
     void heal();
 
 private:
