--- a/review/tests/cases.cpp
+++ b/review/tests/cases.cpp
@@ -254,12 +254,37 @@
     return twice > 0;
 }
 
+//! A job outlasts its client's time limit, and the client then cancels it. In
+//! the report, not a case: no disruption is needed.
+bool cancel_after_the_limit(record& log)
+{
+    constexpr milliseconds client_limit{9200};
+    constexpr milliseconds work{15000};
+    constexpr milliseconds estimate{9000};
+    deployment fleet(log, 2, milliseconds(60));
+    fleet.publish(1, {{"q1", "s1"}});
+    fleet.become_ready("q1");
+    fleet.set_work(work, estimate);
+    const auto first = fleet.submit(0, "q1", job, 1, client_limit);
+    pause(client_limit + milliseconds(200));
+    log.write("the job's client has received: " + first->received());
+    if (!acknowledged(fleet.call(0, http_method::remove, "/q1/" + job)))
+        throw cannot_run("the cancelling is not acknowledged");
+    pause(cancel_time + stop_time + margin);
+    const auto left = fleet.running_of(job).size();
+    log.write("tasks that run although the cancelling was acknowledged: " +
+              std::to_string(left));
+    return left > 0;
+}
+
 bool play(const std::string& name, record& log)
 {
     if (name == "queue_of_a_new_service")
         return queue_of_a_new_service(log);
     if (name == "cancel_after_a_resend")
         return cancel_after_a_reset(log, true);
+    if (name == "cancel_after_the_limit") // likewise
+        return cancel_after_the_limit(log);
     if (name == "cancel_without_a_resend") // in the report, not a case
         return cancel_after_a_reset(log, false);
     if (name == "cancel_at_a_frozen_entry")
