Review: make the silent cut of case 1 hold both directions

Cause: the stand-in proxy held back what targets answered, but passed on what they were asked, and passed on the end of a connection. Change: it holds both, and an end until the cut is over.

--- a/review/tests/relay.cpp
+++ b/review/tests/relay.cpp
@@ -93,7 +93,7 @@
                               [self = shared_from_this()](error_code ec)
                               {
                                   if (ec)
-                                      return self->end();
+                                      return self->close();
                                   error_code ignored;
                                   const tcp::no_delay at_once(true);
                                   self->client_.set_option(at_once, ignored);
@@ -103,6 +103,14 @@
                               });
     }
 
+    //! Ends both connections; during a silent cut, once it is over.
+    void close()
+    {
+        if (*silent_)
+            return later([self = shared_from_this()] { self->close(); });
+        end();
+    }
+
     // All runs on one thread.
     void end()
     {
@@ -126,14 +134,23 @@
             [self = shared_from_this()](error_code ec, std::size_t n)
             {
                 if (ec)
-                    return self->end();
-                net::async_write(self->target_, net::buffer(self->question_, n),
-                                 [self](error_code failed, std::size_t)
-                                 {
-                                     if (failed)
-                                         return self->end();
-                                     self->pass_question();
-                                 });
+                    return self->close();
+                self->send_question(n);
+            });
+    }
+
+    void send_question(std::size_t size)
+    {
+        if (*silent_)
+            return later([self = shared_from_this(), size]
+                         { self->send_question(size); });
+        net::async_write(
+            target_, net::buffer(question_, size),
+            [self = shared_from_this()](error_code failed, std::size_t)
+            {
+                if (failed)
+                    return self->close();
+                self->pass_question();
             });
     }
 
@@ -144,7 +161,7 @@
             [self = shared_from_this()](error_code ec, std::size_t n)
             {
                 if (ec)
-                    return self->end();
+                    return self->close();
                 self->out_ = self->replacer_.pass({self->answer_.data(), n});
                 self->send_answer();
             });
@@ -159,7 +176,7 @@
             [self = shared_from_this()](error_code failed, std::size_t)
             {
                 if (failed)
-                    return self->end();
+                    return self->close();
                 self->pass_answer();
             });
     }
