--- a/review/tests/cases.cpp
+++ b/review/tests/cases.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <cstdlib>
 #include <future>
 #include <iostream>
 
@@ -29,12 +28,6 @@
 
 const std::string job = "5c0e7a21d94b36f8";
 
-bool with_trouble()
-{
-    const char* it = std::getenv("TROUBLE");
-    return it == nullptr || std::string(it) != "0";
-}
-
 bool acknowledged(const answer& it)
 {
     return it.status == ok || it.status == gone;
@@ -42,13 +35,13 @@
 
 //! A manifest adds a queue whose service has no workers yet. Without the
 //! trouble, the added queue is one of the old service.
-bool queue_of_a_new_service(record& log)
+bool queue_of_a_new_service(record& log, bool trouble)
 {
     constexpr int jobs = 10;
     deployment fleet(log, 2, milliseconds(60));
     fleet.publish(1, {{"q1", "s1"}});
     fleet.become_ready("q1");
-    const std::string service = with_trouble() ? "s2" : "s1";
+    const std::string service = trouble ? "s2" : "s1";
     fleet.publish(2, {{"q1", "s1"}, {"q2", service}});
     pause(2 * apply_time);
     std::size_t wrong = 0;
@@ -67,7 +60,7 @@
 
 //! The channel of a job's client is reset, and the client cancels the job at
 //! another entry, to which it may have sent it again.
-bool cancel_after_a_reset(record& log, bool resends)
+bool cancel_after_a_reset(record& log, bool trouble, bool resends)
 {
     constexpr int tasks = 160;
     constexpr std::size_t at_once = 8;
@@ -80,7 +73,7 @@
         throw cannot_run("the job does not begin");
     std::size_t entry = 0;
     std::unique_ptr<channel> second;
-    if (with_trouble())
+    if (trouble)
     {
         log.write("the channel of the job's client is reset");
         first->reset();
@@ -107,7 +100,7 @@
 }
 
 //! An entry is frozen for a moment, and a job is cancelled there meanwhile.
-bool cancel_at_a_frozen_entry(record& log)
+bool cancel_at_a_frozen_entry(record& log, bool trouble)
 {
     constexpr int tasks = 8;
     constexpr milliseconds frozen{1500};
@@ -120,7 +113,7 @@
     if (!within(seconds(5),
                 [&] { return fleet.running_of(job).size() == tasks; }))
         throw cannot_run("the job does not run");
-    if (with_trouble())
+    if (trouble)
     {
         log.write("entry 1 is frozen");
         fleet.entry(0).signal(SIGSTOP);
@@ -133,7 +126,7 @@
                                          {}, seconds(5));
                    });
     pause(frozen - before_cancel);
-    if (with_trouble())
+    if (trouble)
     {
         fleet.entry(0).signal(SIGCONT);
         log.write("entry 1 goes on");
@@ -150,7 +143,7 @@
 
 //! A zone is cut off, and a job that was taken there is sent again to an entry
 //! outside it, since its client had no answer in time.
-bool two_holders_in_a_cut(record& log)
+bool two_holders_in_a_cut(record& log, bool trouble)
 {
     constexpr milliseconds client_limit{3000};
     constexpr milliseconds work{4800};
@@ -161,7 +154,7 @@
     fleet.publish(1, {{"q1", "s1"}});
     fleet.become_ready("q1");
     fleet.set_work(work, estimate);
-    if (with_trouble())
+    if (trouble)
         fleet.cut_zone();
     // Right after the cut, entry 1 refuses a job or two (503, not run). Those
     // are not sent again.
@@ -183,7 +176,7 @@
     pause(retransmit_time);
     const auto second = fleet.submit(1, "q1", taken, 1, client_limit);
     pause(to_start);
-    if (with_trouble())
+    if (trouble)
         fleet.heal();
     pause(work);
     log.write("the client of " + taken +
@@ -196,7 +189,7 @@
 
 //! Two zones can't reach each other while a third reaches both. A job of an
 //! entry in the third, which runs in zone 1, is sent again to zone 2.
-bool adoption_over_a_cut_bridge(record& log)
+bool adoption_over_a_cut_bridge(record& log, bool trouble)
 {
     constexpr milliseconds client_limit{9200};
     constexpr milliseconds work{15000};
@@ -228,7 +221,7 @@
             std::max<std::int64_t>(0, began + time.count() - log.now())));
     };
     wait_until(client_limit - milliseconds(200));
-    if (with_trouble())
+    if (trouble)
         fleet.cut_bridge();
     const auto healed = client_limit - milliseconds(200) + cut;
     wait_until(client_limit);
@@ -245,7 +238,7 @@
             break;
     }
     wait_until(healed);
-    if (with_trouble())
+    if (trouble)
         fleet.heal();
     wait_until(work + seconds(1));
     const auto twice = fleet.doubled().size();
@@ -277,22 +270,22 @@
     return left > 0;
 }
 
-bool play(const std::string& name, record& log)
+bool play(const std::string& name, record& log, bool trouble)
 {
     if (name == "queue_of_a_new_service")
-        return queue_of_a_new_service(log);
+        return queue_of_a_new_service(log, trouble);
     if (name == "cancel_after_a_resend")
-        return cancel_after_a_reset(log, true);
+        return cancel_after_a_reset(log, trouble, true);
     if (name == "cancel_after_the_limit") // likewise
         return cancel_after_the_limit(log);
     if (name == "cancel_without_a_resend") // in the report, not a case
-        return cancel_after_a_reset(log, false);
+        return cancel_after_a_reset(log, trouble, false);
     if (name == "cancel_at_a_frozen_entry")
-        return cancel_at_a_frozen_entry(log);
+        return cancel_at_a_frozen_entry(log, trouble);
     if (name == "two_holders_in_a_cut")
-        return two_holders_in_a_cut(log);
+        return two_holders_in_a_cut(log, trouble);
     if (name == "adoption_over_a_cut_bridge")
-        return adoption_over_a_cut_bridge(log);
+        return adoption_over_a_cut_bridge(log, trouble);
     throw cannot_run("no case " + name);
 }
 
@@ -300,17 +293,19 @@
 
 } // namespace lagoonquay::review
 
-//! Arguments: the case and the file of the record.
+//! Arguments: the case, the file of the record, and 0 to leave the disruption
+//! out or 1 to cause it.
 //! @return 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 int main(int argc, char** argv)
 {
     constexpr int could_not_run = 2;
-    if (argc != 3)
+    if (argc != 4)
         return could_not_run;
     lagoonquay::review::record log(argv[2]);
     try
     {
-        const bool broken = lagoonquay::review::play(argv[1], log);
+        const bool broken =
+            lagoonquay::review::play(argv[1], log, std::string(argv[3]) != "0");
         log.write(broken ? "the rule was broken" : "the rule held");
         std::cout << (broken ? "the rule was broken\n" : "the rule held\n");
         return broken ? 1 : 0;
--- a/review/tests/deployment.cpp
+++ b/review/tests/deployment.cpp
@@ -105,6 +105,19 @@
                ("lagoonquay-review-" + std::to_string(::getpid())))
                   .string()),
       has_relays_(relays)
+{
+    try
+    {
+        start(workers);
+    }
+    catch (...)
+    {
+        stop();
+        throw;
+    }
+}
+
+void deployment::start(std::size_t workers)
 {
     std::filesystem::create_directories(folder_);
     for (int n = 0; n < replicas; ++n)
@@ -125,7 +138,8 @@
                            parse_endpoint(at(first_worker + static_cast<int>(n),
                                              worker_port))
                                .value(),
-                           parse_endpoint(at(side, own_port)).value(), work}));
+                           parse_endpoint(at(side, own_port)).value(),
+                           estimate_}));
     }
 }
 
@@ -211,6 +225,12 @@
 }
 
 deployment::~deployment()
+{
+    stop();
+}
+
+// The threads end before the workers whose timers they run.
+void deployment::stop()
 {
     processes_.clear();
     io_.stop();
--- a/review/tests/deployment.hpp
+++ b/review/tests/deployment.hpp
@@ -98,6 +98,8 @@
                   std::chrono::milliseconds estimate);
 
 private:
+    void start(std::size_t workers);
+    void stop();
     std::string at(int host, int port) const;
     void run(const std::string& role, const std::string& id, int host);
     void add_relays(int viewer, const std::string& view);
--- a/review/tests/worker.cpp
+++ b/review/tests/worker.cpp
@@ -3,6 +3,7 @@
 #include "messages.hpp"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace json = boost::json;
 
@@ -43,11 +44,14 @@
     http_server_options listener;
     listener.listen = options_.own;
     listener.kept_headers = {word("life_header")};
-    server_.emplace(http_server::listen(io_.context(), listener,
-                                        [this](const http_request& request,
-                                               const http_responder& respond)
-                                        { serve(request, respond); })
-                        .value());
+    auto listening = http_server::listen(
+        io_.context(), listener,
+        [this](const http_request& request, const http_responder& respond)
+        { serve(request, respond); });
+    if (!listening)
+        throw std::runtime_error("worker " + options_.id +
+                                 " can't listen: " + listening.error().detail);
+    server_.emplace(std::move(listening).value());
     io_.every(report_period, [this] { send_report(); });
     io_.every(step,
               [this]
