Count a refused connection as an end only in touch with control

A failure domain was cut off by a cut that refuses connections. Its entry granted itself the claim of a job, answered 504 at the time limit and let the run go on; the caller sent the job again to an entry outside, which started it too.

Cause: the ledger takes a refused connection for the end of the replica's process and lowers the quorum by it. A cut refuses connections as well. And an entry that gives a job up leaves its runs to themselves, while its caller is told to come back to any entry.

Change: a refused connection proves an end only while a majority of control has answered within the duration of a permit; so too for a young replica's recovery and for the list of entries, which a replica of control inside a cut would empty. An entry stops the repeatable runs of a job whose time is over. The stop tells the agent that the job was not cancelled: a later attempt may run.

--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -182,6 +182,8 @@
     void on_dispatch(link_number link, const dispatch_message& dispatch);
     start_verdict try_start(link_number link, const dispatch_message& dispatch);
     void on_cancel(link_number link, const cancel_message& cancel);
+    static bool give_up(guard_shard& shard, link_number link,
+                        const task_key& key, attempt_number attempt);
     void on_query(link_number link, const query_message& query);
     void run(link_number link, const dispatch_message& dispatch,
              const endpoint& upstream);
--- a/process/agent/src/agent_orphans.cpp
+++ b/process/agent/src/agent_orphans.cpp
@@ -134,7 +134,7 @@
         {
             it.reason = failure_reason::link_lost;
             it.ran = effect::unknown;
-            it.detail = "stopped while its entry was away";
+            it.detail = "stopped, as its entry was away or gave it up";
         });
 }
 
--- a/process/agent/src/agent_recovery.cpp
+++ b/process/agent/src/agent_recovery.cpp
@@ -65,18 +65,27 @@
 }
 
 // A task that was sent to an earlier process of this agent may have started
-// there, so a cancel message for it gets no "not run" answer.
+// there, so a cancel message for it gets no "not run" answer. An attempt that
+// its entry gives up ends as one that the agent stopped by itself: the job was
+// not cancelled, and whoever has it next may run the task again.
 void agent_service::on_cancel(link_number link, const cancel_message& cancel)
 {
     if (cancel.key.agent_run != options_.run)
         return;
     const task_key key{cancel.submission, cancel.key.index};
     bool forbidden = false;
+    bool stops = true;
     {
         auto& shard = shard_of(cancel.submission);
         const std::lock_guard lock(shard.mutex);
         forbidden = shard.guard.forbid(key, cancel.key.attempt, hooks_.now());
+        if (cancel.given_up && !forbidden)
+            stops = give_up(shard, link, key, cancel.key.attempt);
     }
+    const auto reason = cancel.given_up ? failure_reason::not_startable
+                                        : failure_reason::cancelled;
+    const std::string detail = cancel.given_up ? "given up before its start"
+                                               : "cancelled before its start";
     const query_message asked{cancel.submission,
                               options_.run,
                               {{cancel.key.index, cancel.key.attempt}}};
@@ -88,18 +97,36 @@
                                           return each.link == link &&
                                                  each.message.key == cancel.key;
                                       });
-    decline_tasks(waiting, failure_reason::cancelled,
-                  "cancelled before its start");
-    if (!forbidden)
+    decline_tasks(waiting, reason, detail);
+    if (!forbidden && stops)
         return stop_run(key, cancel.key.attempt);
+    if (!forbidden)
+        return;
     ++cancelled_;
     if (answered)
         return;
     dispatch_message unseen;
     unseen.submission = cancel.submission;
     unseen.key = cancel.key;
-    send_not_run(link, unseen, failure_reason::cancelled,
-                 "cancelled before its start", 0);
+    send_not_run(link, unseen, reason, detail, 0);
+}
+
+// Another entry that has asked for the run goes on with it. The caller must
+// hold the lock of the task's shard.
+// @return whether the attempt runs here and may be stopped.
+bool agent_service::give_up(guard_shard& shard, link_number link,
+                            const task_key& key, attempt_number attempt)
+{
+    const auto found = shard.repeatable.find(key);
+    if (found == shard.repeatable.end() || found->second != attempt)
+        return false;
+    const auto& watchers = shard.watchers[key];
+    const bool wanted =
+        std::any_of(watchers.begin(), watchers.end(),
+                    [link](link_number other) { return other != link; });
+    if (!wanted)
+        shard.stopped_by_agent.insert(key);
+    return !wanted;
 }
 
 } // namespace lagoonquay
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -376,7 +376,7 @@
     const std::lock_guard lock(agent_state_mutex_);
     if (!accepting(agent_state_))
         return std::nullopt;
-    return agent_state_.upstream->address;
+    return agent_state_.upstream;
 }
 
 bool agent_service::draining() const
--- a/process/entry/include/lagoonquay/process/entry_http.hpp
+++ b/process/entry/include/lagoonquay/process/entry_http.hpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/connection/http_message.hpp"
 #include "lagoonquay/process/entry_service.hpp"
 #include "lagoonquay/process/ledger_recovery.hpp"
+#include "lagoonquay/process/refused_connection.hpp"
 #include "lagoonquay/request/job_codec.hpp"
 
 namespace lagoonquay
@@ -35,9 +36,10 @@
                                    traffic_meter& traffic);
 
 //! Requests the claims that another entry holds. Reports a peer that refuses
-//! the connection as gone, and nothing after another error or a timeout. The
-//! client must outlive the call of `done`.
+//! the connection as gone if `refusal_proves_end`, and nothing after another
+//! error or a timeout. The client must outlive the call of `done`.
 void request_held_claims(http_client& client, const endpoint& peer,
+                         const refusal_proof_hook& refusal_proves_end,
                          const held_claims_hook& done);
 
 //! @return a hook that forwards jobs to other entries over HTTP, and passes
--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -24,8 +24,11 @@
     //!                   granted is valid.
     entry_peers(std::string own, duration retention, clock_hook now);
 
-    //! Adds the entries of a list from control; ignores an empty list.
-    void learn(const std::vector<member>& entries);
+    //! Adds the entries of a list from a replica of control; ignores an empty
+    //! list.
+    //! @param in_touch  whether a majority of control answers this entry. If
+    //!                  not, entries that the list lacks are kept.
+    void learn(const std::vector<member>& entries, bool in_touch);
 
     //! @return the addresses at which the other entries accept claims.
     std::vector<endpoint> current();
@@ -54,7 +57,7 @@
 
     mutable std::mutex mutex_;
     std::optional<instant> first_list_time_; //!< empty before the first list
-    instant last_list_time_{};
+    instant last_list_time_{}; //!< of those received in touch with control
     std::map<endpoint, listed_entry> entries_;
 };
 
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -54,6 +54,13 @@
     duration clock_skew = std::chrono::milliseconds(500);
     //! How long an agent may take to reconnect before its tasks are given up.
     duration reconnect_timeout = std::chrono::seconds(2);
+    //! Time after the end of a claim that could not be renewed until the runs
+    //! under it are stopped. Must be shorter than `adoption_timeout`.
+    duration lapse_timeout = std::chrono::seconds(1);
+    //! How long an adopted job waits for the agents of earlier claims that this
+    //! entry can't reach. Longer than `lapse_timeout`, and than an agent takes
+    //! to notice the loss of an entry and to stop its runs.
+    duration adoption_timeout = std::chrono::seconds(3);
     //! Minimum time between two attempts to claim a job that another entry
     //! holds.
     duration claim_retry_delay = std::chrono::milliseconds(250);
@@ -189,6 +196,10 @@
     //! if there was none.
     duration time_since_control() const;
 
+    //! @return whether a majority of control has answered within the duration
+    //! of a permit. An entry that is cut off loses this contact.
+    bool is_in_touch_with_control() const;
+
     //! @return the time since the current view of the fleet was last confirmed,
     //! or since the start if there is no view.
     duration view_age() const;
@@ -284,6 +295,12 @@
                                             const linked_runs& links,
                                             instant now) const;
 
+    // entry_stops.cpp: runs of jobs that this entry may not run any longer
+    static std::vector<attempt_key> stoppable_runs(const job_state& state);
+    void give_up_runs(const job_pointer& state,
+                      const std::vector<attempt_key>& runs);
+    void stop_lapsed(instant now);
+
     // entry_answers.cpp: answers and deadlines
     void finish_if_complete(const job_pointer& state);
     void close_claim(const job_pointer& state, const claim_request& asked,
@@ -303,7 +320,7 @@
     mutable std::mutex permit_mutex_;
     std::optional<permit> permit_;
     const instant started_at_ = hooks_.now();
-    instant last_control_contact_ = started_at_;
+    std::optional<instant> last_control_contact_;
 
     live_settings settings_;
     dispatcher dispatcher_;
--- a/process/entry/src/entry_answers.cpp
+++ b/process/entry/src/entry_answers.cpp
@@ -165,6 +165,8 @@
         it(answer);
 }
 
+// The caller may send the job again, to any entry, once it is told that its
+// time is over. A run that went on would then run beside the one started there.
 void entry_service::expire_jobs(instant now)
 {
     std::vector<job_pointer> late;
@@ -172,6 +174,7 @@
     {
         if (now < state->deadline)
             continue;
+        std::vector<attempt_key> runs;
         with_job(state,
                  [&](job_state& it)
                  {
@@ -179,6 +182,7 @@
                          return;
                      const bool lapsed =
                          it.stage == job_stage::running && now >= it.claim_end;
+                     runs = stoppable_runs(it);
                      it.run.abandon(lapsed ? failure_reason::ledger_unavailable
                                            : failure_reason::deadline,
                                     lapsed
@@ -188,6 +192,7 @@
                                     waiting_effect(it, now));
                      late.push_back(state);
                  });
+        give_up_runs(state, runs);
     }
     for (const auto& it : late)
         finish_if_complete(it);
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -313,15 +313,18 @@
 }
 
 void request_held_claims(http_client& client, const endpoint& peer,
+                         const refusal_proof_hook& refusal_proves_end,
                          const held_claims_hook& done)
 {
     http_request request;
     request.path = "/v1/ledger/held";
     client.send(peer, request, held_claims_timeout,
-                [done](const connection_result<http_response>& answer)
+                [refusal_proves_end,
+                 done](const connection_result<http_response>& answer)
                 {
                     if (!answer &&
-                        answer.error().code == connection_errc::refused)
+                        answer.error().code == connection_errc::refused &&
+                        refusal_proves_end())
                         return done(held_claims{.gone = true});
                     if (!answer || answer.value().status != http_status::ok)
                         return done(std::nullopt);
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -53,8 +53,10 @@
 
     claim_round round;
     instant claim_end{};
-    claim_sequence ask;                    //!< number of the last new claim
-    bool claim_pending = false;            //!< a claim or renewal is in flight
+    claim_sequence ask;         //!< number of the last new claim
+    bool claim_pending = false; //!< a claim or renewal is in flight
+    bool lapsed =
+        false; //!< the claim's end has passed, and its runs are given up
     std::optional<instant> claim_retry_at; //!< when to repeat the claim
     agent_reach requested_reach; //!< reach listed in the claim in flight
     agent_reach reach;           //!< confirmed; tasks may go to these agents
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -113,13 +113,23 @@
         return peers.current();
     }
 
+    // A cut that refuses connections also parts this entry from a majority of
+    // control, unless it parts only some entries from each other.
+    refusal_proof_hook refusal_proof()
+    {
+        return [this]
+        {
+            return service.is_in_touch_with_control();
+        };
+    }
+
     ledger_recovery_hooks recovery_hooks()
     {
         return {
             .now = steady_now,
             .peers = [this] { return recovery_peers(); },
             .ask = [this](const endpoint& peer, const held_claims_hook& done)
-            { request_held_claims(client, peer, done); },
+            { request_held_claims(client, peer, refusal_proof(), done); },
             .restore_claim = [this](const claim_request& claim)
             { ledger.restore_claim(claim); },
             .no_stray_runs = [this]
@@ -162,11 +172,10 @@
                 .claim = claim_over_http(
                     client, ledger,
                     {.groups = groups_hook(),
-                     .after =
-                         [this](duration delay, std::function<void()> work)
-                     {
-                         io.after(delay, std::move(work));
-                     }},
+                     .after = [this](duration delay, std::function<void()> work)
+                     { io.after(delay, std::move(work)); },
+                     .patience = {},
+                     .refusal_proves_end = refusal_proof()},
                     steady_now),
                 .forward = forward_over_http(client),
                 .draw = seeded_random_hook(run.number()),
@@ -189,7 +198,7 @@
                     [this](const std::vector<member>& agents,
                            const std::vector<member>& entries)
                 {
-                    peers.learn(entries);
+                    peers.learn(entries, service.is_in_touch_with_control());
                     service.learn(agents, peers.current().size() + 1);
                 }};
     }
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -16,14 +16,17 @@
 {
 }
 
-void entry_peers::learn(const std::vector<member>& entries)
+// A replica of control that is cut off with this entry soon lists no other, and
+// the others go on.
+void entry_peers::learn(const std::vector<member>& entries, bool in_touch)
 {
     const auto now = now_();
     const std::lock_guard lock(mutex_);
     if (entries.empty())
         return;
     first_list_time_ = first_list_time_.value_or(now);
-    last_list_time_ = now;
+    if (in_touch)
+        last_list_time_ = now;
     for (const auto& it : entries)
     {
         const auto address = parse_endpoint(it->address);
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -4,7 +4,6 @@
 #include "entry_job.hpp"
 #include "lagoonquay/process/agent_subset.hpp"
 #include "lagoonquay/process/log.hpp"
-#include "lagoonquay/request/dispatch.hpp"
 
 #include <boost/json.hpp>
 
@@ -162,6 +161,7 @@
     expire_jobs(now);
     expire_answers(now);
     maintain_claims(now);
+    stop_lapsed(now);
     dispatcher_.tick();
 }
 
@@ -239,7 +239,14 @@
 duration entry_service::time_since_control() const
 {
     const std::lock_guard lock(permit_mutex_);
-    return hooks_.now() - last_control_contact_;
+    return hooks_.now() - last_control_contact_.value_or(started_at_);
+}
+
+bool entry_service::is_in_touch_with_control() const
+{
+    const std::lock_guard lock(permit_mutex_);
+    return last_control_contact_ &&
+           hooks_.now() - *last_control_contact_ <= permit_duration;
 }
 
 duration entry_service::view_age() const
--- /dev/null
+++ b/process/entry/src/entry_stops.cpp
@@ -0,0 +1,61 @@
+// Stops of runs that this entry may not let go on: another entry may start
+// their tasks.
+#include "entry_job.hpp"
+#include "lagoonquay/process/log.hpp"
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+constexpr std::string_view part = "entry";
+
+} // namespace
+
+// The runs of a task that must not be repeated go on: no other entry starts it
+// again.
+std::vector<attempt_key> entry_service::stoppable_runs(const job_state& state)
+{
+    return state.submitted->idempotent ? state.run.dispatched()
+                                       : std::vector<attempt_key>();
+}
+
+// An agent whose link is lost stops these runs itself, since no entry asks for
+// them within its grace period.
+void entry_service::give_up_runs(const job_pointer& state,
+                                 const std::vector<attempt_key>& runs)
+{
+    if (runs.empty())
+        return;
+    write_event(log_level::info, part, state->id, "runs_given_up",
+                {{"tasks", static_cast<std::int64_t>(runs.size())}});
+    for (const auto& key : runs)
+        dispatcher_.agents().send(
+            key.agent, cancel_message{state->id, key, /*given_up=*/true});
+}
+
+// An entry that adopts the job can't ask agents out of its reach, and starts
+// their tasks again once its wait for them is over. The stopped tasks wait here
+// for a renewal of the claim.
+void entry_service::stop_lapsed(instant now)
+{
+    for (const auto& state : open_jobs())
+    {
+        std::vector<attempt_key> runs;
+        with_job(state,
+                 [&](job_state& it)
+                 {
+                     const bool claimed = it.stage == job_stage::running ||
+                                          it.stage == job_stage::adopting;
+                     if (!claimed || it.lapsed ||
+                         now < it.claim_end + options_.lapse_timeout)
+                         return;
+                     it.lapsed = true;
+                     runs = stoppable_runs(it);
+                 });
+        give_up_runs(state, runs);
+    }
+}
+
+} // namespace lagoonquay
--- a/process/entry/tests/fake_fleet.hpp
+++ b/process/entry/tests/fake_fleet.hpp
@@ -62,6 +62,8 @@
 
     //! Submits a job through an entry; its answer is added to the record.
     void submit(std::size_t entry, const job& work);
+    //! Cancels a job through an entry; the outcome is added to the record.
+    void cancel(std::size_t entry, const submission_id& submission);
     void run_for(duration span);
 
     void kill_entry(std::size_t entry);
--- a/process/entry/tests/ledger_recovery_test.cpp
+++ b/process/entry/tests/ledger_recovery_test.cpp
@@ -157,14 +157,14 @@
     instant now{};
     entry_peers peers("10.0.0.9:1", seconds(3), [&now] { return now; });
     EXPECT_FALSE(peers.known());
-    peers.learn({entry_at("10.0.0.9:1"), entry_at("10.0.0.1:1")});
+    peers.learn({entry_at("10.0.0.9:1"), entry_at("10.0.0.1:1")}, true);
     EXPECT_TRUE(peers.known());
     EXPECT_EQ(peers.current(), std::vector<endpoint>{first_peer});
     now += seconds(3);
-    peers.learn({entry_at("10.0.0.9:1")});
+    peers.learn({entry_at("10.0.0.9:1")}, true);
     EXPECT_EQ(peers.current(), std::vector<endpoint>{first_peer});
     now += milliseconds(1);
-    peers.learn({entry_at("10.0.0.9:1")});
+    peers.learn({entry_at("10.0.0.9:1")}, true);
     EXPECT_TRUE(peers.current().empty());
 }
 
@@ -173,11 +173,28 @@
 {
     instant now{};
     entry_peers peers("10.0.0.9:1", seconds(3), [&now] { return now; });
-    peers.learn({entry_at("10.0.0.9:1"), entry_at("10.0.0.1:1")});
+    peers.learn({entry_at("10.0.0.9:1"), entry_at("10.0.0.1:1")}, true);
     now += std::chrono::hours(1);
     EXPECT_EQ(peers.current(), std::vector<endpoint>{first_peer});
 }
 
+// Guards against an entry in a cut that decided on claims by itself, since the
+// only replica of control in its reach listed no other entry any more.
+TEST(entry_peers, keeps_peers_that_a_replica_of_a_minority_lists_no_more)
+{
+    instant now{};
+    entry_peers peers("10.0.0.9:1", seconds(3), [&now] { return now; });
+    peers.learn({entry_at("10.0.0.9:1"), entry_at("10.0.0.1:1")}, true);
+    for (int n = 0; n < 10; ++n)
+    {
+        now += seconds(1);
+        peers.learn({entry_at("10.0.0.9:1")}, false);
+    }
+    EXPECT_EQ(peers.current(), std::vector<endpoint>{first_peer});
+    peers.learn({entry_at("10.0.0.9:1")}, true);
+    EXPECT_TRUE(peers.current().empty());
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/process/ledger/include/lagoonquay/process/ledger_client.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_client.hpp
@@ -3,6 +3,7 @@
 
 #include "lagoonquay/process/claim.hpp"
 #include "lagoonquay/process/latency_estimator.hpp"
+#include "lagoonquay/process/refused_connection.hpp"
 #include "lagoonquay/process/replica_group.hpp"
 
 #include <functional>
@@ -30,6 +31,9 @@
     //! Sets, from the times of recent answers, how long to wait for a replica
     //! before another one is asked in its place.
     latency_estimator_options patience;
+    //! If absent, a refused connection always shows that a replica's process
+    //! has ended.
+    refusal_proof_hook refusal_proves_end = {};
 };
 
 //! @return a hook that sends a claim to just enough replicas of each group for
--- a/process/ledger/src/claim_sender.cpp
+++ b/process/ledger/src/claim_sender.cpp
@@ -20,16 +20,28 @@
             .bearer = {}};
 }
 
-// A refused connection means that no process listens on the port any more, so
-// the replica's process has ended.
-claim_answer read_answer(const connection_result<http_response>& answer)
+} // namespace
+
+claim_sender::claim_sender(http_client& client, duration timeout,
+                           refusal_proof_hook refusal_proves_end) noexcept
+    : client_(client), timeout_(timeout),
+      refusal_proves_end_(std::move(refusal_proves_end))
+{
+}
+
+// Where a refused connection means that no process listens on the port any
+// more, the replica has lost its records. In a cut it may go on and grant the
+// claim to others, so it then counts like one that doesn't answer.
+claim_answer
+claim_sender::read_answer(const connection_result<http_response>& it) const
 {
-    if (!answer)
+    if (!it)
         return {.vote = {},
-                .gone = answer.error().code == connection_errc::refused};
-    if (answer.value().status != http_status::ok)
+                .gone = it.error().code == connection_errc::refused &&
+                        (!refusal_proves_end_ || refusal_proves_end_())};
+    if (it.value().status != http_status::ok)
         return {};
-    auto vote = decode_claim_vote(answer.value().body);
+    auto vote = decode_claim_vote(it.value().body);
     if (vote)
         return {.vote = std::move(vote).value()};
     write_log(log_level::warning, part,
@@ -38,13 +50,6 @@
     return {};
 }
 
-} // namespace
-
-claim_sender::claim_sender(http_client& client, duration timeout) noexcept
-    : client_(client), timeout_(timeout)
-{
-}
-
 claim_request claim_sender::assign_reach_number(const claim_request& request)
 {
     return sent_reaches_.name(request);
@@ -63,7 +68,7 @@
                             has_number, omit_reach,
                             done](const connection_result<http_response>& it)
     {
-        const auto answer = read_answer(it);
+        const auto answer = self->read_answer(it);
         const bool is_unknown = answer.vote && (*answer.vote)->verdict ==
                                                    claim_verdict::unknown_reach;
         if (is_unknown && omit_reach)
--- a/process/ledger/src/claim_sender.hpp
+++ b/process/ledger/src/claim_sender.hpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/process/claim_quorum.hpp"
 #include "lagoonquay/process/delivered_reaches.hpp"
+#include "lagoonquay/process/refused_connection.hpp"
 
 #include <memory>
 
@@ -18,7 +19,10 @@
 {
 public:
     //! @param timeout  of a request to one replica.
-    claim_sender(http_client& client, duration timeout) noexcept;
+    //! @param refusal_proves_end  if absent, a refused connection always shows
+    //!                            that the replica's process has ended.
+    claim_sender(http_client& client, duration timeout,
+                 refusal_proof_hook refusal_proves_end) noexcept;
 
     //! @return the request with the number of its reach filled in.
     claim_request assign_reach_number(const claim_request& request);
@@ -31,8 +35,11 @@
               const claim_answer_hook& done);
 
 private:
+    claim_answer read_answer(const connection_result<http_response>& it) const;
+
     http_client& client_;
     const duration timeout_;
+    const refusal_proof_hook refusal_proves_end_;
     delivered_reaches sent_reaches_;
 };
 
--- a/process/ledger/src/ledger_client.cpp
+++ b/process/ledger/src/ledger_client.cpp
@@ -29,7 +29,8 @@
                            ledger_client_options options, clock_hook now)
 {
     const claim_exchange_options shared{
-        .sender = std::make_shared<claim_sender>(client, options.timeout),
+        .sender = std::make_shared<claim_sender>(client, options.timeout,
+                                                 options.refusal_proves_end),
         .unresponsive = std::make_shared<unresponsive_replicas>(),
         .response_times = std::make_shared<latency_estimator>(options.patience),
         .now = std::move(now)};
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -93,6 +93,9 @@
 {
     submission_id submission;
     attempt_key key;
+    //! The entry gives the attempt up, and its caller has not cancelled it:
+    //! only a repeatable task is stopped, and a later attempt of it may run.
+    bool given_up = false;
 
     friend bool operator==(const cancel_message&,
                            const cancel_message&) = default;
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -110,7 +110,7 @@
 
 json::object to_json(const cancel_message& it)
 {
-    json::object object{{"type", "cancel"}};
+    json::object object{{"type", "cancel"}, {"given_up", it.given_up}};
     put_key(object, it.submission, it.key);
     return object;
 }
@@ -223,8 +223,11 @@
 
 link_message read_cancel(json_fields& fields, const job_limits& limits)
 {
-    const auto submission = get_submission(fields, limits);
-    return cancel_message{submission, get_key(fields, limits)};
+    cancel_message it;
+    it.submission = get_submission(fields, limits);
+    it.key = get_key(fields, limits);
+    it.given_up = fields.flag_or("given_up", false);
+    return it;
 }
 
 query_item read_query_item(const json::value& source, json_fields& parent)
