Stop a holder's runs before an adopter starts them again

An entry adopted a job over a cut bridge, took the agent that it could not reach for lost after 2 s, and ran the task again; the first holder was linked to that agent all along.

Cause: that an agent is out of the adopter's reach ends no run there, and nothing else ended it when the holder's right to it ended. An adopter can't tell a dead agent from one behind a cut.

A run that another entry has asked for is left to it.

--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -126,7 +126,7 @@
                  adopting = it.needs_adoption;
                  it.stage = adopting ? job_stage::adopting : job_stage::running;
                  it.awaiting_status = it.earlier_agents;
-                 it.recovery_end = hooks_.now() + options_.reconnect_timeout;
+                 it.recovery_end = hooks_.now() + options_.adoption_timeout;
              });
     write_event(log_level::info, part, state->id, "claimed",
                 {{"round", static_cast<std::int64_t>(outcome->round.number())},
@@ -306,26 +306,29 @@
     const bool lost = outcome->status == claim_status::held_by_other ||
                       (outcome->status == claim_status::held && !held);
     bool unpark = false;
-    with_job(state,
-             [&](job_state& it)
-             {
-                 it.claim_pending = false;
-                 if (it.answer)
-                     return;
-                 if (held)
-                 {
-                     it.claim_end =
-                         std::max(it.claim_end, outcome->valid_until);
-                     it.reach = it.reach.joined(asked->reach);
-                     unpark =
-                         it.has_parked_tasks && it.stage == job_stage::running;
-                     it.has_parked_tasks = false;
-                 }
-                 if (lost)
-                     it.run.abandon(failure_reason::claim_lost,
-                                    "another entry took over the job",
-                                    effect::unknown);
-             });
+    std::vector<attempt_key> runs;
+    with_job(
+        state,
+        [&](job_state& it)
+        {
+            it.claim_pending = false;
+            if (it.answer)
+                return;
+            if (held)
+            {
+                it.claim_end = std::max(it.claim_end, outcome->valid_until);
+                it.lapsed = false;
+                it.reach = it.reach.joined(asked->reach);
+                unpark = it.has_parked_tasks && it.stage == job_stage::running;
+                it.has_parked_tasks = false;
+            }
+            if (!lost)
+                return;
+            runs = stoppable_runs(it);
+            it.run.abandon(failure_reason::claim_lost,
+                           "another entry took over the job", effect::unknown);
+        });
+    give_up_runs(state, runs);
     if (lost)
         return finish_if_complete(state);
     if (unpark)
--- a/process/entry/tests/fake_fleet.cpp
+++ b/process/entry/tests/fake_fleet.cpp
@@ -101,6 +101,7 @@
     options.claim_margin = std::chrono::milliseconds(20);
     options.clock_skew = std::chrono::milliseconds(100);
     options.reconnect_timeout = std::chrono::seconds(1);
+    options.adoption_timeout = std::chrono::seconds(2);
     options.claim_retry_delay = std::chrono::milliseconds(100);
     options.answer_retention = std::chrono::seconds(2);
     options.probe_ledger = true;
@@ -228,6 +229,14 @@
     cut(entry, agent);
 }
 
+void fake_fleet::part_entry(std::size_t entry, bool apart)
+{
+    if (apart)
+        parted_entries_.insert(entry);
+    else
+        parted_entries_.erase(entry);
+}
+
 entry_service& fake_fleet::entry(std::size_t n)
 {
     return *entries_[n]->service;
--- a/process/entry/tests/fake_fleet.hpp
+++ b/process/entry/tests/fake_fleet.hpp
@@ -82,6 +82,9 @@
     //! until it is called with `apart` false.
     void separate(std::size_t entry, std::size_t agent, bool apart);
 
+    //! Cuts the entry off from the others' ledger replicas, or joins it again.
+    void part_entry(std::size_t entry, bool apart);
+
     entry_service& entry(std::size_t n);
     agent_service& agent(std::size_t n);
     bool entry_alive(std::size_t n) const;
@@ -129,6 +132,7 @@
     std::vector<std::unique_ptr<agent_host>> agents_;
     std::vector<std::weak_ptr<fake_link>> links_;
     std::set<std::pair<std::size_t, std::size_t>> separated_;
+    std::set<std::size_t> parted_entries_;
     //! Tasks that an answer reported as not run.
     std::map<submission_id, std::set<std::uint64_t>> reported_not_run_;
     std::set<submission_id>
--- a/process/entry/tests/fake_fleet_calls.cpp
+++ b/process/entry/tests/fake_fleet_calls.cpp
@@ -52,7 +52,9 @@
         };
         time_.after(claim_timeout, [this, sender, count]
                     { deliver(sender, [count] { count(std::nullopt); }); });
-        if (draw(100) < options_.claim_loss_percent)
+        const bool apart = n != from && (parted_entries_.contains(n) ||
+                                         parted_entries_.contains(from));
+        if (apart || draw(100) < options_.claim_loss_percent)
             continue;
         const bool lost = draw(100) < options_.claim_loss_percent;
         const auto process = entries_[n]->process;
--- a/process/entry/tests/given_up_runs_test.cpp
+++ b/process/entry/tests/given_up_runs_test.cpp
@@ -94,4 +94,39 @@
     EXPECT_TRUE(succeeded(last_answer())) << to_text(last_answer()->reason);
 }
 
+// Guards against an entry that was cut off from the ledger: its run went on
+// while another entry, out of reach of the agent, adopted the job.
+TEST_F(given_up_runs, of_a_claim_that_lapsed_are_stopped)
+{
+    start_job(job_of(fleet, seconds(20)));
+    fleet.kill_entry(1);
+    fleet.kill_entry(2);
+    fleet.run_for(milliseconds(900));
+    EXPECT_EQ(running(), 1U);
+    fleet.run_for(milliseconds(1500));
+    EXPECT_EQ(running(), 0U);
+    EXPECT_TRUE(fleet.record().answers.empty());
+}
+
+// Guards against an adopter that started a task beside the first run of it: the
+// agent was out of its reach, and the first holder was linked to it all along.
+TEST_F(given_up_runs, end_before_an_adopter_starts_their_tasks)
+{
+    const auto work = job_of(fleet, seconds(20));
+    start_job(work);
+    const std::size_t busy = fleet.agent(0).running() > 0 ? 0 : 1;
+    std::uint32_t starts = 0;
+    fleet.on_start = [&](const upstream_call&)
+    {
+        ++starts;
+        EXPECT_EQ(fleet.agent(busy).running(), 0U);
+    };
+    fleet.part_entry(0, true);
+    fleet.separate(1, busy, true);
+    fleet.submit(1, work);
+    fleet.run_for(seconds(6));
+    EXPECT_EQ(starts, 1U);
+    EXPECT_EQ(running(), 1U);
+}
+
 } // namespace lagoonquay
