Run tasks only on the workers of their service

Cause: a worker's report names its service and the decoder read it, but neither announcement, grant, agent table nor routing knew a service.

Change: jobs name the service of their queue; announcements and grants name the worker's. Every route policy and the reservation skip other services; the agent checks again at the start, since a worker's next life may be of another service. A job whose service has no worker is refused at once as not run. Waiting tasks of a service without a free worker don't use up a pass over the queue.

Ruled out: a check at the agent alone would send each task round the fleet.

--- a/connection/include/lagoonquay/connection/upstream.hpp
+++ b/connection/include/lagoonquay/connection/upstream.hpp
@@ -25,6 +25,7 @@
     std::uint32_t running = 0; //!< tasks that run now
     incarnation agent_run;     //!< the agent's run that called last, or zero
     std::uint32_t running_of_run = 0; //!< of `running`, those it called
+    service_id service = {}; //!< takes only its tasks and those that name none
 
     friend bool operator==(const upstream_announcement&,
                            const upstream_announcement&) = default;
--- a/connection/src/grant_pacing.cpp
+++ b/connection/src/grant_pacing.cpp
@@ -30,12 +30,12 @@
 {
     if (!last_)
         return true;
-    const bool changed = grant.accepting != last_->accepting ||
-                         grant.draining != last_->draining ||
-                         grant.slots != last_->slots ||
-                         grant.capacity != last_->capacity ||
-                         (grant.stray_runs == 0) != (last_->stray_runs == 0) ||
-                         differs_notably(grant, *last_);
+    const bool changed =
+        grant.accepting != last_->accepting ||
+        grant.draining != last_->draining || grant.slots != last_->slots ||
+        grant.capacity != last_->capacity || grant.service != last_->service ||
+        (grant.stray_runs == 0) != (last_->stray_runs == 0) ||
+        differs_notably(grant, *last_);
     return changed ||
            grant.agent_time - last_->agent_time >= options_.stamp_age;
 }
--- a/connection/src/upstream.cpp
+++ b/connection/src/upstream.cpp
@@ -98,7 +98,8 @@
         {"leaving", it.leaving},
         {"running", it.running},
         {"agent_run", std::to_string(it.agent_run.number())},
-        {"running_of_run", it.running_of_run}};
+        {"running_of_run", it.running_of_run},
+        {"service", it.service.text()}};
     return json::serialize(object);
 }
 
@@ -108,7 +109,7 @@
     json_fields fields(document, "");
     fields.only({"address", "slots", "processors_milli", "memory_mb",
                  "accelerators", "leaving", "running", "agent_run",
-                 "running_of_run"});
+                 "running_of_run", "service"});
     const auto address = parse_endpoint(fields.text("address", address_bytes));
     if (!address)
         fields.reject(request_errc::malformed, address.error().detail);
@@ -120,6 +121,7 @@
     it.leaving = fields.flag_or("leaving", false);
     it.running = amount(fields, "running");
     it.running_of_run = amount(fields, "running_of_run");
+    it.service = service_id(fields.text_or("service", "", max_service_bytes));
     if (fields.member("agent_run") != nullptr)
         it.agent_run = incarnation(fields.wide_number("agent_run"));
     if (fields.failed())
--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -221,7 +221,7 @@
     void send_changed_grants();
     void send_all_grants();
     grant_message grant_for(const link_grant& totals) const;
-    std::optional<endpoint> permitted_upstream() const;
+    std::optional<upstream_announcement> permitted_upstream() const;
     bool draining() const;
     //! The number and needs of the tasks that run or wait here.
     struct task_load
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -52,13 +52,15 @@
         const std::lock_guard lock(agent_state_mutex_);
         const auto& known = agent_state_.upstream;
         changed = !known || known->leaving != announcement.leaving ||
-                  known->address != announcement.address;
+                  known->address != announcement.address ||
+                  known->service != announcement.service;
         agent_state_.upstream = announcement;
         agent_state_.last_announcement_at = hooks_.now();
     }
     if (changed)
         write_event(log_level::info, "agent", {}, "upstream",
                     {{"address", to_text(announcement.address)},
+                     {"service", announcement.service.text()},
                      {"takes_tasks", announcement.leaving ? "no" : "yes"}});
     {
         const std::lock_guard lock(grants_mutex_);
@@ -367,11 +369,12 @@
     {
         grant.slots = agent_state_.upstream->slots;
         grant.capacity = agent_state_.upstream->capacity;
+        grant.service = agent_state_.upstream->service;
     }
     return grant;
 }
 
-std::optional<endpoint> agent_service::permitted_upstream() const
+std::optional<upstream_announcement> agent_service::permitted_upstream() const
 {
     const std::lock_guard lock(agent_state_mutex_);
     if (!accepting(agent_state_))
--- a/process/agent/src/agent_starts.cpp
+++ b/process/agent/src/agent_starts.cpp
@@ -3,6 +3,7 @@
 #include "lagoonquay/process/agent_service.hpp"
 #include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/log.hpp"
+#include "lagoonquay/request/routing.hpp"
 
 namespace lagoonquay
 {
@@ -87,16 +88,18 @@
 }
 
 // The slot is taken first and the permit is read last, to keep the time between
-// the permit check and the upstream call as short as possible.
+// the permit check and the upstream call as short as possible. The worker may
+// have changed its service since the entry chose it.
 void agent_service::start_or_decline(const waiting_start& next)
 {
     const auto& dispatch = next.message;
     const auto upstream = permitted_upstream();
+    const bool served = upstream && serves(upstream->service, dispatch.service);
     auto verdict = start_verdict::fenced;
-    if (upstream)
+    if (served)
         verdict = try_start(next.link, dispatch);
-    if (upstream && verdict == start_verdict::start)
-        return run(next.link, dispatch, *upstream);
+    if (served && verdict == start_verdict::start)
+        return run(next.link, dispatch, upstream->address);
     const auto credits = release_slot(next.link, dispatch.work->need);
     if (!upstream && draining())
         return decline(next.link, dispatch, failure_reason::draining,
@@ -104,6 +107,9 @@
     if (!upstream)
         return decline(next.link, dispatch, failure_reason::no_permit,
                        "no permit to start", credits);
+    if (!served)
+        return decline(next.link, dispatch, failure_reason::not_startable,
+                       "the worker is of another service", credits);
     decline(next.link, dispatch, failure_reason::not_startable,
             explain(verdict), credits);
 }
--- a/process/entry/include/lagoonquay/process/agent_table.hpp
+++ b/process/entry/include/lagoonquay/process/agent_table.hpp
@@ -75,9 +75,10 @@
                                              instant now);
 
     //! @return of the agents whose health allows tasks and whose total capacity
-    //! covers the need, with or without a credit, the one where this entry's
-    //! own tasks leave most free; nothing if there is none.
-    std::optional<agent_id> best_fit(const resources& need, instant now);
+    //! covers the need and whose worker serves the task, with or without a
+    //! credit, the one where this entry's own tasks leave most free; nothing if
+    //! there is none.
+    std::optional<agent_id> best_fit(const route_request& asked, instant now);
 
     //! @return whether the agent is linked and its last grant on this link
     //! accepts tasks.
@@ -97,6 +98,10 @@
     //! capacity is unknown or if no worker is known.
     std::optional<std::string> unsatisfiable_resource(const resources& need);
 
+    //! @return whether the last grant of some linked agent was for a worker
+    //! that may run tasks for the service.
+    bool has_worker_of(const service_id& service);
+
     //! Takes one credit for a dispatch.
     //! @return nothing if the agent is not linked, has no credit or its health
     //! allows no further task now.
--- a/process/entry/include/lagoonquay/process/dispatcher.hpp
+++ b/process/entry/include/lagoonquay/process/dispatcher.hpp
@@ -44,6 +44,9 @@
     std::size_t lookahead = 64;
     //! The same limit for a pass over a single agent.
     std::size_t agent_lookahead = 8;
+    //! Tasks of services that no candidate serves and that one pass may skip
+    //! over besides.
+    std::size_t unserved_lookahead = 1024;
     //! A skipped task that has waited this long gets an agent reserved.
     duration reserve_after = std::chrono::milliseconds(250);
     //! A job without an aim is due after this multiple of the run time that it
@@ -63,6 +66,7 @@
     task_key key;
     std::string kind;
     resources need;
+    service_id service; //!< whose workers may run it; empty for any
     duration declared_run{};
     //! When its job was accepted; the due time counts from then.
     instant accepted{};
@@ -151,6 +155,7 @@
         std::size_t lookahead = 0;
         std::vector<route_candidate> candidates;
         std::vector<queued_task> skipped;
+        std::size_t unserved = 0; //!< of the skipped ones
     };
 
     queued_task to_queued(const task_to_queue& added, instant since);
@@ -158,6 +163,7 @@
                       const task_to_queue& of_job);
     void run_passes(const std::optional<agent_id>& only);
     bool run_pass(const std::optional<agent_id>& only);
+    bool may_skip_more(const queue_pass& state) const noexcept;
     std::vector<route_candidate> candidates(const std::optional<agent_id>& only,
                                             instant now);
     dispatch_outcome dispatch_one(const queued_task& next, queue_pass& state);
--- a/process/entry/src/agent_table.cpp
+++ b/process/entry/src/agent_table.cpp
@@ -195,10 +195,11 @@
         agent.last->slots,
         agent.last->capacity,
         subtract(agent.last->capacity,
-                 add(agent.dispatched_need, agent.other_tasks_need))};
+                 add(agent.dispatched_need, agent.other_tasks_need)),
+        agent.last->service};
 }
 
-std::optional<agent_id> agent_table::best_fit(const resources& need,
+std::optional<agent_id> agent_table::best_fit(const route_request& asked,
                                               instant now)
 {
     const auto options = health_options();
@@ -209,7 +210,8 @@
         {
             for (const auto& [id, it] : values)
             {
-                if (!it.last || !fits(need, it.last->capacity) ||
+                if (!it.last || !fits(asked.need, it.last->capacity) ||
+                    !serves(it.last->service, asked.service) ||
                     it.health.max_in_flight(options, it.last->slots, now) == 0)
                     continue;
                 const auto free =
@@ -273,6 +275,24 @@
     return found ? std::nullopt : lacking;
 }
 
+bool agent_table::has_worker_of(const service_id& service)
+{
+    bool found = false;
+    agents_.for_each_shard(
+        [&](const auto& values)
+        {
+            found =
+                found ||
+                std::any_of(values.begin(), values.end(),
+                            [&](const auto& each)
+                            {
+                                const auto& last = each.second.last;
+                                return last && serves(last->service, service);
+                            });
+        });
+    return found;
+}
+
 std::optional<taken_credit> agent_table::take(const agent_id& agent,
                                               instant now)
 {
--- a/process/entry/src/dispatcher.cpp
+++ b/process/entry/src/dispatcher.cpp
@@ -22,6 +22,14 @@
            result->reason == failure_reason::upstream_unreachable;
 }
 
+bool is_served(const queued_task& queued,
+               const std::vector<route_candidate>& candidates)
+{
+    return std::any_of(candidates.begin(), candidates.end(),
+                       [&](const route_candidate& it)
+                       { return serves(it.service, queued.request.service); });
+}
+
 //! Logs which agent a task is sent to, and the age of that agent's last grant.
 void log_placed(const queued_task& next, const route_candidate& chosen,
                 const taken_credit& credit, instant now)
@@ -184,13 +192,14 @@
 
 queued_task dispatcher::to_queued(const task_to_queue& added, instant since)
 {
-    return {.customer = added.customer,
-            .key = added.key,
-            .kind = added.kind,
-            .request = {.need = added.need, .avoid = {}},
-            .expected_run = runs_.expect(added.kind, added.declared_run),
-            .start_by = added.deadline,
-            .since = since};
+    return {
+        .customer = added.customer,
+        .key = added.key,
+        .kind = added.kind,
+        .request = {.need = added.need, .avoid = {}, .service = added.service},
+        .expected_run = runs_.expect(added.kind, added.declared_run),
+        .start_by = added.deadline,
+        .since = since};
 }
 
 // A job is due after a multiple of its run time, so that short and long jobs
@@ -227,7 +236,7 @@
     state.lookahead = only ? options_.agent_lookahead : options_.lookahead;
     state.candidates = candidates(only, state.now);
     bool emptied = false;
-    while (!state.candidates.empty() && state.skipped.size() < state.lookahead)
+    while (!state.candidates.empty() && may_skip_more(state))
     {
         auto next = queue_.pop();
         emptied = !next;
@@ -242,6 +251,7 @@
         if (done != dispatch_outcome::no_room &&
             done != dispatch_outcome::stale)
             continue;
+        state.unserved += is_served(*next, state.candidates) ? 0 : 1;
         state.skipped.push_back(*std::move(next));
         // If not even a task without needs fits, no other task can fit.
         if (!hooks_.route({}, state.candidates))
@@ -261,6 +271,13 @@
     return emptied;
 }
 
+// Tasks of a service without a free worker must not hold up those of others.
+bool dispatcher::may_skip_more(const queue_pass& state) const noexcept
+{
+    return state.skipped.size() - state.unserved < state.lookahead &&
+           state.unserved < options_.unserved_lookahead;
+}
+
 std::vector<route_candidate>
 dispatcher::candidates(const std::optional<agent_id>& only, instant now)
 {
@@ -314,8 +331,9 @@
     auto chosen = hooks_.route(next.request, state.candidates);
     if (chosen || !next.request.avoid)
         return chosen;
-    return hooks_.route({.need = next.request.need, .avoid = {}},
-                        state.candidates);
+    auto anywhere = next.request;
+    anywhere.avoid.reset();
+    return hooks_.route(anywhere, state.candidates);
 }
 
 void dispatcher::send(const queued_task& next, route_candidate& chosen,
@@ -341,7 +359,7 @@
 {
     if (now - next.since < options_.reserve_after || current_reservation(now))
         return;
-    const auto agent = agents_.best_fit(next.request.need, now);
+    const auto agent = agents_.best_fit(next.request, now);
     if (!agent)
         return;
     const std::lock_guard lock(reservation_mutex_);
--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -55,6 +55,7 @@
             .key = {submitted->submission, index},
             .kind = work->kind,
             .need = work->need,
+            .service = submitted->service,
             .declared_run = work->declared_run,
             .accepted = state.accepted,
             .deadline = state.deadline,
@@ -154,6 +155,7 @@
                 options_.claim_margin;
             result.run_limit = it.deadline - now;
             result.repeatable = it.submitted->idempotent;
+            result.service = it.submitted->service;
             result.work = it.submitted->tasks[key.index.number()];
             return result;
         });
--- a/process/entry/src/job_admission.cpp
+++ b/process/entry/src/job_admission.cpp
@@ -63,6 +63,11 @@
 {
     if (!is_fleet_known())
         return std::nullopt;
+    if (!tasks_.agents().has_worker_of(submitted->service))
+        return refusal(submitted->submission, failure_reason::impossible_need,
+                       ran,
+                       "no worker of service '" + submitted->service.text() +
+                           "' is known");
     for (const auto& it : submitted->tasks)
     {
         const auto lacking = tasks_.agents().unsatisfiable_resource(it->need);
--- a/process/entry/tests/dispatcher_test.cpp
+++ b/process/entry/tests/dispatcher_test.cpp
@@ -149,6 +149,21 @@
     EXPECT_EQ(bench.tasks.queued(), 1U);
 }
 
+TEST(dispatcher, tasks_of_a_service_without_workers_do_not_block_others)
+{
+    dispatcher_bench bench(1);
+    std::vector<task_to_queue> unserved;
+    for (std::uint64_t n = 1; n <= 100; ++n)
+    {
+        unserved.push_back(dispatcher_bench::describe(n));
+        unserved.back().service = service_id("new");
+    }
+    bench.tasks.enqueue(unserved);
+    bench.add(101);
+    EXPECT_EQ(bench.sent_to(1), 1U);
+    EXPECT_EQ(bench.tasks.queued(), 100U);
+}
+
 // Guards against a fault in which, while tasks waited, each message of an agent
 // made the entry consider all agents for each waiting task.
 TEST(dispatcher, a_result_does_not_trigger_a_pass_over_all_agents)
--- a/process/entry/tests/fake_fleet.cpp
+++ b/process/entry/tests/fake_fleet.cpp
@@ -162,8 +162,11 @@
         };
     host.service = std::make_unique<agent_service>(options, std::move(hooks));
     host.service->set_permit(endless_permit());
-    host.service->announce(
-        {.slots = options_.slots, .capacity = {1000, 1000, 0}});
+    upstream_announcement announced;
+    announced.slots = options_.slots;
+    announced.capacity = {1000, 1000, 0};
+    announced.service = options_.service;
+    host.service->announce(announced);
     tick_agent(agent);
 }
 
--- a/process/entry/tests/fake_fleet.hpp
+++ b/process/entry/tests/fake_fleet.hpp
@@ -41,6 +41,7 @@
     duration lease = std::chrono::seconds(1);
     std::uint64_t claim_loss_percent = 0; //!< share of lost requests and votes
     bool upstreams_can_stop = false; //!< whether a running call can be stopped
+    service_id service = {};         //!< of all upstreams
 };
 
 //! What callers and upstreams observed, and the violations that were found.
--- a/request/include/lagoonquay/request/answer.hpp
+++ b/request/include/lagoonquay/request/answer.hpp
@@ -27,7 +27,7 @@
     overloaded,           //!< the queue is full or the deadline unreachable
     quota,                //!< the customer's quota is used up
     no_permit,            //!< no current permit from control
-    impossible_need,      //!< no worker is large enough
+    impossible_need,      //!< no worker is large enough, or serves the job
     deadline,             //!< the deadline passed
     cancelled,            //!< the caller cancelled the job
     upstream_failed,      //!< the upstream answered with an error
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -40,6 +40,7 @@
     std::uint32_t stray_runs = 0;
     //! Dispatches received since the link opened; `used` includes no later one.
     std::uint64_t dispatches_total = 0;
+    service_id service = {}; //!< of the worker; empty without one
 
     friend bool operator==(const grant_message&,
                            const grant_message&) = default;
@@ -62,6 +63,7 @@
     instant start_before{};  //!< on the agent's clock: the claim's end
     duration run_limit{};    //!< the longest run that the deadline allows
     bool repeatable = false; //!< a later attempt may start it again
+    service_id service;      //!< whose workers may run it; empty for any
     task work;
 
     friend bool operator==(const dispatch_message&,
--- a/request/include/lagoonquay/request/ids.hpp
+++ b/request/include/lagoonquay/request/ids.hpp
@@ -63,6 +63,10 @@
 using replica_id = text_id<struct replica_tag>;
 using domain_id = text_id<struct domain_tag>;
 using command_id = text_id<struct command_tag>;
+using service_id = text_id<struct service_tag>;
+
+//! Bytes in the name of a service.
+constexpr std::size_t max_service_bytes = 256;
 
 //! One run of a process; a restart draws a new one.
 using incarnation = number_id<struct incarnation_tag>;
--- a/request/include/lagoonquay/request/job.hpp
+++ b/request/include/lagoonquay/request/job.hpp
@@ -40,6 +40,8 @@
 {
     submission_id submission;
     customer_id customer;
+    //! Only its workers run the tasks; empty if any worker may.
+    service_id service;
     wall_time created{}; //!< repeated unchanged by a resubmission
     //! Whether the caller told the creation time. If not, the entry stamps the
     //! job itself, and resubmissions may differ in it and in the time limit.
@@ -56,8 +58,9 @@
 //! A job: the unit that is answered whole or fails.
 using job = immutable<job_options>;
 
-//! @return a digest of everything but the submission id, and for a job without
-//! a creation time but its times; FNV-1a, 64 bits.
+//! @return a digest of everything but the submission id and the service, which
+//! the caller does not send, and for a job without a creation time but its
+//! times; FNV-1a, 64 bits.
 content_digest digest_of(const job& submitted);
 
 } // namespace lagoonquay
--- a/request/include/lagoonquay/request/routing.hpp
+++ b/request/include/lagoonquay/request/routing.hpp
@@ -18,6 +18,7 @@
 {
     resources need;
     std::optional<agent_id> avoid; //!< declined the task before
+    service_id service;            //!< whose workers may run it; empty for any
 
     friend bool operator==(const route_request&,
                            const route_request&) = default;
@@ -36,11 +37,15 @@
     //! Capacity less the needs of this entry's tasks there, and of the others'
     //! as last heard.
     resources free;
+    service_id service; //!< of the worker
 
     friend bool operator==(const route_candidate&,
                            const route_candidate&) = default;
 };
 
+//! @return whether a worker of `offered` may run tasks for `asked`.
+bool serves(const service_id& offered, const service_id& asked) noexcept;
+
 //! @return whether the candidate can take the task now.
 bool can_take(const route_candidate& candidate,
               const route_request& asked) noexcept;
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -50,6 +50,11 @@
     return key;
 }
 
+service_id get_service(json_fields& fields)
+{
+    return service_id(fields.text_or("service", "", max_service_bytes));
+}
+
 instant get_instant(json_fields& fields, std::string_view key)
 {
     return instant(duration(fields.number(key, 0, json_exact_limit)));
@@ -75,7 +80,8 @@
             {"accepting", it.accepting},
             {"draining", it.draining},
             {"stray_runs", it.stray_runs},
-            {"dispatches_total", it.dispatches_total}};
+            {"dispatches_total", it.dispatches_total},
+            {"service", it.service.text()}};
 }
 
 json::object to_json(const return_message& it)
@@ -90,6 +96,7 @@
         {"start_before_us", it.start_before.time_since_epoch().count()},
         {"run_limit_us", it.run_limit.count()},
         {"repeatable", it.repeatable},
+        {"service", it.service.text()},
         {"task", task_to_json(it.work)}};
     put_key(object, it.submission, it.key);
     return object;
@@ -174,6 +181,7 @@
         static_cast<std::uint32_t>(fields.number("stray_runs", 0, count_limit));
     it.dispatches_total =
         fields.number("dispatches_total", 0, json_exact_limit);
+    it.service = get_service(fields);
     return it;
 }
 
@@ -190,6 +198,7 @@
     it.start_before = get_instant(fields, "start_before_us");
     it.run_limit = duration(fields.number("run_limit_us", 0, json_exact_limit));
     it.repeatable = fields.flag_or("repeatable", false);
+    it.service = get_service(fields);
     const auto* work = fields.member("task");
     if (work == nullptr)
     {
--- a/request/src/job.cpp
+++ b/request/src/job.cpp
@@ -12,6 +12,7 @@
         [](job_options& it)
         {
             it.submission = submission_id();
+            it.service = service_id();
             if (it.dated)
                 return;
             it.created = {};
--- a/request/src/job_codec.cpp
+++ b/request/src/job_codec.cpp
@@ -64,6 +64,8 @@
     options.submission =
         submission_id(fields.id("submission", limits.id_bytes));
     options.customer = customer_id(fields.id("customer", limits.id_bytes));
+    options.service =
+        service_id(fields.text_or("service", "", max_service_bytes));
     options.created = wall_time(std::chrono::milliseconds(
         fields.number("created_ms", 0, json_exact_limit)));
     options.time_limit = std::chrono::milliseconds(fields.number_or(
@@ -87,9 +89,9 @@
 {
     BOOST_OUTCOME_TRY(const auto document, parse_outside_json(text));
     json_fields fields(document, "");
-    fields.only({"submission", "customer", "created_ms", "time_limit_ms",
-                 "idempotent", "dated", "attempts", "stretch_milli",
-                 "target_ms", "tasks"});
+    fields.only({"submission", "customer", "service", "created_ms",
+                 "time_limit_ms", "idempotent", "dated", "attempts",
+                 "stretch_milli", "target_ms", "tasks"});
     auto options = read_job(fields, limits);
     options.tasks = read_tasks(fields, limits);
     if (fields.failed())
@@ -102,9 +104,10 @@
 {
     BOOST_OUTCOME_TRY(const auto document, parse_outside_json(text));
     json_fields fields(document, "");
-    fields.only({"submission", "customer", "created_ms", "time_limit_ms",
-                 "idempotent", "dated", "attempts", "stretch_milli",
-                 "target_ms", "kind", "payload", "need", "declared_run_ms"});
+    fields.only({"submission", "customer", "service", "created_ms",
+                 "time_limit_ms", "idempotent", "dated", "attempts",
+                 "stretch_milli", "target_ms", "kind", "payload", "need",
+                 "declared_run_ms"});
     auto options = read_job(fields, limits);
     options.tasks.push_back(read_task(fields, limits));
     if (fields.member("idempotent") == nullptr)
@@ -119,7 +122,7 @@
     json::array tasks;
     for (const auto& it : submitted->tasks)
         tasks.push_back(task_to_json(it));
-    const json::object document{
+    json::object document{
         {"submission", submitted->submission.text()},
         {"customer", submitted->customer.text()},
         {"created_ms", submitted->created.time_since_epoch().count()},
@@ -131,6 +134,8 @@
         {"dated", submitted->dated},
         {"attempts", submitted->attempts},
         {"tasks", std::move(tasks)}};
+    if (!submitted->service.empty())
+        document["service"] = submitted->service.text();
     return json::serialize(document);
 }
 
--- a/request/src/routing.cpp
+++ b/request/src/routing.cpp
@@ -194,11 +194,17 @@
 
 } // namespace
 
+bool serves(const service_id& offered, const service_id& asked) noexcept
+{
+    return asked.empty() || offered == asked;
+}
+
 bool can_take(const route_candidate& candidate,
               const route_request& asked) noexcept
 {
     return candidate.credits > 0 && fits(asked.need, candidate.free) &&
-           asked.avoid != candidate.agent;
+           asked.avoid != candidate.agent &&
+           serves(candidate.service, asked.service);
 }
 
 std::string_view to_text(route_policy policy) noexcept
--- a/request/tests/routing_test.cpp
+++ b/request/tests/routing_test.cpp
@@ -58,6 +58,26 @@
     }
 }
 
+// Guards against tasks of a new queue that ran on the workers of an old
+// service.
+TEST(routing, every_policy_skips_workers_of_other_services)
+{
+    auto other = candidate(1, 1);
+    other.service = service_id("old");
+    auto own = candidate(2, 1);
+    own.service = service_id("new");
+    const auto unknown = candidate(3, 1);
+    const route_request asked{
+        .need = {500, 1, 0}, .avoid = {}, .service = service_id("new")};
+    for (const auto it : all_policies)
+    {
+        const auto route = make_route(it, draw_zero);
+        EXPECT_EQ(route(asked, {other, unknown, own}), 2U) << to_text(it);
+        EXPECT_EQ(route(asked, {other, unknown}), std::nullopt);
+        EXPECT_TRUE(route({}, {other}));
+    }
+}
+
 TEST(routing, slot_credits_spread_a_wide_job_over_workers_and_domains)
 {
     std::vector<route_candidate> agents{candidate(1, 1), candidate(2, 1),
--- a/version/include/lagoonquay/version/queue_catalog.hpp
+++ b/version/include/lagoonquay/version/queue_catalog.hpp
@@ -17,7 +17,6 @@
 {
 
 using queue_id = text_id<struct queue_tag>;
-using service_id = text_id<struct service_tag>;
 
 //! Rises with each catalog that operators send; zero before the first.
 using catalog_revision = number_id<struct catalog_tag>;
