Give a lost replica's place away before another may be lost

Cause: a lost replica's place was given away after 8 s of silence, while the platform may lose another 4 s after the new one's start; with a third loss two of four voters were left. And each new leader counted every silence anew.

Ruled out: damaged logs (no line of level error), split votes (the term stays 2).

Appends name the silent members, so that the next leader goes on counting; it replaces nobody in its first 0.5 s. A replica that asks while another is let in waits for its turn instead of asking again.

--- a/version/include/lagoonquay/version/replica.hpp
+++ b/version/include/lagoonquay/version/replica.hpp
@@ -22,6 +22,11 @@
     std::uint32_t first_election_ticks = 3;
     //! Silence after which a member may be replaced from another address.
     std::uint32_t replace_ticks = 200;
+    //! Time in which a leader hears from every member that it can reach. It
+    //! replaces none before.
+    std::uint32_t first_contact_ticks = 5;
+    //! How long a replica that asks to be let in may wait for its turn.
+    std::uint32_t join_ticks = 5;
     //! Voters that the log grows to as replicas ask to be let in; zero keeps
     //! the first ones.
     std::size_t voters = 0;
@@ -149,6 +154,11 @@
         snapshot_handle sending;
         std::uint64_t offset = 0;
     };
+    struct joiner
+    {
+        replica_member member;
+        std::uint32_t ticks = 0; //!< since it asked
+    };
     struct pending_write
     {
         std::uint64_t sequence = 0;
@@ -186,9 +196,14 @@
     void on(const node_id& from, const append_request& asked);
     void on(const node_id& from, const append_reply& reply);
     void follow_members();
+    std::vector<member_silence> member_silences() const;
 
     // Membership
     void promote_learners();
+    std::uint32_t known_silence(const node_id& node) const;
+    bool may_admit() const noexcept;
+    void admit(const replica_member& joining);
+    void admit_waiting();
     std::optional<membership> members_with(const replica_member& joining) const;
     const replica_member* silent_member(std::uint32_t ticks) const;
     bool may_change_members() const noexcept;
@@ -215,12 +230,18 @@
     log_index commit_;
     log_index own_match_;
     bool caught_up_ = false;
-    std::uint32_t quiet_ticks_ = 0; //!< since a leader was heard
+    std::uint32_t quiet_ticks_ =
+        0; //!< since a leader was heard, or an election
+    std::optional<node_id> heard_leader_; //!< the last one, also if it is lost
+    std::uint32_t leaderless_ticks_ = 0;  //!< since that one was heard
+    std::vector<member_silence> told_silences_; //!< by that one
+    std::uint32_t leading_ticks_ = 0;
     std::uint32_t timeout_ticks_ = 0;
     std::set<node_id> granted_;
     bool handing_over_ = false;
     std::uint32_t hand_over_ticks_ = 0;
     std::map<node_id, progress> followers_;
+    std::map<node_id, joiner> joiners_; //!< that wait for their turn
     std::optional<incoming_snapshot> incoming_;
     std::uint64_t sequence_ = 0;
     std::deque<pending_write> writing_;
--- a/version/include/lagoonquay/version/replica_message.hpp
+++ b/version/include/lagoonquay/version/replica_message.hpp
@@ -27,6 +27,16 @@
     friend bool operator==(const vote_reply&, const vote_reply&) = default;
 };
 
+//! A member from which the leader hears nothing.
+struct member_silence
+{
+    node_id node;
+    std::uint32_t ticks = 0; //!< since it was last heard
+
+    friend bool operator==(const member_silence&,
+                           const member_silence&) = default;
+};
+
 //! Entries after `previous`; without entries, a heartbeat.
 struct append_request
 {
@@ -36,6 +46,8 @@
     std::vector<log_entry> entries;
     log_index commit;
     bool ready = false; //!< the leader has committed in its own term
+    //! For the next leader, which would else count each silence anew.
+    std::vector<member_silence> silent = {};
 
     friend bool operator==(const append_request&,
                            const append_request&) = default;
--- a/version/src/replica_codec.cpp
+++ b/version/src/replica_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "replica_json.hpp"
 
+#include <limits>
+
 namespace json = boost::json;
 
 namespace lagoonquay
@@ -40,6 +42,13 @@
         out["entries"] = std::move(entries);
         out["commit"] = it.commit.number();
         out["ready"] = it.ready;
+        if (it.silent.empty())
+            return;
+        json::array silent;
+        for (const auto& member : it.silent)
+            silent.push_back(json::object{{"node", member.node.text()},
+                                          {"ticks", member.ticks}});
+        out["silent"] = std::move(silent);
     }
     void operator()(const append_reply& it) const
     {
@@ -70,6 +79,26 @@
     }
 };
 
+std::vector<member_silence> silent_from_json(json_fields& fields)
+{
+    constexpr auto most_ticks = std::numeric_limits<std::uint32_t>::max();
+    std::vector<member_silence> found;
+    if (fields.member("silent") == nullptr)
+        return found;
+    const auto* rows = fields.array("silent");
+    if (rows == nullptr)
+        return found;
+    for (const auto& it : *rows)
+    {
+        json_fields row(it, "silent");
+        found.push_back(
+            {node_id(row.text("node", replica_id_bytes)),
+             static_cast<std::uint32_t>(row.number("ticks", 0, most_ticks))});
+        fields.absorb(row);
+    }
+    return found;
+}
+
 append_request append_from_json(json_fields& fields, term_number term)
 {
     append_request asked{.term = term,
@@ -77,7 +106,8 @@
                          .previous_term = term_of(fields, "previous_term"),
                          .entries = {},
                          .commit = index_of(fields, "commit"),
-                         .ready = fields.flag_or("ready", false)};
+                         .ready = fields.flag_or("ready", false),
+                         .silent = silent_from_json(fields)};
     const auto* entries = fields.array("entries");
     if (entries == nullptr)
         return asked;
--- a/version/src/replica_election.cpp
+++ b/version/src/replica_election.cpp
@@ -13,21 +13,41 @@
     role_ = replica_role::follower;
     leader_ = std::move(leader);
     followers_.clear();
+    joiners_.clear();
     granted_.clear();
     handing_over_ = false;
     reset_timeout();
 }
 
 // A leader commits only entries of its own term, so it appends one at once.
+// Members stay silent from one leader to the next: where leaders are lost in
+// series, none of them would else wait long enough to replace a lost member.
 void replica::become_leader()
 {
     role_ = replica_role::leader;
     leader_ = options_.self;
-    granted_.clear();
+    leading_ticks_ = 0;
     follow_members();
+    for (auto& [node, it] : followers_)
+        it.silent_ticks = granted_.contains(node) ? 0 : known_silence(node);
+    granted_.clear();
     append(no_operation{});
 }
 
+// @return for how long the member has been silent, as far as this replica heard
+// from the last leader; zero if it was not.
+std::uint32_t replica::known_silence(const node_id& node) const
+{
+    if (heard_leader_ == node)
+        return leaderless_ticks_;
+    for (const auto& it : told_silences_)
+    {
+        if (it.node == node)
+            return it.ticks + leaderless_ticks_;
+    }
+    return 0;
+}
+
 void replica::campaign(bool trial, bool by_hand_over)
 {
     const term_number next(state_.term.number() + 1);
@@ -54,6 +74,7 @@
 void replica::tick_follower()
 {
     ++quiet_ticks_;
+    ++leaderless_ticks_;
     if (quiet_ticks_ < timeout_ticks_)
         return;
     if (!is_voter(log_.members(), options_.self))
--- a/version/src/replica_replication.cpp
+++ b/version/src/replica_replication.cpp
@@ -10,6 +10,7 @@
 // neither accepts commands nor hides from its clients that it is cut off.
 void replica::tick_leader()
 {
+    ++leading_ticks_;
     std::size_t active = is_voter(log_.members(), options_.self) ? 1 : 0;
     for (auto& [node, it] : followers_)
     {
@@ -25,6 +26,7 @@
     if (handing_over_)
         hand_over();
     promote_learners();
+    admit_waiting();
     send_to_all(true);
 }
 
@@ -55,7 +57,8 @@
                          .previous_term = *previous_term,
                          .entries = {},
                          .commit = commit_,
-                         .ready = log_.term_at(commit_) == state_.term};
+                         .ready = log_.term_at(commit_) == state_.term,
+                         .silent = member_silences()};
     if (sent <= options_.window_entries)
         asked.entries = log_.slice(target.next, options_.batch_entries,
                                    options_.batch_bytes);
@@ -65,6 +68,17 @@
     send(to, std::move(asked), false);
 }
 
+std::vector<member_silence> replica::member_silences() const
+{
+    std::vector<member_silence> found;
+    for (const auto& [node, it] : followers_)
+    {
+        if (it.silent_ticks > options_.election_ticks)
+            found.push_back({node, it.silent_ticks});
+    }
+    return found;
+}
+
 void replica::send_to_all(bool heartbeat)
 {
     for (auto& [node, it] : followers_)
@@ -126,6 +140,9 @@
     if (asked.term < state_.term)
         return send(from, reply, false);
     become_follower(asked.term, from);
+    heard_leader_ = from;
+    leaderless_ticks_ = 0;
+    told_silences_ = asked.silent;
     const bool known = asked.previous < commit_ ||
                        log_.term_at(asked.previous) == asked.previous_term;
     if (!known)
@@ -195,15 +212,42 @@
            log_.term_at(commit_) == state_.term;
 }
 
+// Who asks while another is let in need not wait until it asks again: the next
+// loss may come first.
 void replica::on_join(const replica_member& joining)
 {
-    if (!may_change_members() ||
-        find_node(log_.members(), joining.node) != nullptr)
+    if (role_ != replica_role::leader)
+        return;
+    if (!may_admit())
+        joiners_.insert_or_assign(joining.node, joiner{joining, 0});
+    else
+        admit(joining);
+}
+
+bool replica::may_admit() const noexcept
+{
+    return may_change_members() &&
+           leading_ticks_ >= options_.first_contact_ticks;
+}
+
+void replica::admit(const replica_member& joining)
+{
+    if (find_node(log_.members(), joining.node) != nullptr)
         return;
     if (auto changed = members_with(joining))
         append(*std::move(changed));
 }
 
+void replica::admit_waiting()
+{
+    for (auto& [node, it] : joiners_)
+        ++it.ticks;
+    std::erase_if(joiners_, [&](const auto& it)
+                  { return it.second.ticks > options_.join_ticks; });
+    while (!joiners_.empty() && may_admit())
+        admit(joiners_.extract(joiners_.begin()).mapped().member);
+}
+
 // The old life of a data folder keeps answering heartbeats of members for a
 // while when it is only cut off. From another address it is replaced only
 // after a silence in which it has stopped doing so. A replica of an unknown
