Pass a cancel on to the entry that holds the job

Cause: cancel marked the job of the entry that was asked. Where that one had forwarded the job or did not know it, nobody told the holder of the claim.

Change: a cancel goes to the holder, known from the forwarding or from a lookup at the submission's ledger replicas (at most five). The caller gets the holder's answer; 503 if it can't be had. An entry that gave the job up asks as well.

--- a/process/entry/include/lagoonquay/process/entry_http.hpp
+++ b/process/entry/include/lagoonquay/process/entry_http.hpp
@@ -42,6 +42,10 @@
                          const refusal_proof_hook& refusal_proves_end,
                          const held_claims_hook& done);
 
+//! @return a hook that cancels jobs at other entries over HTTP. The client must
+//! outlive the hook.
+cancel_hook cancel_over_http(http_client& client);
+
 //! @return a hook that forwards jobs to other entries over HTTP, and passes
 //! their answer on, or nothing if none arrives within the job's time limit. The
 //! client must outlive the hook.
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -37,6 +37,21 @@
 using forward_hook =
     std::function<void(const std::string& address, const job&, forwarded_hook)>;
 
+//! What became of a caller's cancel.
+enum class cancel_outcome
+{
+    cancelled,   //!< by the entry that holds the job, or the job has ended
+    unknown,     //!< no entry has such a job
+    unconfirmed, //!< the entry that holds the job can't be reached now
+};
+
+//! Receives the outcome of a cancel. Called once, from any thread.
+using cancel_callback = std::function<void(cancel_outcome)>;
+
+//! Cancels a job at the entry that holds its claim. Thread-safe.
+using cancel_hook = std::function<void(const std::string& address,
+                                       const submission_id&, cancel_callback)>;
+
 //! Requests one more run of an idempotent task from the customer's retry
 //! budget. @return whether the run is allowed. Thread-safe.
 using retry_hook = std::function<bool(const customer_id&)>;
@@ -89,6 +104,7 @@
     wall_clock_hook wall;
     claim_hook claim;
     forward_hook forward;
+    cancel_hook cancel = {}; //!< if absent, other entries can't be reached
     random_hook draw;
     retry_hook retry = {}; //!< if absent, a job gets as many retries as tasks
     //! Current queueing delay of work in this process; may be absent.
@@ -138,8 +154,12 @@
     //! @param done  receives the complete answer, or the failure or refusal.
     void submit(const job& submitted, answer_hook done);
 
-    //! Cancels a job. @return false if this entry has no such job.
-    bool cancel(const submission_id& submission);
+    //! Cancels a job at the entry that holds it, this one or another.
+    void cancel(const submission_id& submission, const cancel_callback& done);
+
+    //! Cancels a job of this entry. The agents are told until its tasks have
+    //! ended. @return false if this entry has no such job.
+    bool cancel_here(const submission_id& submission);
 
     //! @return the progress of a job, or nothing if this entry has no such job.
     std::optional<job_progress> progress(const submission_id& submission);
@@ -295,6 +315,14 @@
                                             const linked_runs& links,
                                             instant now) const;
 
+    // entry_cancels.cpp: cancels by callers
+    void cancel_at_holder(const submission_id& submission,
+                          cancel_outcome otherwise,
+                          const cancel_callback& done);
+    void cancel_at(const std::string& address, const submission_id& submission,
+                   const cancel_callback& done) const;
+    void repeat_cancels(instant now);
+
     // entry_stops.cpp: runs of jobs that this entry may not run any longer
     static std::vector<attempt_key> stoppable_runs(const job_state& state);
     void give_up_runs(const job_pointer& state,
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -213,6 +213,7 @@
     with_job(state,
              [&](job_state& it)
              {
+                 it.holder_address = address;
                  send = !it.forward_pending && !it.answer;
                  it.forward_pending = true;
                  it.stage = job_stage::forwarded;
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -25,6 +25,7 @@
 constexpr std::string_view jobs_path = "/v1/jobs";
 constexpr std::uint32_t retry_after_s = 1;
 constexpr duration held_claims_timeout = std::chrono::milliseconds(500);
+constexpr duration cancel_timeout = std::chrono::seconds(1);
 
 http_response not_found()
 {
@@ -171,11 +172,43 @@
     return {.status = http_status::accepted, .body = json::serialize(body)};
 }
 
-http_response cancel_response(entry_service& service, const submission_id& id)
+http_response cancel_response(cancel_outcome outcome)
 {
-    if (!service.cancel(id))
+    switch (outcome)
+    {
+    case cancel_outcome::cancelled:
+        return {.status = http_status::accepted, .body = "{}"};
+    case cancel_outcome::unknown:
         return not_found();
-    return {.status = http_status::accepted, .body = "{}"};
+    case cancel_outcome::unconfirmed:
+        break;
+    }
+    auto response = error_response(http_status::unavailable, "unconfirmed",
+                                   "the entry that holds the job can't be "
+                                   "reached");
+    response.retry_after_s = retry_after_s;
+    return response;
+}
+
+//! Cancels the job at this entry only, for another entry.
+http_response cancel_here(entry_service& service, const submission_id& id)
+{
+    return cancel_response(service.cancel_here(id) ? cancel_outcome::cancelled
+                                                   : cancel_outcome::unknown);
+}
+
+//! Cancels the job wherever it is, for a caller.
+route_handler cancel_route(entry_service& service)
+{
+    return [&service](const http_request&, std::string_view rest,
+                      const http_responder& respond)
+    {
+        if (!is_valid_id(rest))
+            return respond(not_found());
+        service.cancel(submission_id(std::string(rest)),
+                       [respond](cancel_outcome outcome)
+                       { respond(cancel_response(outcome)); });
+    };
 }
 
 //! Calls `use` with the submission id at the end of the path, or responds with
@@ -273,8 +306,7 @@
          {http_method::post, "/v1/requests",
           submit_route(service, limits, decode_single_request, &answers)},
          {http_method::get, jobs + "/", with_job(service, progress_response)},
-         {http_method::remove, jobs + "/",
-          with_job(service, cancel_response)}});
+         {http_method::remove, jobs + "/", cancel_route(service)}});
 }
 
 http_handler peer_routes(entry_service& service, ledger_replica& ledger,
@@ -296,7 +328,9 @@
         {{http_method::post, "/v1/ledger/claim", claim},
          {http_method::get, "/v1/ledger/held", answer_with(held)},
          {http_method::post, std::string(jobs_path),
-          submit_route(service, limits, decode_job, nullptr)}});
+          submit_route(service, limits, decode_job, nullptr)},
+         {http_method::remove, std::string(jobs_path) + "/",
+          with_job(service, cancel_here)}});
 }
 
 http_handler entry_operator_routes(entry_service& service,
@@ -335,6 +369,32 @@
                 });
 }
 
+cancel_hook cancel_over_http(http_client& client)
+{
+    return [&client](const std::string& address, const submission_id& id,
+                     const cancel_callback& done)
+    {
+        const auto target = parse_endpoint(address);
+        if (!target)
+            return done(cancel_outcome::unconfirmed);
+        http_request request;
+        request.method = http_method::remove;
+        request.path = std::string(jobs_path) + "/" + id.text();
+        client.send(target.value(), request, cancel_timeout,
+                    [done](const connection_result<http_response>& answer)
+                    {
+                        if (!answer)
+                            return done(cancel_outcome::unconfirmed);
+                        const auto status = answer.value().status;
+                        if (status == http_status::accepted)
+                            return done(cancel_outcome::cancelled);
+                        done(status == http_status::not_found
+                                 ? cancel_outcome::unknown
+                                 : cancel_outcome::unconfirmed);
+                    });
+    };
+}
+
 forward_hook forward_over_http(http_client& client)
 {
     return [&client](const std::string& address, const job& work,
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -50,6 +50,8 @@
     job_run run;
     job_stage stage = job_stage::claiming;
     bool cancelled = false;
+    instant cancel_sent{};      //!< when the cancel was last passed on
+    std::string holder_address; //!< of a job that was forwarded
 
     claim_round round;
     instant claim_end{};
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -178,6 +178,7 @@
                      .refusal_proves_end = refusal_proof()},
                     steady_now),
                 .forward = forward_over_http(client),
+                .cancel = cancel_over_http(client),
                 .draw = seeded_random_hook(run.number()),
                 .retry = {},
                 .work_delay = [this]
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -79,33 +79,6 @@
     request_claim(state, claim_round());
 }
 
-// Before the claim is granted, the holder of an earlier claim may have started
-// any of the tasks. They are cancelled only once the claim is decided.
-bool entry_service::cancel(const submission_id& submission)
-{
-    const auto state = find(submission);
-    if (!state)
-        return false;
-    const auto now = hooks_.now();
-    std::vector<attempt_key> with_agents;
-    with_job(state,
-             [&](job_state& it)
-             {
-                 it.cancelled = true;
-                 with_agents = it.run.dispatched();
-                 if (it.stage != job_stage::running)
-                     return;
-                 for (const auto& index : it.run.waiting())
-                     it.run.finish_waiting(index, failure_reason::cancelled,
-                                           "cancelled by the caller",
-                                           waiting_effect(it, now));
-             });
-    for (const auto& key : with_agents)
-        dispatcher_.agents().send(key.agent, cancel_message{submission, key});
-    finish_if_complete(state);
-    return true;
-}
-
 std::optional<job_progress>
 entry_service::progress(const submission_id& submission)
 {
@@ -162,6 +135,7 @@
     expire_answers(now);
     maintain_claims(now);
     stop_lapsed(now);
+    repeat_cancels(now);
     dispatcher_.tick();
 }
 
--- a/process/entry/tests/fake_fleet.cpp
+++ b/process/entry/tests/fake_fleet.cpp
@@ -58,6 +58,17 @@
             });
 }
 
+void fake_fleet::cancel(std::size_t entry, const submission_id& submission)
+{
+    deliver(entries_[entry]->process,
+            [this, entry, submission]
+            {
+                entries_[entry]->service->cancel(
+                    submission, [this](cancel_outcome it)
+                    { record_.cancels.push_back(it); });
+            });
+}
+
 void fake_fleet::run_for(duration span)
 {
     time_.run_until(time_.now() + span);
@@ -116,6 +127,10 @@
                                              const job& work,
                                              forwarded_hook done)
                     { forward(entry, address, work, done); },
+                    .cancel = [this, entry](const std::string& address,
+                                            const submission_id& submission,
+                                            const cancel_callback& done)
+                    { cancel_at(entry, address, submission, done); },
                     .draw = [this](std::uint64_t bound) { return draw(bound); },
                     .retry = {}});
     host.service->set_permit(endless_permit());
--- a/process/entry/tests/fake_fleet.hpp
+++ b/process/entry/tests/fake_fleet.hpp
@@ -51,6 +51,7 @@
     std::vector<job_answer> answers;
     std::vector<std::string> violations;
     std::vector<claim_request> claims; //!< sent by the entries
+    std::vector<cancel_outcome> cancels;
     std::uint64_t lost_calls = 0; //!< unanswered when their entry was killed
 };
 
@@ -117,6 +118,9 @@
                claim_callback done);
     void forward(std::size_t from, const std::string& address, const job& work,
                  const forwarded_hook& done);
+    void cancel_at(std::size_t from, const std::string& address,
+                   const submission_id& submission,
+                   const cancel_callback& done);
     void call_upstream(std::size_t agent, const upstream_call& call,
                        const upstream_callback& done);
     void stop_upstream_task(const task_key& key);
--- a/process/entry/tests/fake_fleet_calls.cpp
+++ b/process/entry/tests/fake_fleet_calls.cpp
@@ -103,6 +103,27 @@
                 { deliver(sender, [finish] { finish(std::nullopt); }); });
 }
 
+void fake_fleet::cancel_at(std::size_t from, const std::string& address,
+                           const submission_id& submission,
+                           const cancel_callback& done)
+{
+    const auto sender = entries_[from]->process;
+    const auto n = std::stoul(address.substr(std::string("entry-").size()));
+    const auto process = entries_[n]->process;
+    if (!process->alive)
+        return send(sender, [done] { done(cancel_outcome::unconfirmed); });
+    send(process,
+         [this, n, sender, submission, done]
+         {
+             const bool known = entries_[n]->service->cancel_here(submission);
+             send(sender,
+                  [done, known] {
+                      done(known ? cancel_outcome::cancelled
+                                 : cancel_outcome::unknown);
+                  });
+         });
+}
+
 void fake_fleet::call_upstream(std::size_t agent, const upstream_call& call,
                                const upstream_callback& done)
 {
--- a/process/ledger/include/lagoonquay/process/claim_quorum.hpp
+++ b/process/ledger/include/lagoonquay/process/claim_quorum.hpp
@@ -72,7 +72,7 @@
                           const claim_answer& answer, claim_step& step);
     claim_step decide(claim_step step);
 
-    const bool is_release_;
+    const bool asks_all_;
     std::vector<group_quorum> groups_;
     std::set<endpoint> asked_;
     std::set<endpoint> pending_;
--- a/process/ledger/include/lagoonquay/process/ledger_shard.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_shard.hpp
@@ -41,6 +41,7 @@
     //! Ends the submission with a failure; no entry can claim it again.
     bool close = false;
     bool release = false; //!< gives up a claim that was never used
+    bool lookup = false;  //!< asks for the holder, and changes nothing
     duration lease{};
     agent_reach reach; //!< agents that the job may use
     //! Number under which the replica caches `reach`; zero if it has none.
@@ -159,6 +160,7 @@
     bool can_vote(const claim_request& request, instant now,
                   wall_time wall) const noexcept;
     claim_vote add(const claim_request& request, instant now, wall_time wall);
+    static claim_vote look_up(const record& held, instant now);
     static claim_vote release(record& held, const claim_request& request,
                               instant now);
     static claim_vote renew(record& held, const claim_request& request,
--- a/process/ledger/src/claim_quorum.cpp
+++ b/process/ledger/src/claim_quorum.cpp
@@ -28,7 +28,7 @@
 
 claim_quorum::claim_quorum(const claim_request& asked,
                            std::vector<replica_group> groups, instant sent)
-    : is_release_(asked->release)
+    : asks_all_(asked->release || asked->lookup)
 {
     for (auto& it : groups)
     {
@@ -106,13 +106,13 @@
         quorum.outcome = outcome;
 }
 
-// A release goes to every replica, because any of them may have recorded the
-// claim.
+// A release and a lookup go to every replica, because any of them may have
+// recorded the claim.
 std::size_t
 claim_quorum::initial_request_count(const group_quorum& quorum) const noexcept
 {
     const auto others = quorum.group.others.size();
-    if (is_release_)
+    if (asks_all_)
         return others;
     const std::size_t local = quorum.group.local ? 1 : 0;
     return (others + local) / 2 + 1 - local;
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -85,6 +85,8 @@
         object["close"] = true;
     if (request->release)
         object["release"] = true;
+    if (request->lookup)
+        object["lookup"] = true;
     return object;
 }
 
@@ -105,6 +107,7 @@
         claim_sequence(fields.number_or("ask", 0, 0, json_exact_limit));
     options.close = fields.flag_or("close", false);
     options.release = fields.flag_or("release", false);
+    options.lookup = fields.flag_or("lookup", false);
     options.lease = get_duration(fields, "lease_us");
     return options;
 }
--- a/process/ledger/src/ledger_shard.cpp
+++ b/process/ledger/src/ledger_shard.cpp
@@ -43,6 +43,10 @@
                                wall_time wall)
 {
     const auto it = records_.find(request->submission);
+    if (request->lookup)
+        return it == records_.end()
+                   ? claim_vote({.verdict = claim_verdict::granted})
+                   : look_up(it->second, now);
     if (it == records_.end())
         return add(request, now, wall);
     auto& held = it->second;
@@ -144,6 +148,13 @@
          .reach = held.reach});
 }
 
+claim_vote ledger_shard::look_up(const record& held, instant now)
+{
+    if (held.closed || now >= held.lease_end)
+        return claim_vote({.verdict = claim_verdict::granted});
+    return held_by(held.holder_address);
+}
+
 claim_vote ledger_shard::release(record& held, const claim_request& request,
                                  instant now)
 {
