Count a replica as storing until the messages of a write are sent

It waits for storage threads at rest by storing(), which was cleared before the messages that the write led to were sent, so that virtual time went on without them.

Change: the flag is cleared after the messages. Nothing but that test reads it.

--- a/process/control/include/lagoonquay/process/control_replica.hpp
+++ b/process/control/include/lagoonquay/process/control_replica.hpp
@@ -133,7 +133,8 @@
 
     control_replica_state state() const;
 
-    //! @return whether a write waits to be stored or is being stored.
+    //! @return whether a write waits to be stored or is being stored, or a
+    //! message that depends on it is about to be sent.
     bool storing() const;
 
 private:
--- a/process/control/src/control_replica.cpp
+++ b/process/control/src/control_replica.cpp
@@ -53,17 +53,24 @@
             step(
                 [&](deferred_calls& calls)
                 {
-                    storing = false;
                     if (stored)
                         core->stored(writes->back().sequence, calls);
                     else
                         core->storage_failed(stored.error().detail, calls);
                 });
+            end_storing();
             if (!stored)
                 recover();
         }
     }
 
+    // Only now are the messages that depended on the writes sent.
+    void end_storing()
+    {
+        const std::lock_guard lock(mutex);
+        storing = false;
+    }
+
     //! Begins anew from what is stored, as a restart does, once the disk takes
     //! writes again.
     void recover()
@@ -118,7 +125,9 @@
     const node_id node;
     control_replica_options options;
     std::optional<control_replica_core> core;
-    bool storing = false; //!< writes were taken and are not stored yet
+    //! Writes were taken, and are not stored yet or what they lead to is not
+    //! sent yet.
+    bool storing = false;
     bool ending = false;
     std::thread storage;
 };
