Ask for a holder only where a job may run elsewhere; count each silence once

A DELETE that is repeated after its job was answered as cancelled, or failed by its own tasks, is answered at once instead of by way of the ledger. An attempt that is given up no longer counts as cancelled in the agent's figures.

Release tests of version, cancels, given-up runs and recovery pass.

--- a/process/agent/src/agent_recovery.cpp
+++ b/process/agent/src/agent_recovery.cpp
@@ -102,7 +102,7 @@
         return stop_run(key, cancel.key.attempt);
     if (!forbidden)
         return;
-    ++cancelled_;
+    cancelled_ += cancel.given_up ? 0 : 1;
     if (answered)
         return;
     dispatch_message unseen;
--- a/process/entry/src/entry_cancels.cpp
+++ b/process/entry/src/entry_cancels.cpp
@@ -23,6 +23,13 @@
         {{"at", at}, {"outcome", names[static_cast<std::size_t>(outcome)]}});
 }
 
+// An answer after which the caller may have sent the job to another entry.
+bool may_run_elsewhere(const job_answer& answer)
+{
+    return !succeeded(answer) && answer->reason != failure_reason::cancelled &&
+           answer->reason != failure_reason::upstream_failed;
+}
+
 } // namespace
 
 // The caller is told of a cancel only by the entry that dispatches the job's
@@ -42,8 +49,7 @@
                      if (it.stage == job_stage::forwarded)
                          holder = it.holder_address;
                  });
-    const bool given_up = answer && !succeeded(*answer);
-    if (!known || given_up)
+    if (!known || (answer && may_run_elsewhere(*answer)))
         return cancel_at_holder(
             submission,
             known ? cancel_outcome::cancelled : cancel_outcome::unknown, done);
--- a/version/src/replica_election.cpp
+++ b/version/src/replica_election.cpp
@@ -11,6 +11,11 @@
     if (term > state_.term)
         set_term(term, std::nullopt);
     role_ = replica_role::follower;
+    if (leader)
+    {
+        heard_leader_ = leader;
+        leaderless_ticks_ = 0;
+    }
     leader_ = std::move(leader);
     followers_.clear();
     joiners_.clear();
--- a/version/src/replica_replication.cpp
+++ b/version/src/replica_replication.cpp
@@ -140,8 +140,6 @@
     if (asked.term < state_.term)
         return send(from, reply, false);
     become_follower(asked.term, from);
-    heard_leader_ = from;
-    leaderless_ticks_ = 0;
     told_silences_ = asked.silent;
     const bool known = asked.previous < commit_ ||
                        log_.term_at(asked.previous) == asked.previous_term;
