Tell why an agent stops a run, and what it knew as a worker's life began

Change: lines run_stopped (cause, fence, age of the list) and worker_life (birth, clock, fence, runs ended and unresolved); the lines of leased runs move to run_events.

--- a/process/agent/src/leased_runs.cpp
+++ b/process/agent/src/leased_runs.cpp
@@ -1,6 +1,6 @@
 #include "lagoonquay/process/leased_runs.hpp"
 
-#include "lagoonquay/process/decision_log.hpp"
+#include "lagoonquay/process/log.hpp"
 #include "run_table.hpp"
 
 #include <mutex>
@@ -13,28 +13,6 @@
 
 constexpr std::string_view part = "lease";
 
-void log_given_up(const given_up_run& it)
-{
-    write_event(
-        log_level::warning, part, it.run.submission, "run_given_up",
-        {{"task", static_cast<std::int64_t>(it.run.index.number())},
-         {"attempt", static_cast<std::int64_t>(it.run.attempt.number())},
-         {"reason", to_text(it.reason)},
-         {"age_ms", milliseconds_of(it.age)},
-         {"list_age_ms", milliseconds_of(it.list_age)}});
-}
-
-void log_resurfaced(const resurfaced_run& it)
-{
-    const auto& run = it.run.run;
-    write_event(log_level::error, part, run.submission, "run_resurfaced",
-                {{"task", static_cast<std::int64_t>(run.index.number())},
-                 {"attempt", static_cast<std::int64_t>(run.attempt.number())},
-                 {"given_up_as", to_text(it.run.reason)},
-                 {"after_ms", milliseconds_of(it.after)},
-                 {"runs", it.is_running ? "yes" : "ended"}});
-}
-
 } // namespace
 
 // run_table makes the decisions; this class locks it and sends its orders.
@@ -61,9 +39,13 @@
     void send(const run_table_output& output)
     {
         for (const auto& it : output.given_up)
-            log_given_up(it);
+            log_event(it);
         for (const auto& it : output.resurfaced)
-            log_resurfaced(it);
+            log_event(it);
+        for (const auto& it : output.stopped)
+            log_event(it);
+        if (output.begun)
+            log_event(*output.begun);
         for (const auto& it : output.starts)
             hooks.worker.start(
                 output.worker, it,
--- a/process/agent/src/run_reports.cpp
+++ b/process/agent/src/run_reports.cpp
@@ -18,7 +18,9 @@
         if (runs_.contains(id))
             continue;
         record_resurfaced(id, true, now);
-        unknown_runs_.try_emplace(id);
+        if (unknown_runs_.try_emplace(id).second)
+            output_.stopped.push_back(
+                {id, stop_cause::unknown_run, fence_, now - asked_at});
     }
     std::erase_if(unknown_runs_,
                   [&](const auto& each)
@@ -119,9 +121,9 @@
             it.current_phase = phase::running;
         if (it.current_phase != phase::unconfirmed)
             continue;
-        it.current_phase = is_there ? phase::running : phase::stopping;
+        it.current_phase = phase::running;
         if (!is_there)
-            send_stop(id, it, now);
+            begin_stop(id, it, stop_cause::unanswered, now, now - asked_at);
     }
     for (const auto& id : missing)
         give_up(id, give_up_reason::absent, now, now - asked_at);
@@ -150,8 +152,7 @@
         }
         if (!is_stalled(known, now))
             continue;
-        known.current_phase = phase::stopping;
-        send_stop(it.run, known, now);
+        begin_stop(it.run, known, stop_cause::no_progress, now);
     }
 }
 
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -76,8 +76,7 @@
         return;
     // The stop also revokes a start that is still in flight.
     found->second.cancelled = true;
-    found->second.current_phase = phase::stopping;
-    send_stop(id, found->second, now);
+    begin_stop(id, found->second, stop_cause::asked, now);
 }
 
 // After the last lease has expired, nothing runs at the worker, and it accepts
@@ -263,6 +262,14 @@
            std::chrono::duration_cast<worker_time>(options_.lease);
 }
 
+void run_table::begin_stop(const task_run& id, run& it, stop_cause cause,
+                           instant now, duration list_age)
+{
+    it.current_phase = phase::stopping;
+    output_.stopped.push_back({id, cause, fence_, list_age});
+    send_stop(id, it, now);
+}
+
 void run_table::send_stop(const task_run& id, run& it, instant now)
 {
     it.stop_sent = now;
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -3,6 +3,7 @@
 
 #include "given_up_runs.hpp"
 #include "lagoonquay/process/leased_runs.hpp"
+#include "run_events.hpp"
 
 #include <map>
 #include <optional>
@@ -30,17 +31,6 @@
     task_result result;
 };
 
-//! A run that the worker reports although it was given up.
-struct resurfaced_run
-{
-    given_up_run run;
-    bool is_running = false; //!< false if it has just ended
-    duration after{};        //!< since it was given up
-
-    friend bool operator==(const resurfaced_run&,
-                           const resurfaced_run&) = default;
-};
-
 //! Orders, results and log entries that the owner handles without the lock.
 struct run_table_output
 {
@@ -51,6 +41,8 @@
     std::vector<run_result> results;
     std::vector<given_up_run> given_up;     //!< to be logged
     std::vector<resurfaced_run> resurfaced; //!< to be logged
+    std::vector<stopped_run> stopped;       //!< to be logged
+    std::optional<begun_life> begun;        //!< to be logged
     bool readiness_changed = false;
 };
 
@@ -137,6 +129,8 @@
     bool is_unresponsive(instant now) const;
     worker_time worker_now(instant now) const;
     worker_time next_lease_end(instant now);
+    void begin_stop(const task_run& id, run& it, stop_cause cause, instant now,
+                    duration list_age = {});
     void send_stop(const task_run& id, run& it, instant now);
     void stop_unknown_runs(const std::vector<running_run>& running,
                            instant asked_at, instant now);
--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -79,11 +79,12 @@
             continue;
         }
         all_runs_end_at_ = max_lease_end(now);
-        it.current_phase = phase::stopping;
         it.stale_reports_up_to = last_extension_number_;
         it.clock_when_ordered = clock_;
-        send_stop(id, it, now);
+        begin_stop(id, it, stop_cause::next_life, now);
     }
+    output_.begun = begun_life{*worker_, clock_, fence_, over.size(),
+                               runs_.size() - over.size()};
     for (const auto& id : over)
         give_up(id, give_up_reason::restarted, now);
 }
