Split the session of a connection by its jobs

Change: reading and parsing are in http_session_reading.cpp, answers and the start of links in http_session_answering.cpp; life, waits, limits and end of a connection stay. The bodies are as they were. start_limit takes a std::function in place of a template argument, since it is called from all three files.

--- a/connection/src/http_session.hpp
+++ b/connection/src/http_session.hpp
@@ -10,6 +10,7 @@
 #include "websocket_link.hpp"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -109,8 +110,7 @@
     std::size_t held_bytes() const;
     void release_request();
     void abort_for_memory(std::uint64_t exchange);
-    template <typename Passed>
-    void start_limit(duration limit, Passed passed);
+    void start_limit(duration limit, std::function<void(http_session&)> passed);
     void end_limit();
     void on_read(error_code ec);
     void refuse_request(error_code ec);
