Move the tests of links into a file of their own

Names and bodies of the cases and of the fixture are as they were; functions and constants in the header are inline.

--- a/connection/tests/http_server_test.cpp
+++ b/connection/tests/http_server_test.cpp
@@ -1,16 +1,7 @@
-#include "lagoonquay/connection/http_server.hpp"
-
-#include "lagoonquay/connection/http_client.hpp"
-#include "lagoonquay/connection/http_routes.hpp"
+#include "http_server_fixture.hpp"
 #include "lagoonquay/connection/intake_budget.hpp"
-#include "lagoonquay/connection/message_link.hpp"
 #include "lagoonquay/connection/traffic_meter.hpp"
-#include "lagoonquay/connection/upstream.hpp"
-#include "lagoonquay/request/dispatch_codec.hpp"
-#include "raw_connection.hpp"
 
-#include <atomic>
-#include <boost/asio/io_context.hpp>
 #include <future>
 #include <gtest/gtest.h>
 #include <memory>
@@ -24,132 +15,6 @@
 namespace
 {
 
-//! Runs an I/O context on one thread, and counts what handlers throw.
-class io_thread
-{
-public:
-    io_thread() : guard_(io_.get_executor()), thread_([this] { run(); })
-    {
-    }
-    ~io_thread()
-    {
-        io_.stop();
-        thread_.join();
-    }
-    io_thread(const io_thread&) = delete;
-    io_thread& operator=(const io_thread&) = delete;
-
-    boost::asio::io_context& io()
-    {
-        return io_;
-    }
-
-    std::atomic<int> thrown{0};
-
-private:
-    void run()
-    {
-        while (!io_.stopped())
-        {
-            try
-            {
-                io_.run();
-            }
-            catch (const std::exception&)
-            {
-                ++thrown;
-            }
-        }
-    }
-
-    boost::asio::io_context io_;
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-        guard_;
-    std::thread thread_;
-};
-
-//! Echoes the body of POST /echo.
-http_handler echo_routes()
-{
-    const auto echo = [](const http_request& request, std::string_view rest,
-                         const http_responder& respond)
-    {
-        respond({.body = request.body + std::string(rest)});
-    };
-    return route_requests({{http_method::post, "/echo", echo},
-                           {http_method::get, "/echo/", echo}});
-}
-
-//! @return options that `set` has changed.
-template <typename Set>
-http_server_options limited(Set set)
-{
-    http_server_options options;
-    set(options);
-    return options;
-}
-
-class http_server_test : public testing::Test
-{
-protected:
-    http_server start(http_server_options options, http_handler handler)
-    {
-        options.listen = {"127.0.0.1", 0};
-        auto server = http_server::listen(thread_.io(), std::move(options),
-                                          std::move(handler));
-        EXPECT_TRUE(server);
-        return std::move(server).value();
-    }
-
-    http_server start(http_server_options options)
-    {
-        return start(std::move(options), echo_routes());
-    }
-
-    //! @return all that the server answers to these bytes.
-    static std::string answer(const http_server& server,
-                              const std::string& bytes)
-    {
-        const raw_connection peer(server.port());
-        peer.send(bytes);
-        peer.finish_sending();
-        return peer.read_to_end();
-    }
-
-    //! @return the result of a task whose upstream sends these bytes.
-    task_result call_upstream(const std::string& body)
-    {
-        const auto server =
-            start({}, [&](const http_request&, const http_responder& respond)
-                  { respond({.body = body}); });
-        return call({"127.0.0.1", server.port()});
-    }
-
-    task_result call(const endpoint& target)
-    {
-        constexpr std::size_t limit = 1000;
-        http_client client(thread_.io(), {.response_bytes = limit});
-        std::promise<task_result> done;
-        upstream_call asked;
-        asked.address = target;
-        asked.submission = submission_id("s");
-        asked.run_limit = std::chrono::minutes(1);
-        call_over_http(client)(asked, [&](const task_result& it)
-                               { done.set_value(it); });
-        return done.get_future().get();
-    }
-
-    io_thread thread_;
-};
-
-const std::string post = "POST /echo HTTP/1.1\r\nHost: h\r\n";
-const std::string post_hello = post + "Content-Length: 5\r\n\r\nhello";
-
-bool has_status(const std::string& answer, const std::string& code)
-{
-    return answer.starts_with("HTTP/1.1 " + code);
-}
-
 TEST_F(http_server_test, serves_pipelined_requests_in_order)
 {
     const auto server = start({});
@@ -363,18 +228,6 @@
     EXPECT_EQ(server.requests_in_progress(), 0U);
 }
 
-//! @return a masked WebSocket frame as a client sends it; the mask is zero.
-std::string frame(const std::string& text)
-{
-    return std::string("\x81") + static_cast<char>(0x80U | text.size()) +
-           std::string(4, '\0') + text;
-}
-
-const std::string open_link_request =
-    "GET /v1/link HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
-    "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
-    "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n";
-
 TEST_F(http_server_test, an_error_in_a_handler_ends_its_request_only)
 {
     std::vector<std::string> refused;
@@ -407,68 +260,6 @@
     EXPECT_EQ(thread_.thrown, 0);
 }
 
-// Which messages took effect is unknown, so the link does not go on.
-TEST_F(http_server_test, an_error_in_a_hook_of_a_link_closes_it)
-{
-    std::promise<void> closed;
-    auto options = limited([](auto& to) { to.link_path = "/v1/link"; });
-    options.listen = {"127.0.0.1", 0};
-    const auto server = http_server::listen(
-        thread_.io(), options, echo_routes(),
-        [&](const std::shared_ptr<message_link>& link)
-        {
-            link->start({.on_messages = [](const auto&)
-                         { throw std::runtime_error("unexpected"); },
-                         .on_close =
-                             [&]
-                         {
-                             closed.set_value();
-                         }});
-        });
-    ASSERT_TRUE(server);
-    const raw_connection peer(server.value().port());
-    peer.send(open_link_request);
-    EXPECT_TRUE(has_status(peer.read_until("\r\n\r\n"), "101"));
-    peer.send(frame(encode_frame({return_message{}})));
-    closed.get_future().wait();
-    const raw_connection next(server.value().port());
-    next.send(open_link_request);
-    EXPECT_TRUE(has_status(next.read_until("\r\n\r\n"), "101"));
-    EXPECT_EQ(thread_.thrown, 1);
-}
-
-TEST_F(http_server_test, closes_a_link_that_sends_what_is_no_frame)
-{
-    const std::string bad[] = {
-        frame("{}"), frame("[1]"), frame("[{\"type\":\"none\"}]"),
-        frame("\xff\xfe"), frame("[{\"type\":\"grant\"}]"),
-        // A frame of 2^62 bytes, and one with reserved bits.
-        std::string("\x81\xff\x40\0\0\0\0\0\0\0\0\0\0\0", 14),
-        std::string("\xff\x80\0\0\0\0", 6)};
-    for (const auto& it : bad)
-    {
-        std::promise<void> closed;
-        auto options = limited([](auto& to) { to.link_path = "/v1/link"; });
-        options.listen = {"127.0.0.1", 0};
-        const auto server =
-            http_server::listen(thread_.io(), options, echo_routes(),
-                                [&](const std::shared_ptr<message_link>& link)
-                                {
-                                    link->start({.on_messages = {},
-                                                 .on_close = [&]
-                                                 {
-                                                     closed.set_value();
-                                                 }});
-                                });
-        ASSERT_TRUE(server);
-        const raw_connection peer(server.value().port());
-        peer.send(open_link_request);
-        EXPECT_TRUE(has_status(peer.read_until("\r\n\r\n"), "101"));
-        peer.send(it);
-        closed.get_future().wait();
-    }
-}
-
 TEST_F(http_server_test, bytes_of_a_response_that_is_cut_off_are_counted)
 {
     const auto server =
