Don't count an answer of an unheard next life for the earlier one

An answer to a start names no life of the worker. Only one with a clock before the last one heard was taken for the next life's. A worker that had begun anew unheard, after a life that was short or was last heard when it was young, answers with a later clock. Its answer counted as a start in the earlier life, so the report of the next life, milliseconds later, ended the run as `restarted`, of unknown effect: the caller started it elsewhere while it went on, and the next list led to a stop of an unknown run.

A life is now confirmed for a run by a report of that life that lists it, or that was requested after the start was accepted. A new life ends confirmed runs only. One that was accepted and not confirmed goes on: the lists of the new life show whether it runs or has ended there, and an absent one is given up at once, without the hold of a start that may still arrive. Runs that are being stopped or whose start got no answer are stopped in the new life as before.

The schedules need spans without runs, in which the agent hears no later clock: hence pause_period.

Two tests took an accepted start alone as proof of the earlier life, which was the fault: a_new_life_ends_every_run and a_started_run_that_is_gone_has_its_result_at_once. A report lists the run in them now; what they expect after it is unchanged.

--- a/connection/include/lagoonquay/connection/worker.hpp
+++ b/connection/include/lagoonquay/connection/worker.hpp
@@ -119,6 +119,7 @@
     unknown,    //!< no answer: may have been, or may yet be, carried out
 };
 
+//! An answer to a start or a stop may come from a later life than was asked.
 struct order_reply
 {
     order_result result = order_result::unknown;
--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -67,9 +67,9 @@
     leased_runs(const leased_runs&) = delete;
     leased_runs& operator=(const leased_runs&) = delete;
 
-    //! Sets the worker, or its next life after a restart. Runs of an earlier
-    //! life have ended; runs that a new worker still holds for an earlier
-    //! agent are stopped.
+    //! Sets the worker, or its next life after a restart. Runs that a report of
+    //! an earlier life confirmed have ended; others may run in the next life.
+    //! Runs that a new worker still holds for an earlier agent are stopped.
     //! @param clock  the worker's clock as last received.
     //! @param decision  sequence number of the decision that selected the
     //! worker; threads may deliver decisions out of order, so a lower number
--- a/process/agent/src/run_reports.cpp
+++ b/process/agent/src/run_reports.cpp
@@ -104,9 +104,11 @@
     std::vector<task_run> missing;
     for (auto& [id, it] : runs_)
     {
+        const bool is_there = there.contains(id);
+        it.is_life_confirmed = it.is_life_confirmed || is_there;
         if (number <= it.stale_reports_up_to)
             continue;
-        const bool is_there = there.contains(id);
+        it.is_life_confirmed = it.is_life_confirmed || it.is_start_resolved;
         if (is_there)
         {
             it.stale_reports_up_to = last_extension_number_;
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -86,6 +86,9 @@
         instant ordered{};
         worker_time clock_when_ordered{};
         bool is_start_resolved = false; //!< no start is in flight
+        //! A report of this life listed the run, or was requested after the
+        //! start was accepted.
+        bool is_life_confirmed = false;
         instant retry_end{}; //!< until when an unknown result may be retried
         phase current_phase = phase::starting;
         //! Reports of extensions with a higher number were requested after
@@ -122,6 +125,7 @@
     void raise_fence(fencing_token refused, const order_reply& reply,
                      instant now);
     void give_up_runs_of_earlier_life(bool is_same_worker, instant now);
+    void keep_for_next_life(const task_run& id, run& it, instant now);
     static order_result result_in_this_life(const run& it,
                                             const order_reply& reply);
     void mark_life_unconfirmed(instant now);
--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -64,24 +64,21 @@
 }
 
 // Orders contain the worker's name but not its life, which changes with
-// each restart, so a worker that restarted under the same name may execute a
-// start without an answer. A stop revokes it there.
+// each restart, so a worker that restarted under the same name may have
+// executed each start that no report of the earlier life confirms.
 void run_table::give_up_runs_of_earlier_life(bool is_same_worker, instant now)
 {
     std::vector<task_run> over;
     for (auto& [id, it] : runs_)
     {
-        if (it.is_start_resolved || !is_same_worker)
+        if (it.is_life_confirmed || !is_same_worker)
         {
             // A worker of another name refuses orders to this one.
             it.is_start_resolved = true;
             over.push_back(id);
             continue;
         }
-        all_runs_end_at_ = max_lease_end(now);
-        it.stale_reports_up_to = last_extension_number_;
-        it.clock_when_ordered = clock_;
-        begin_stop(id, it, stop_cause::next_life, now);
+        keep_for_next_life(id, it, now);
     }
     output_.begun = begun_life{*worker_, clock_, fence_, over.size(),
                                runs_.size() - over.size()};
@@ -89,6 +86,20 @@
         give_up(id, give_up_reason::restarted, now);
 }
 
+// An accepted start is in flight no more, so the reports of the next life show
+// whether it runs there. A start without an answer may still arrive there, so
+// it is stopped.
+void run_table::keep_for_next_life(const task_run& id, run& it, instant now)
+{
+    all_runs_end_at_ = max_lease_end(now);
+    it.stale_reports_up_to = last_extension_number_;
+    it.clock_when_ordered = clock_;
+    const bool goes_on =
+        it.is_start_resolved && it.current_phase == phase::running;
+    if (!goes_on)
+        begin_stop(id, it, stop_cause::next_life, now);
+}
+
 // The clock is monotonic during a life, so an answer with an earlier time than
 // the order comes from the next life.
 order_result run_table::result_in_this_life(const run& it,
--- a/process/agent/tests/leased_runs_schedule_test.cpp
+++ b/process/agent/tests/leased_runs_schedule_test.cpp
@@ -27,7 +27,8 @@
     duration restart_period{};
     //! Time between two freezes of the agent; zero for none.
     duration freeze_period{};
-    duration pause{}; //!< time without starts in each 5 s
+    duration pause{}; //!< time without starts in each pause_period
+    duration pause_period = std::chrono::seconds(5);
     //! Time between two spans without any answer; zero for none.
     duration mute_period{};
     //! Time in which a task is retried after a result of unknown effect.
@@ -160,7 +161,7 @@
     bool is_paused() const
     {
         const auto since_start = time_.now().time_since_epoch();
-        return since_start % std::chrono::seconds(5) < rates_.pause;
+        return since_start % rates_.pause_period < rates_.pause;
     }
 
     void submit()
@@ -364,6 +365,26 @@
                .restart_period = std::chrono::seconds(3)});
 }
 
+// Lives are shorter than the time until the agent hears of the next one.
+TEST(leased_runs_schedules, a_worker_whose_lives_are_short)
+{
+    run_seeds({.answers_lost = 5,
+               .orders_delayed = 10,
+               .restart_period = std::chrono::milliseconds(300),
+               .pause = std::chrono::milliseconds(400),
+               .pause_period = std::chrono::milliseconds(500)});
+}
+
+TEST(leased_runs_schedules, late_orders_to_a_worker_whose_lives_are_short)
+{
+    run_seeds({.answers_lost = 5,
+               .orders_late = 5,
+               .orders_delayed = 30,
+               .restart_period = std::chrono::milliseconds(300),
+               .pause = std::chrono::milliseconds(400),
+               .pause_period = std::chrono::milliseconds(500)});
+}
+
 TEST(leased_runs_schedules, late_orders_reach_a_next_life)
 {
     run_seeds({.answers_lost = 5,
--- a/process/agent/tests/run_table_restarts_test.cpp
+++ b/process/agent/tests/run_table_restarts_test.cpp
@@ -12,6 +12,7 @@
 TEST_F(leased_run_table, a_new_life_ends_every_run)
 {
     answer(start(0), order_result::accepted);
+    report(*last_order, {{run(0), 0}}, {});
     EXPECT_TRUE(
         table.set_worker(worker(worker_life(2000)), worker_time(10), now));
     take();
@@ -166,6 +167,7 @@
 {
     retry_window = std::chrono::seconds(2);
     answer(start(0), order_result::accepted);
+    report(*last_order, {{run(0), 0}}, {});
     table.set_worker(worker(worker_life(2000)), worker_time(10), now);
     take();
     EXPECT_EQ(results.size(), 1U);
@@ -183,6 +185,48 @@
     EXPECT_EQ(stops, std::vector<task_run>{run(0)});
 }
 
+// Regression: a next life that the agent had not heard of accepted a start, and
+// its report ended the run, which went on and was started elsewhere.
+TEST_F(leased_run_table, a_run_that_a_next_life_accepted_goes_on)
+{
+    const worker_life next(2000);
+    answer(start(0), order_result::accepted);
+    table.set_worker(worker(next), clock() + milliseconds(12), now);
+    take();
+    EXPECT_TRUE(results.empty());
+    lease_reply reply;
+    reply.order = {order_result::accepted, clock() + milliseconds(14)};
+    reply.running = {{run(0), 0}};
+    table.on_extended(next, *last_order, reply, now);
+    take();
+    EXPECT_TRUE(results.empty());
+    EXPECT_TRUE(stops.empty());
+    EXPECT_TRUE(table.ready(now));
+    reply.running.clear();
+    reply.ended = {{1, run(0), run_end::done}};
+    table.on_extended(next, *last_order, reply, now);
+    take();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->ran, effect::ran);
+}
+
+TEST_F(leased_run_table, a_run_that_no_next_life_lists_has_its_result_at_once)
+{
+    retry_window = std::chrono::seconds(2);
+    const worker_life next(2000);
+    answer(start(0), order_result::accepted);
+    table.set_worker(worker(next), clock() + milliseconds(12), now);
+    take();
+    EXPECT_TRUE(results.empty());
+    lease_reply reply;
+    reply.order = {order_result::accepted, clock() + milliseconds(14)};
+    table.on_extended(next, *last_order, reply, now);
+    take();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0]->ran, effect::unknown);
+    EXPECT_TRUE(stops.empty());
+}
+
 TEST_F(leased_run_table, a_worker_of_another_name_has_not_begun_earlier_starts)
 {
     start(0);
