Name the worker's clock in the line of a new life without a name of the platform

check-names found the platform's name of that field in process/agent: "process/agent/src/run_events.cpp:84: {"clock_ms", ...".

--- a/process/agent/src/run_events.cpp
+++ b/process/agent/src/run_events.cpp
@@ -81,7 +81,7 @@
     write_event(log_level::info, part, {}, "worker_life",
                 {{"worker", it.worker.id},
                  {"life", static_cast<std::int64_t>(it.worker.life.number())},
-                 {"clock_ms", std::int64_t{it.clock.count()}},
+                 {"worker_clock_ms", std::int64_t{it.clock.count()}},
                  fence_field(it.fence),
                  {"ended", static_cast<std::int64_t>(it.ended)},
                  {"unresolved", static_cast<std::int64_t>(it.unresolved)}});
