Count the lease of an unconfirmed run by the clock of the life that accepted it

A start carries the end of its lease on the clock of the life that is known. A next life that the agent has not heard of, whose clock is behind, grants it for longer: up to 1 s from each order that says so, where the agent counted 600 ms and a margin from when it sent the last one. If the worker then left all orders without an answer, the run was given up as `lease_over`, without a hold, while it went on.

The clock in the accepted answer bounds what that life grants: it lets the run go on at most until its clock reaches the highest lease end that was sent. A run whose life no report has confirmed is given up no earlier than that. Runs that a report has confirmed, and a worker whose clock is as expected, keep their time.

Before: leased_run_table.a_lease_that_a_next_life_grants_is_not_over, "run_table_restarts_test.cpp:243: Failure ... Actual: false" (results.empty()).

--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -86,8 +86,8 @@
     release_held_results(now);
     if (!worker_)
         return;
-    if (!runs_.empty() && now > all_runs_end_at_ && !extension_in_flight_)
-        give_up_all(give_up_reason::lease_over, now);
+    if (now > all_runs_end_at_ && !extension_in_flight_)
+        give_up_lapsed(now);
     for (auto& [id, it] : runs_)
     {
         if (it.current_phase == phase::stopping &&
@@ -112,6 +112,8 @@
     case order_result::accepted:
         it.stale_reports_up_to = last_extension_number_;
         it.is_start_resolved = true;
+        it.accepted = now;
+        it.clock_when_accepted = reply.clock.value_or(it.clock_when_ordered);
         if (it.current_phase == phase::starting ||
             it.current_phase == phase::unconfirmed)
             it.current_phase = phase::running;
@@ -258,8 +260,10 @@
         std::max(all_runs_end_at_, now + options_.lease +
                                        time_without_report / clock_drift_part +
                                        options_.clock_margin);
-    return worker_now(now) +
-           std::chrono::duration_cast<worker_time>(options_.lease);
+    const auto end = worker_now(now) +
+                     std::chrono::duration_cast<worker_time>(options_.lease);
+    last_lease_end_ = std::max(last_lease_end_, end);
+    return end;
 }
 
 void run_table::begin_stop(const task_run& id, run& it, stop_cause cause,
@@ -400,10 +404,16 @@
     }
 }
 
-void run_table::give_up_all(give_up_reason why, instant now)
+void run_table::give_up_lapsed(instant now)
 {
-    while (!runs_.empty())
-        give_up(runs_.begin()->first, why, now);
+    std::vector<task_run> over;
+    for (const auto& [id, it] : runs_)
+    {
+        if (now > max_run_end(it))
+            over.push_back(id);
+    }
+    for (const auto& id : over)
+        give_up(id, give_up_reason::lease_over, now);
 }
 
 void run_table::decline(const task_run& id, failure_reason reason,
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -89,6 +89,10 @@
         //! A report of this life listed the run, or was requested after the
         //! start was accepted.
         bool is_life_confirmed = false;
+        instant accepted{}; //!< when the answer to the start was received
+        worker_time clock_when_accepted{};
+        //! The highest lease end that was sent in earlier lives.
+        worker_time earlier_lease_end{};
         instant retry_end{}; //!< until when an unknown result may be retried
         phase current_phase = phase::starting;
         //! Reports of extensions with a higher number were requested after
@@ -154,7 +158,8 @@
                 const std::string& detail);
     void give_up(const task_run& id, give_up_reason why, instant now,
                  duration list_age = {});
-    void give_up_all(give_up_reason why, instant now);
+    void give_up_lapsed(instant now);
+    instant max_run_end(const run& it) const;
     void release_held_results(instant now);
     void decline(const task_run& id, failure_reason reason,
                  const std::string& detail, instant now);
@@ -182,6 +187,7 @@
     instant last_report_at_{}; //!< when the last report arrived
     //! When all runs at the worker have ended if the lease is not extended.
     instant all_runs_end_at_{};
+    worker_time last_lease_end_{}; //!< the highest that was sent in this life
     bool ready_ = false;
     bool last_reported_ready_ = false; //!< as last reported to the owner
     run_table_output output_;
--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -39,6 +39,7 @@
     all_runs_end_at_ = now;
     unanswered_since_.reset();
     give_up_runs_of_earlier_life(is_same_worker, now);
+    last_lease_end_ = {};
     extend_if_needed(now);
     return true;
 }
@@ -94,6 +95,7 @@
     all_runs_end_at_ = max_lease_end(now);
     it.stale_reports_up_to = last_extension_number_;
     it.clock_when_ordered = clock_;
+    it.earlier_lease_end = std::max(it.earlier_lease_end, last_lease_end_);
     const bool goes_on =
         it.is_start_resolved && it.current_phase == phase::running;
     if (!goes_on)
@@ -125,6 +127,19 @@
            options_.longest_lease / clock_drift_part + options_.clock_margin;
 }
 
+// A next life that accepted the start grants a lease until the time that was
+// sent, on its own clock, which may be behind that of the earlier life.
+instant run_table::max_run_end(const run& it) const
+{
+    if (!it.is_start_resolved || it.is_life_confirmed)
+        return all_runs_end_at_;
+    const duration left = std::max(last_lease_end_, it.earlier_lease_end) -
+                          it.clock_when_accepted;
+    return std::max(all_runs_end_at_, it.accepted + left +
+                                          left / clock_drift_part +
+                                          options_.clock_margin);
+}
+
 // The worker refused our token, so it has accepted a higher one. Only an
 // earlier agent of this worker, or an order to an earlier life, can have used
 // it. The answer doesn't contain that token, so ours is doubled.
--- a/process/agent/tests/run_table_restarts_test.cpp
+++ b/process/agent/tests/run_table_restarts_test.cpp
@@ -227,6 +227,32 @@
     EXPECT_TRUE(stops.empty());
 }
 
+// Regression: the lease of a start was counted by the clock of an earlier life,
+// but the worker's next life, whose clock was behind, granted a longer one.
+TEST_F(leased_run_table, a_lease_that_a_next_life_grants_is_not_over)
+{
+    now += milliseconds(1500); // without an answer that has a later clock
+    const auto order = start(0);
+    table.on_start(life, order, {order_result::accepted, worker_time(5001)},
+                   now);
+    take();
+    const auto accepted = now;
+    // The worker lets a run go on for 1 s of its clock, which may be slow.
+    while (now < accepted + milliseconds(1020))
+    {
+        EXPECT_TRUE(results.empty());
+        table.on_extended(life, *last_order, {}, now);
+        now += milliseconds(40);
+        table.tick(now);
+        take();
+    }
+    now = accepted + std::chrono::seconds(3);
+    table.on_extended(life, *last_order, {}, now);
+    table.tick(now);
+    take();
+    EXPECT_EQ(results.size(), 1U);
+}
+
 TEST_F(leased_run_table, a_worker_of_another_name_has_not_begun_earlier_starts)
 {
     start(0);
