Ask the next life of a worker with a token that it doesn't refuse

An order to the earlier life of a worker often reaches the next one first: agents with runs ask their worker every 20 ms to 200 ms. A refusal names no life, so it wasn't followed until the earlier life had been silent for 2 s. Meanwhile the agent was not ready, runs of the earlier life were not given up, and ends of runs that the next life had begun were not read.

The question now carries the token of the agent's orders to that id, which the worker has or will get from them anyway; to a worker of another id it stays 0. The token that a new life's orders get is above it as before.

Before: next_life.that_has_seen_a_token_of_the_agent_is_used_at_once failed with "results Which is: 0" and "worker.starts.size() Which is: 0". After: it passes, and all platform_tests and process_tests.

--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -95,6 +95,10 @@
     //! Handles timeouts and extends the lease. Call about every 50 ms.
     void tick();
 
+    //! @return the token of the orders to a worker of this id, whatever its
+    //! life; 0 if there were none.
+    fencing_token token_for(const std::string& id) const;
+
     //! @return the number of runs that may take capacity of the worker.
     std::size_t size() const;
 
--- a/process/agent/src/leased_runs.cpp
+++ b/process/agent/src/leased_runs.cpp
@@ -135,6 +135,12 @@
     state_->step([&](instant now) { state_->table.tick(now); });
 }
 
+fencing_token leased_runs::token_for(const std::string& id) const
+{
+    const std::lock_guard lock(state_->mutex);
+    return state_->table.token_for(id);
+}
+
 std::size_t leased_runs::size() const
 {
     const std::lock_guard lock(state_->mutex);
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -69,6 +69,8 @@
 
     run_table_output take_output(instant now);
     bool ready(instant now) const;
+    //! @return the token of the last orders to a worker of this id.
+    fencing_token token_for(const std::string& id) const;
     std::size_t size() const noexcept;
 
 private:
--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -44,6 +44,11 @@
     return true;
 }
 
+fencing_token run_table::token_for(const std::string& id) const
+{
+    return worker_ && worker_->id == id ? fence_ : fencing_token(0);
+}
+
 // A reported clock that is too far ahead is not accepted, because every later
 // answer would look stale. The worker is queried instead, and its answer is
 // used.
