Count the worker's birth in the fencing token

Callers could see two runs of one task at a time: an agent's process ended with a start on its way, the worker began anew under the same id, and the agent's next process was ready before that start arrived.

Cause: the token was the worker's clock, which begins anew with each life. The next process's token was lower than that of the late start, so the worker carried the start out after the list that the next process had relied on. Class: an order of an earlier life is compared by a number that falls between lives. Change: the token is the birth of the worker's life in Unix milliseconds, plus its clock, plus 1. It rises over all lives of one id, and never falls within one process. A worker that names no birth has 0, as before.

Once a process is ready, no run of an earlier process may go on or begin in that life of the worker. The fake worker's lives are named by births in Unix milliseconds, and a stop that takes no time ends the run at once.

--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -119,6 +119,7 @@
     void handle_reply(const order_reply& reply, instant now);
     void update_clock(worker_time clock, instant now);
     void update_clock_from_report(worker_time clock, instant now);
+    fencing_token token_at(worker_time clock) const;
     void raise_fence(fencing_token refused, const order_reply& reply,
                      instant now);
     void give_up_runs_of_earlier_life(bool is_same_worker, instant now);
--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -6,9 +6,6 @@
 namespace lagoonquay
 {
 
-// The worker's clock is monotonic during a life, so a fencing token derived
-// from it is higher than that of any earlier agent of this life without
-// persisting tokens.
 bool run_table::set_worker(const worker_address& worker, worker_time clock,
                            instant now, std::uint64_t decision)
 {
@@ -26,9 +23,8 @@
     worker_ = worker;
     clock_ = clock;
     clock_updated_at_ = now;
-    fence_ =
-        std::max(fencing_token(is_same_worker ? fence_.number() + 1 : 0),
-                 fencing_token(static_cast<std::uint64_t>(clock.count()) + 1));
+    fence_ = std::max(fencing_token(is_same_worker ? fence_.number() + 1 : 0),
+                      token_at(clock));
     last_end_seen_ = 0;
     last_end_acknowledged_ = 0;
     ready_ = false;
@@ -43,6 +39,17 @@
     return true;
 }
 
+// The birth of a life and the clock in it rise over all lives of one worker, so
+// the first order of an agent's next process shuts out every order of earlier
+// processes, to this life or to an earlier one, and no token is persisted. A
+// worker that names no birth has 0, where only its clock counts. Not so if the
+// time of day was set back between two lives.
+fencing_token run_table::token_at(worker_time clock) const
+{
+    const auto since_birth = static_cast<std::uint64_t>(clock.count());
+    return fencing_token(worker_->life.number() + since_birth + 1);
+}
+
 // A reported clock that is too far ahead is not accepted, because every later
 // answer would look stale. The worker is queried instead, and its answer is
 // used.
@@ -123,9 +130,7 @@
     if (refused < fence_)
         return;
     const auto clock = std::max(reply.clock.value_or(clock_), worker_now(now));
-    fence_ =
-        std::max(fencing_token(2 * fence_.number()),
-                 fencing_token(static_cast<std::uint64_t>(clock.count()) + 1));
+    fence_ = std::max(fencing_token(2 * fence_.number()), token_at(clock));
 }
 
 } // namespace lagoonquay
--- a/process/agent/tests/fake_lease_worker.cpp
+++ b/process/agent/tests/fake_lease_worker.cpp
@@ -15,13 +15,17 @@
 } // namespace
 
 fake_lease_worker::fake_lease_worker(virtual_time& time, int clock_percent)
-    : time_(time), clock_percent_(clock_percent), started_at_(time.now())
+    : time_(time), clock_percent_(clock_percent), first_start_(time.now()),
+      started_at_(time.now())
 {
 }
 
 void fake_lease_worker::restart()
 {
-    life_ = worker_life(life_.number() + 1);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        time_.now() - first_start_);
+    const auto born = first_life + static_cast<std::uint64_t>(age.count());
+    life_ = worker_life(std::max(born, life_.number() + 1));
     started_at_ = time_.now();
     fence_ = {};
     lease_end_ = {};
@@ -46,6 +50,14 @@
     return running_.contains(run);
 }
 
+std::vector<task_run> fake_lease_worker::runs() const
+{
+    std::vector<task_run> found;
+    for (const auto& it : running_)
+        found.push_back(it.first);
+    return found;
+}
+
 order_reply fake_lease_worker::reply(order_result result) const
 {
     return {result, clock()};
@@ -96,6 +108,11 @@
     const auto found = running_.find(order.run);
     if (found == running_.end() || found->second.stopping)
         return reply(order_result::accepted);
+    if (takes == duration::zero())
+    {
+        end(order.run, run_end::stopped);
+        return reply(order_result::accepted);
+    }
     found->second.stopping = true;
     time_.after(takes,
                 [this, run = order.run, began = found->second.began]
--- a/process/agent/tests/fake_lease_worker.hpp
+++ b/process/agent/tests/fake_lease_worker.hpp
@@ -23,7 +23,7 @@
     //! @param clock_percent  speed of its clock in percent of true time.
     fake_lease_worker(virtual_time& time, int clock_percent);
 
-    //! Clears all state and begins the next life.
+    //! Clears all state and begins the next life, named by its birth.
     void restart();
 
     worker_life life() const noexcept
@@ -32,6 +32,8 @@
     }
     worker_time clock() const;
     bool runs(const task_run& run) const;
+    //! @return what runs, also what is being stopped.
+    std::vector<task_run> runs() const;
 
     order_reply start(const start_order& order, duration work);
     order_reply stop(const stop_order& order, duration takes);
@@ -64,7 +66,10 @@
 
     virtual_time& time_;
     const int clock_percent_;
-    worker_life life_{1};
+    //! The wall clock, as Unix time, when the time was `first_start_`.
+    static constexpr std::uint64_t first_life = 1'780'000'000'000;
+    const instant first_start_;
+    worker_life life_{first_life};
     instant started_at_;
     fencing_token fence_;
     worker_time lease_end_{};
--- a/process/agent/tests/leased_runs_schedule.cpp
+++ b/process/agent/tests/leased_runs_schedule.cpp
@@ -1,31 +1,39 @@
 #include "leased_runs_schedule.hpp"
 
-#include <memory>
-#include <utility>
+#include <algorithm>
 
 namespace lagoonquay
 {
 
 using std::chrono::milliseconds;
 
+namespace
+{
+
+int count_ms(duration span)
+{
+    return static_cast<int>(
+        std::chrono::duration_cast<milliseconds>(span).count());
+}
+
+} // namespace
+
 leased_runs_schedule::leased_runs_schedule(std::uint32_t seed,
                                            const fault_rates& rates)
-    : random_(seed), rates_(rates), worker_(time_, 98 + draw(3)),
-      runs_({}, {.now = [this] { return time_.now(); },
-                 .worker = hooks(),
-                 .on_readiness = {}})
+    : random_(seed), rates_(rates), worker_(time_, 98 + draw(3))
 {
     worker_.on_begin = [this](const task_run& run)
     {
-        if (reported_runs_.contains(run))
-            violations.push_back("a run began after it was reported: " +
-                                 describe(run));
+        check_begun_run(run);
     };
+    begin_process();
     heartbeat();
     tick();
     submit();
     if (rates_.restart_period > duration::zero())
         every(rates_.restart_period, [this] { restart(); });
+    if (rates_.process_period > duration::zero())
+        every(rates_.process_period, [this] { end_process(); });
     if (rates_.mute_period > duration::zero())
         every(rates_.mute_period,
               [this] {
@@ -73,9 +81,67 @@
 
 void leased_runs_schedule::to_agent(std::function<void()> call)
 {
+    if (!runs_)
+        return;
     if (time_.now() >= frozen_until_)
         return call();
-    time_.after(frozen_until_ - time_.now(), std::move(call));
+    time_.after(frozen_until_ - time_.now(),
+                [this, process = process_, call]
+                {
+                    if (runs_ && process == process_)
+                        call();
+                });
+}
+
+void leased_runs_schedule::begin_process()
+{
+    runs_ = std::make_unique<leased_runs>(
+        leased_runs_options(),
+        leased_runs_hooks{.now = [this] { return time_.now(); },
+                          .worker = hooks(),
+                          .on_readiness =
+                              [this]
+                          {
+                              check_earlier_runs();
+                          }});
+}
+
+// Orders on their way still arrive; answers to them don't.
+void leased_runs_schedule::end_process()
+{
+    if (!runs_)
+        return;
+    runs_.reset();
+    ++process_;
+    known_life_ = worker_life(0);
+    frozen_until_ = {};
+    time_.after(milliseconds(300 + draw(1700)), [this] { begin_process(); });
+}
+
+// Tasks of a lost process are started elsewhere from the readiness of the next
+// one on.
+void leased_runs_schedule::check_earlier_runs()
+{
+    if (!runs_ || !runs_->ready() || known_life_ != worker_.life())
+        return;
+    ready_in_ = {process_, worker_.life()};
+    for (const auto& it : worker_.runs())
+    {
+        if (started_by_[it] < process_)
+            violations.push_back("a run of an earlier process went on: " +
+                                 describe(it));
+    }
+}
+
+void leased_runs_schedule::check_begun_run(const task_run& run)
+{
+    if (reported_runs_.contains(run))
+        violations.push_back("a run began after it was reported: " +
+                             describe(run));
+    if (started_by_[run] < ready_in_.first &&
+        worker_.life() == ready_in_.second)
+        violations.push_back("a run of an earlier process began: " +
+                             describe(run));
 }
 
 worker_address leased_runs_schedule::address(worker_life life) const
@@ -94,7 +160,7 @@
                         [this, sent, clock]
                         {
                             if (sent.life >= known_life_)
-                                runs_.set_worker(sent, clock);
+                                runs_->set_worker(sent, clock);
                             known_life_ = std::max(known_life_, sent.life);
                         });
                 });
@@ -114,14 +180,14 @@
                             if (sent.life <= known_life_)
                                 return;
                             known_life_ = sent.life;
-                            runs_.set_worker(sent, worker_.clock());
+                            runs_->set_worker(sent, worker_.clock());
                         });
                 });
 }
 
 void leased_runs_schedule::tick()
 {
-    to_agent([this] { runs_.tick(); });
+    to_agent([this] { runs_->tick(); });
     time_.after(milliseconds(50), [this] { tick(); });
 }
 
@@ -137,8 +203,8 @@
     to_agent(
         [this]
         {
-            if (!is_paused() && runs_.ready() &&
-                runs_.size() < max_concurrent_runs)
+            if (!is_paused() && runs_->ready() &&
+                runs_->size() < max_concurrent_runs)
                 start();
         });
     time_.after(milliseconds(1 + draw(30)), [this] { submit(); });
@@ -153,18 +219,19 @@
     const task_run run{call.submission, call.index, call.attempt};
     if (chance(5))
         time_.after(milliseconds(draw(200)), [this, run]
-                    { to_agent([this, run] { runs_.stop(run); }); });
-    runs_.start(call,
-                [this, run](const task_result& result)
-                {
-                    ++reported;
-                    if (!may_begin_later(result))
-                        reported_runs_.insert(run);
-                    if (worker_.runs(run))
-                        violations.push_back(
-                            "a run was reported while it went on: " +
-                            describe(run));
-                });
+                    { to_agent([this, run] { runs_->stop(run); }); });
+    started_by_[run] = process_;
+    runs_->start(call,
+                 [this, run](const task_result& result)
+                 {
+                     ++reported;
+                     if (!may_begin_later(result))
+                         reported_runs_.insert(run);
+                     if (worker_.runs(run))
+                         violations.push_back(
+                             "a run was reported while it went on: " +
+                             describe(run));
+                 });
 }
 
 bool leased_runs_schedule::may_begin_later(const task_result& result) const
@@ -179,8 +246,11 @@
     const std::function<void(std::function<void(Reply)>)>& execute)
 {
     const auto answered = std::make_shared<bool>(false);
-    const auto finish = [this, answered, done](const Reply& reply)
+    const auto finish =
+        [this, answered, done, process = process_](const Reply& reply)
     {
+        if (process != process_)
+            return;
         to_agent(
             [answered, done, reply]
             {
@@ -193,7 +263,7 @@
         chance(rates_.orders_late) || time_.now() < unanswered_until_;
     const bool lost = late || chance(rates_.answers_lost);
     const auto order_delay =
-        late ? milliseconds(draw(3000))
+        late ? milliseconds(draw(count_ms(rates_.max_lateness)))
              : milliseconds(chance(rates_.orders_delayed) ? draw(30) : 0);
     const bool reset = lost && !late && chance(50);
     time_.after(order_delay,
@@ -216,44 +286,45 @@
 
 worker_hooks leased_runs_schedule::hooks()
 {
-    return {.start =
-                [this](const worker_address&, const start_order& order,
-                       std::function<void(const order_reply&)> done)
-            {
-                const auto work = milliseconds(20 + draw(400));
-                exchange<order_reply>(milliseconds(250), std::move(done),
-                                      [this, order, work](const auto& answer)
-                                      { answer(worker_.start(order, work)); });
-            },
-            .stop =
-                [this](const worker_address&, const stop_order& order,
-                       std::function<void(const order_reply&)> done)
-            {
-                const auto takes = milliseconds(draw(50));
-                exchange<order_reply>(milliseconds(250), std::move(done),
-                                      [this, order, takes](const auto& answer)
-                                      { answer(worker_.stop(order, takes)); });
-            },
-            .extend =
-                [this](const worker_address& to, const lease_order& order,
-                       std::function<void(const lease_reply&)> done)
-            {
-                exchange<lease_reply>(
-                    order.wait > duration::zero()
-                        ? order.wait + milliseconds(250)
-                        : milliseconds(100),
-                    std::move(done),
-                    [this, order, life = to.life](const auto& answer)
-                    {
-                        worker_.extend(order,
-                                       [this, life, answer](lease_reply reply)
-                                       {
-                                           if (life != worker_.life())
-                                               reply = next_life();
-                                           answer(std::move(reply));
-                                       });
-                    });
-            }};
+    return {
+        .start =
+            [this](const worker_address&, const start_order& order,
+                   std::function<void(const order_reply&)> done)
+        {
+            const auto work = milliseconds(20 + draw(400));
+            exchange<order_reply>(milliseconds(250), std::move(done),
+                                  [this, order, work](const auto& answer)
+                                  { answer(worker_.start(order, work)); });
+        },
+        .stop =
+            [this](const worker_address&, const stop_order& order,
+                   std::function<void(const order_reply&)> done)
+        {
+            const auto takes =
+                milliseconds(draw(std::max(1, count_ms(rates_.max_stop_time))));
+            exchange<order_reply>(milliseconds(250), std::move(done),
+                                  [this, order, takes](const auto& answer)
+                                  { answer(worker_.stop(order, takes)); });
+        },
+        .extend =
+            [this](const worker_address& to, const lease_order& order,
+                   std::function<void(const lease_reply&)> done)
+        {
+            exchange<lease_reply>(
+                order.wait > duration::zero() ? order.wait + milliseconds(250)
+                                              : milliseconds(100),
+                std::move(done),
+                [this, order, life = to.life](const auto& answer)
+                {
+                    worker_.extend(order,
+                                   [this, life, answer](lease_reply reply)
+                                   {
+                                       if (life != worker_.life())
+                                           reply = next_life();
+                                       answer(std::move(reply));
+                                   });
+                });
+        }};
 }
 
 lease_reply leased_runs_schedule::next_life()
--- a/process/agent/tests/leased_runs_schedule.hpp
+++ b/process/agent/tests/leased_runs_schedule.hpp
@@ -6,9 +6,12 @@
 #include "lagoonquay/process/leased_runs.hpp"
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lagoonquay
@@ -19,7 +22,7 @@
 {
     int answers_lost = 0;
     int answers_delayed = 0; //!< delayed by up to 150 ms
-    int orders_late = 0;     //!< executed up to 3 s later, without an answer
+    int orders_late = 0;     //!< executed later, without an answer
     int orders_delayed = 0;  //!< executed up to 30 ms later
     //! Time between two restarts of the worker; zero for none.
     duration restart_period{};
@@ -28,11 +31,19 @@
     duration pause{}; //!< time without starts in each 5 s
     //! Time between two spans without any answer; zero for none.
     duration mute_period{};
+    //! Time between two ends of the agent's process; the next one begins 300 ms
+    //! to 2 s later. Zero for none.
+    duration process_period{};
+    duration max_lateness = std::chrono::seconds(3); //!< of a late order
+    //! Zero for a worker that stops a run at once.
+    duration max_stop_time = std::chrono::milliseconds(50);
     //! Time in which a task is retried after a result of unknown effect.
     duration retry_window = duration::max();
 };
 
 //! A run whose result was reported must have ended and must never begin again.
+//! Once a process of the agent is ready, no run of an earlier one goes on or
+//! begins in that life of the worker.
 class leased_runs_schedule
 {
 public:
@@ -49,11 +60,16 @@
     std::string describe(const task_run& run) const;
     void every(duration period, const std::function<void()>& call);
 
-    //! Calls the agent, or delays the call until it is no longer frozen.
+    //! Calls the agent's process, if there is one, or delays the call until it
+    //! is no longer frozen.
     void to_agent(std::function<void()> call);
 
     worker_address address(worker_life life) const;
 
+    void begin_process();
+    void end_process();
+    void check_earlier_runs();
+    void check_begun_run(const task_run& run);
     void heartbeat();
     void restart();
     void tick();
@@ -81,7 +97,12 @@
     virtual_time time_;
     const instant began_ = time_.now();
     fake_lease_worker worker_;
-    leased_runs runs_;
+    //! Of the agent's present process; null between two processes.
+    std::unique_ptr<leased_runs> runs_;
+    std::uint64_t process_ = 1;
+    //! The last process that was ready, and the worker's life then.
+    std::pair<std::uint64_t, worker_life> ready_in_{0, 0};
+    std::map<task_run, std::uint64_t> started_by_; //!< process of each run
     worker_life known_life_{0};
     instant frozen_until_{};
     instant unanswered_until_{};
--- a/process/agent/tests/leased_runs_schedule_test.cpp
+++ b/process/agent/tests/leased_runs_schedule_test.cpp
@@ -86,6 +86,27 @@
                .freeze_period = std::chrono::seconds(4)});
 }
 
+// Guards against a run of an earlier agent process beside its next attempt.
+TEST(leased_runs_schedules, an_agent_whose_process_begins_anew)
+{
+    run_seeds({.answers_lost = 5,
+               .orders_late = 5,
+               .orders_delayed = 10,
+               .process_period = std::chrono::seconds(3),
+               .max_stop_time = duration::zero()});
+}
+
+TEST(leased_runs_schedules, late_orders_of_an_earlier_process_in_a_next_life)
+{
+    run_seeds({.answers_lost = 5,
+               .orders_late = 10,
+               .orders_delayed = 10,
+               .restart_period = std::chrono::seconds(3),
+               .process_period = std::chrono::seconds(4),
+               .max_lateness = std::chrono::seconds(12),
+               .max_stop_time = duration::zero()});
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/process/agent/tests/run_table_restarts_test.cpp
+++ b/process/agent/tests/run_table_restarts_test.cpp
@@ -78,6 +78,22 @@
         EXPECT_FALSE(it.order.lease_end);
 }
 
+// Guards against a start of an earlier process that reaches a next life, where
+// the worker's clock has begun anew.
+TEST(new_run_table, begins_above_each_token_of_an_earlier_process)
+{
+    constexpr std::uint64_t born = 1'780'000'000'000;
+    const endpoint address{"127.0.0.1", 9};
+    run_table earlier({});
+    earlier.set_worker({address, "w", worker_life(born)}, worker_time(600000),
+                       began);
+    run_table next({});
+    next.set_worker({address, "w", worker_life(born + 600300)}, worker_time(10),
+                    began);
+    EXPECT_GT(next.take_output(began).extensions.at(0).order.fence,
+              earlier.take_output(began).extensions.at(0).order.fence);
+}
+
 // A run that is being stopped is not listed, and its stop may arrive late.
 TEST_F(leased_run_table, a_run_of_an_earlier_agent_is_awaited_after_its_stop)
 {
@@ -216,8 +232,8 @@
 {
     table.set_worker(worker(worker_life(2000)), worker_time(700), now);
     const auto first = take().extensions.at(0);
-    // Orders to the earlier life have tokens up to 5001 and may still arrive.
-    EXPECT_EQ(first.order.fence, fencing_token(5002));
+    // Orders to the earlier life have tokens up to 6001 and may still arrive.
+    EXPECT_EQ(first.order.fence, fencing_token(6002));
     lease_reply reply;
     reply.order = {order_result::accepted, worker_time(710)};
     reply.running = {{run(9, 4), 0}};
