Raise a refused fencing token by what is needed

Callers could see two runs of one task at a time after a refused order: the next process of the agent was ready while a start with a higher token was on its way.

Cause: the answer to a refused order names no token, so the refused one was doubled. A doubled token is as far ahead of the worker's time as the worker is old, or, since the token counts the birth, by decades. No later process of the agent begins above it, and it soon leaves the range that JSON keeps exact. Change: a refused token first becomes the worker's present time; from there its excess over that time is 100 ms after one more refusal and four times as much after each other. So it is soon below the token of a process that begins later. Every token stays below 2^53.

--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -6,6 +6,14 @@
 namespace lagoonquay
 {
 
+namespace
+{
+
+//! The highest integer that is exact in each JSON number.
+constexpr std::uint64_t max_fence = 9007199254740991;
+
+} // namespace
+
 bool run_table::set_worker(const worker_address& worker, worker_time clock,
                            instant now, std::uint64_t decision)
 {
@@ -23,8 +31,9 @@
     worker_ = worker;
     clock_ = clock;
     clock_updated_at_ = now;
-    fence_ = std::max(fencing_token(is_same_worker ? fence_.number() + 1 : 0),
-                      token_at(clock));
+    const auto least = is_same_worker ? fence_.number() + 1 : 0;
+    fence_ =
+        std::max(fencing_token(std::min(least, max_fence)), token_at(clock));
     last_end_seen_ = 0;
     last_end_acknowledged_ = 0;
     ready_ = false;
@@ -47,7 +56,8 @@
 fencing_token run_table::token_at(worker_time clock) const
 {
     const auto since_birth = static_cast<std::uint64_t>(clock.count());
-    return fencing_token(worker_->life.number() + since_birth + 1);
+    return fencing_token(
+        std::min(worker_->life.number() + since_birth + 1, max_fence));
 }
 
 // A reported clock that is too far ahead is not accepted, because every later
@@ -121,16 +131,29 @@
            options_.longest_lease / clock_drift_part + options_.clock_margin;
 }
 
-// The worker refused our token, so it has accepted a higher one. Only an
-// earlier agent of this worker, or an order to an earlier life, can have used
-// it. The answer doesn't contain that token, so ours is doubled.
+// The worker refused our token, so it has accepted a higher one: of an agent
+// whose token was raised, or from before the time of day was set back. The
+// answer doesn't contain that token. What ours exceeds the worker's time by
+// grows with each refusal, but only from what is needed, so that a next
+// process's token is soon above it.
 void run_table::raise_fence(fencing_token refused, const order_reply& reply,
                             instant now)
 {
+    constexpr std::uint64_t first_excess = 100;
+    constexpr std::uint64_t growth = 4;
     if (refused < fence_)
         return;
     const auto clock = std::max(reply.clock.value_or(clock_), worker_now(now));
-    fence_ = std::max(fencing_token(2 * fence_.number()), token_at(clock));
+    const auto present = token_at(clock);
+    if (fence_ < present)
+    {
+        fence_ = present;
+        return;
+    }
+    const auto excess = fence_.number() - present.number();
+    const auto raised =
+        present.number() + std::max(first_excess, growth * excess);
+    fence_ = fencing_token(std::min(raised, max_fence));
 }
 
 } // namespace lagoonquay
--- a/process/agent/tests/fake_lease_worker.hpp
+++ b/process/agent/tests/fake_lease_worker.hpp
@@ -31,6 +31,10 @@
         return life_;
     }
     worker_time clock() const;
+    fencing_token fence() const noexcept
+    {
+        return fence_;
+    }
     bool runs(const task_run& run) const;
     //! @return what runs, also what is being stopped.
     std::vector<task_run> runs() const;
--- a/process/agent/tests/leased_runs_schedule.cpp
+++ b/process/agent/tests/leased_runs_schedule.cpp
@@ -34,6 +34,8 @@
         every(rates_.restart_period, [this] { restart(); });
     if (rates_.process_period > duration::zero())
         every(rates_.process_period, [this] { end_process(); });
+    if (rates_.refusal_period > duration::zero())
+        every(rates_.refusal_period, [this] { raise_workers_fence(); });
     if (rates_.mute_period > duration::zero())
         every(rates_.mute_period,
               [this] {
@@ -118,6 +120,15 @@
     time_.after(milliseconds(300 + draw(1700)), [this] { begin_process(); });
 }
 
+void leased_runs_schedule::raise_workers_fence()
+{
+    constexpr int max_excess = 300;
+    const auto excess = static_cast<std::uint64_t>(1 + draw(max_excess));
+    const task_run none{submission_id("none"), task_index(0),
+                        attempt_number(1)};
+    worker_.stop({none, fencing_token(worker_.fence().number() + excess)}, {});
+}
+
 // Tasks of a lost process are started elsewhere from the readiness of the next
 // one on.
 void leased_runs_schedule::check_earlier_runs()
--- a/process/agent/tests/leased_runs_schedule.hpp
+++ b/process/agent/tests/leased_runs_schedule.hpp
@@ -34,6 +34,9 @@
     //! Time between two ends of the agent's process; the next one begins 300 ms
     //! to 2 s later. Zero for none.
     duration process_period{};
+    //! Time between two orders of another sender, whose token is up to 300
+    //! above the highest so far. Zero for none.
+    duration refusal_period{};
     duration max_lateness = std::chrono::seconds(3); //!< of a late order
     //! Zero for a worker that stops a run at once.
     duration max_stop_time = std::chrono::milliseconds(50);
@@ -68,6 +71,7 @@
 
     void begin_process();
     void end_process();
+    void raise_workers_fence();
     void check_earlier_runs();
     void check_begun_run(const task_run& run);
     void heartbeat();
--- a/process/agent/tests/run_table_restarts_test.cpp
+++ b/process/agent/tests/run_table_restarts_test.cpp
@@ -228,6 +228,49 @@
     }
 }
 
+// Guards against a raised token that a next process exceeds only after years.
+TEST(new_run_table, begins_above_a_token_that_was_raised_after_a_refusal)
+{
+    const endpoint address{"127.0.0.1", 9};
+    const worker_address worker{address, "w", worker_life(1'780'000'000'000)};
+    auto now = began;
+    run_table earlier({});
+    earlier.set_worker(worker, worker_time(5000), now);
+    auto order = earlier.take_output(now).extensions.at(0);
+    for (int refusals = 0; refusals < 2; ++refusals)
+    {
+        lease_reply refused;
+        refused.order = {order_result::fenced, worker_time(5000)};
+        earlier.on_extended(worker.life, order, refused, now);
+        now += milliseconds(30);
+        earlier.tick(now);
+        order = earlier.take_output(now).extensions.at(0);
+    }
+    run_table next({});
+    next.set_worker(worker, worker_time(6000), now);
+    EXPECT_GT(next.take_output(now).extensions.at(0).order.fence,
+              order.order.fence);
+}
+
+// A token must stay exact in JSON.
+TEST_F(leased_run_table, a_token_that_is_always_refused_stays_exact_in_json)
+{
+    constexpr fencing_token limit(9007199254740991);
+    constexpr int refusals = 100;
+    for (int n = 0; n < refusals; ++n)
+    {
+        lease_reply refused;
+        refused.order = {order_result::fenced, clock()};
+        table.on_extended(life, *last_order, refused, now);
+        now += milliseconds(50);
+        start(static_cast<std::uint64_t>(n));
+        table.tick(now);
+        take();
+        ASSERT_LE(last_order->order.fence, limit) << n << " refusals";
+    }
+    EXPECT_GT(last_order->order.fence, fencing_token(100000));
+}
+
 TEST_F(leased_run_table, runs_of_an_earlier_agent_are_stopped_before_ready)
 {
     table.set_worker(worker(worker_life(2000)), worker_time(700), now);
