Wait for a stop that an earlier process had begun

Callers could see two runs of one task at a time for up to the time that a stop takes: an agent's next process was ready while a run that a stop of the earlier process had just reached was going on.

Cause: a run that is being stopped is on no list, so the first list of a new process proves nothing about it. Change: the first time that a table becomes ready, the list must have been asked for more than the time of a stop (75 ms) after the worker first accepted the table's token, since the worker carries out no stop with a lower token after that. A token that is refused again, or another life before the table was ready, begins the wait anew. Later lives don't wait: a run of an earlier process in a later life begins after callers were told that there is none, and a wait would not change that. The wait is 75 ms, then the next tick, once for each process.

The fixture leased_run_table reports twice, 80 ms apart, and checks that the first report does not suffice; its tests are unchanged.

--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -183,12 +183,16 @@
     if (reply.order.result != order_result::accepted)
         return poll_if_needed(now);
     last_report_at_ = now;
+    if (!fence_accepted_)
+        fence_accepted_ = now;
     last_end_acknowledged_ = std::max(last_end_acknowledged_, sent.order.seen);
     record_ends(reply.ended, now);
     record_running(reply.running, sent.number, sent.sent, now);
     record_progress(reply.running, now);
     stop_unknown_runs(reply.running, sent.sent, now);
-    ready_ = ready_ || unknown_runs_.empty();
+    ready_ =
+        ready_ || (unknown_runs_.empty() && earlier_stops_are_over(sent.sent));
+    was_ready_ = was_ready_ || ready_;
     extend_if_needed(now);
 }
 
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -122,6 +122,7 @@
     fencing_token token_at(worker_time clock) const;
     void raise_fence(fencing_token refused, const order_reply& reply,
                      instant now);
+    bool earlier_stops_are_over(instant asked_at) const;
     void give_up_runs_of_earlier_life(bool is_same_worker, instant now);
     static order_result result_in_this_life(const run& it,
                                             const order_reply& reply);
@@ -179,6 +180,10 @@
     instant last_report_at_{}; //!< when the last report arrived
     //! When all runs at the worker have ended if the lease is not extended.
     instant all_runs_end_at_{};
+    //! When the worker first answered that it had accepted `fence_`; counts
+    //! until this table has been ready once.
+    std::optional<instant> fence_accepted_;
+    bool was_ready_ = false; //!< in this or an earlier life of the worker
     bool ready_ = false;
     bool last_reported_ready_ = false; //!< as last reported to the owner
     run_table_output output_;
--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -37,6 +37,7 @@
     last_end_seen_ = 0;
     last_end_acknowledged_ = 0;
     ready_ = false;
+    fence_accepted_.reset();
     extension_in_flight_.reset();
     poll_in_flight_.reset();
     unknown_runs_.clear();
@@ -60,6 +61,17 @@
         std::min(worker_->life.number() + since_birth + 1, max_fence));
 }
 
+// A run that is being stopped is on no list. Once the worker has accepted our
+// token, it carries out no stop of an earlier process, so one that it had begun
+// is over after the maximum time to stop a run. A run of an earlier process in
+// a later life than the first one that was ready began after the callers were
+// told that there is none; a wait would not change that.
+bool run_table::earlier_stops_are_over(instant asked_at) const
+{
+    return was_ready_ ||
+           (fence_accepted_ && asked_at > *fence_accepted_ + stop_time());
+}
+
 // A reported clock that is too far ahead is not accepted, because every later
 // answer would look stale. The worker is queried instead, and its answer is
 // used.
@@ -143,6 +155,7 @@
     constexpr std::uint64_t growth = 4;
     if (refused < fence_)
         return;
+    fence_accepted_.reset();
     const auto clock = std::max(reply.clock.value_or(clock_), worker_now(now));
     const auto present = token_at(clock);
     if (fence_ < present)
--- a/process/agent/tests/leased_run_table.hpp
+++ b/process/agent/tests/leased_run_table.hpp
@@ -18,8 +18,13 @@
 protected:
     leased_run_table() : table({})
     {
+        now = began - std::chrono::milliseconds(80);
         EXPECT_TRUE(table.set_worker(worker(life), worker_time(5000), now));
         report(take().extensions.at(0), {}, {});
+        EXPECT_FALSE(table.ready(now));
+        now = began;
+        table.tick(now);
+        report(take().extensions.at(0), {}, {});
         EXPECT_TRUE(table.ready(now));
         take();
     }
--- a/process/agent/tests/leased_runs_schedule.cpp
+++ b/process/agent/tests/leased_runs_schedule.cpp
@@ -113,11 +113,18 @@
 {
     if (!runs_)
         return;
+    if (rates_.stops_all_before_end)
+    {
+        for (const auto& it : worker_.runs())
+            runs_->stop(it);
+    }
     runs_.reset();
     ++process_;
     known_life_ = worker_life(0);
     frozen_until_ = {};
-    time_.after(milliseconds(300 + draw(1700)), [this] { begin_process(); });
+    constexpr int min_gap_ms = 300;
+    const auto more = draw(count_ms(rates_.max_process_gap) - min_gap_ms);
+    time_.after(milliseconds(min_gap_ms + more), [this] { begin_process(); });
 }
 
 void leased_runs_schedule::raise_workers_fence()
@@ -175,7 +182,7 @@
                             known_life_ = std::max(known_life_, sent.life);
                         });
                 });
-    time_.after(milliseconds(1500), [this] { heartbeat(); });
+    time_.after(rates_.heartbeat_period, [this] { heartbeat(); });
 }
 
 void leased_runs_schedule::restart()
@@ -302,7 +309,8 @@
             [this](const worker_address&, const start_order& order,
                    std::function<void(const order_reply&)> done)
         {
-            const auto work = milliseconds(20 + draw(400));
+            const auto work =
+                milliseconds(20 + draw(count_ms(rates_.max_work)));
             exchange<order_reply>(milliseconds(250), std::move(done),
                                   [this, order, work](const auto& answer)
                                   { answer(worker_.start(order, work)); });
--- a/process/agent/tests/leased_runs_schedule.hpp
+++ b/process/agent/tests/leased_runs_schedule.hpp
@@ -31,13 +31,17 @@
     duration pause{}; //!< time without starts in each 5 s
     //! Time between two spans without any answer; zero for none.
     duration mute_period{};
-    //! Time between two ends of the agent's process; the next one begins 300 ms
-    //! to 2 s later. Zero for none.
+    //! Time between two ends of the agent's process. Zero for none.
     duration process_period{};
+    //! The next process begins after 300 ms to this time.
+    duration max_process_gap = std::chrono::seconds(2);
+    bool stops_all_before_end = false; //!< the process, just before it ends
     //! Time between two orders of another sender, whose token is up to 300
     //! above the highest so far. Zero for none.
     duration refusal_period{};
     duration max_lateness = std::chrono::seconds(3); //!< of a late order
+    duration heartbeat_period = std::chrono::milliseconds(1500);
+    duration max_work = std::chrono::milliseconds(400);
     //! Zero for a worker that stops a run at once.
     duration max_stop_time = std::chrono::milliseconds(50);
     //! Time in which a task is retried after a result of unknown effect.
--- a/process/agent/tests/leased_runs_schedule_test.cpp
+++ b/process/agent/tests/leased_runs_schedule_test.cpp
@@ -120,6 +120,20 @@
                .max_stop_time = duration::zero()});
 }
 
+// Guards against a run that is on no list, since a stop has just reached it.
+TEST(leased_runs_schedules, a_stop_of_an_earlier_process_is_being_carried_out)
+{
+    run_seeds({.answers_lost = 5,
+               .orders_late = 30,
+               .orders_delayed = 10,
+               .process_period = std::chrono::seconds(1),
+               .max_process_gap = std::chrono::milliseconds(600),
+               .stops_all_before_end = true,
+               .max_lateness = std::chrono::milliseconds(600),
+               .heartbeat_period = std::chrono::milliseconds(100),
+               .max_work = std::chrono::seconds(1)});
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/process/agent/tests/run_table_restarts_test.cpp
+++ b/process/agent/tests/run_table_restarts_test.cpp
@@ -228,6 +228,40 @@
     }
 }
 
+// Guards against a run of an earlier process that is on no list, since its stop
+// has just reached it.
+TEST(new_run_table, is_ready_once_a_stop_of_an_earlier_process_would_be_over)
+{
+    const endpoint address{"127.0.0.1", 9};
+    auto now = began;
+    run_table table({});
+    table.set_worker({address, "w", life}, worker_time(5000), now);
+    lease_reply empty;
+    empty.order = {order_result::accepted, worker_time(5001)};
+    while (now <= began + milliseconds(75))
+    {
+        const auto asked = table.take_output(now).extensions;
+        for (const auto& it : asked)
+            table.on_extended(life, it, empty, now);
+        EXPECT_FALSE(table.ready(now));
+        now += milliseconds(25);
+        table.tick(now);
+    }
+    for (const auto& it : table.take_output(now).extensions)
+        table.on_extended(life, it, empty, now);
+    EXPECT_TRUE(table.ready(now));
+}
+
+// Guards against a wait at each crash of a worker.
+TEST_F(leased_run_table, waits_for_no_earlier_stop_after_it_was_ready)
+{
+    table.set_worker(worker(worker_life(2000)), worker_time(10), now);
+    lease_reply empty;
+    empty.order = {order_result::accepted, worker_time(12)};
+    table.on_extended(worker_life(2000), take().extensions.at(0), empty, now);
+    EXPECT_TRUE(table.ready(now));
+}
+
 // Guards against a raised token that a next process exceeds only after years.
 TEST(new_run_table, begins_above_a_token_that_was_raised_after_a_refusal)
 {
