--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -128,8 +128,10 @@
     void handle_reply(const order_reply& reply, instant now);
     void update_clock(worker_time clock, instant now);
     void update_clock_from_report(worker_time clock, instant now);
+    fencing_token token_at(worker_time clock) const;
     void raise_fence(fencing_token refused, const order_reply& reply,
                      instant now);
+    bool earlier_stops_are_over(instant asked_at) const;
     void give_up_runs_of_earlier_life(bool is_same_worker, instant now);
     void keep_for_next_life(const task_run& id, run& it, instant now);
     static order_result result_in_this_life(const run& it,
@@ -190,6 +192,10 @@
     //! When all runs at the worker have ended if the lease is not extended.
     instant all_runs_end_at_{};
     worker_time last_lease_end_{}; //!< the highest that was sent in this life
+    //! When the worker first answered that it had accepted `fence_`; counts
+    //! until this table has been ready once.
+    std::optional<instant> fence_accepted_;
+    bool was_ready_ = false; //!< in this or an earlier life of the worker
     bool ready_ = false;
     bool last_reported_ready_ = false; //!< as last reported to the owner
     run_table_output output_;
--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -6,9 +6,14 @@
 namespace lagoonquay
 {
 
-// The worker's clock is monotonic during a life, so a fencing token derived
-// from it is higher than that of any earlier agent of this life without
-// persisting tokens.
+namespace
+{
+
+//! The highest integer that is exact in each JSON number.
+constexpr std::uint64_t max_fence = 9007199254740991;
+
+} // namespace
+
 bool run_table::set_worker(const worker_address& worker, worker_time clock,
                            instant now, std::uint64_t decision)
 {
@@ -26,12 +31,13 @@
     worker_ = worker;
     clock_ = clock;
     clock_updated_at_ = now;
+    const auto least = is_same_worker ? fence_.number() + 1 : 0;
     fence_ =
-        std::max(fencing_token(is_same_worker ? fence_.number() + 1 : 0),
-                 fencing_token(static_cast<std::uint64_t>(clock.count()) + 1));
+        std::max(fencing_token(std::min(least, max_fence)), token_at(clock));
     last_end_seen_ = 0;
     last_end_acknowledged_ = 0;
     ready_ = false;
+    fence_accepted_.reset();
     extension_in_flight_.reset();
     poll_in_flight_.reset();
     unknown_runs_.clear();
@@ -49,6 +55,29 @@
     return worker_ && worker_->id == id ? fence_ : fencing_token(0);
 }
 
+// The birth of a life and the clock in it rise over all lives of one worker, so
+// the first order of an agent's next process shuts out every order of earlier
+// processes, to this life or to an earlier one, and no token is persisted. A
+// worker that names no birth has 0, where only its clock counts. Not so if the
+// time of day was set back between two lives.
+fencing_token run_table::token_at(worker_time clock) const
+{
+    const auto since_birth = static_cast<std::uint64_t>(clock.count());
+    return fencing_token(
+        std::min(worker_->life.number() + since_birth + 1, max_fence));
+}
+
+// A run that is being stopped is on no list. Once the worker has accepted our
+// token, it carries out no stop of an earlier process, so one that it had begun
+// is over after the maximum time to stop a run. A run of an earlier process in
+// a later life than the first one that was ready began after the callers were
+// told that there is none; a wait would not change that.
+bool run_table::earlier_stops_are_over(instant asked_at) const
+{
+    return was_ready_ ||
+           (fence_accepted_ && asked_at > *fence_accepted_ + stop_time());
+}
+
 // A reported clock that is too far ahead is not accepted, because every later
 // answer would look stale. The worker is queried instead, and its answer is
 // used.
@@ -145,18 +174,30 @@
                                           options_.clock_margin);
 }
 
-// The worker refused our token, so it has accepted a higher one. Only an
-// earlier agent of this worker, or an order to an earlier life, can have used
-// it. The answer doesn't contain that token, so ours is doubled.
+// The worker refused our token, so it has accepted a higher one: of an agent
+// whose token was raised, or from before the time of day was set back. The
+// answer doesn't contain that token. What ours exceeds the worker's time by
+// grows with each refusal, but only from what is needed, so that a next
+// process's token is soon above it.
 void run_table::raise_fence(fencing_token refused, const order_reply& reply,
                             instant now)
 {
+    constexpr std::uint64_t first_excess = 100;
+    constexpr std::uint64_t growth = 4;
     if (refused < fence_)
         return;
+    fence_accepted_.reset();
     const auto clock = std::max(reply.clock.value_or(clock_), worker_now(now));
-    fence_ =
-        std::max(fencing_token(2 * fence_.number()),
-                 fencing_token(static_cast<std::uint64_t>(clock.count()) + 1));
+    const auto present = token_at(clock);
+    if (fence_ < present)
+    {
+        fence_ = present;
+        return;
+    }
+    const auto excess = fence_.number() - present.number();
+    const auto raised =
+        present.number() + std::max(first_excess, growth * excess);
+    fence_ = fencing_token(std::min(raised, max_fence));
 }
 
 } // namespace lagoonquay
