Let a worker's birth count before its clock in the fencing token

Callers could see two runs of one task at a time as in: the token was the birth of a life plus its clock. Plays show that a life's clock begins anywhere between 0 and some hours, so the sum may fall with a next life. Cause: a sum of two numbers of which only the first rises over lives. Change: the birth takes the upper 32 bits and the clock, in steps of 16 ms, the lower 21; both wrap, and a token that has wrapped is refused and raised.

--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -9,8 +9,14 @@
 namespace
 {
 
-//! The highest integer that is exact in each JSON number.
-constexpr std::uint64_t max_fence = 9007199254740991;
+//! A token has the birth of the worker's life and its clock, in bits that are
+//! exact in each JSON number.
+constexpr unsigned life_bits = 32; //!< of the birth in milliseconds
+constexpr unsigned clock_bits = 21;
+constexpr std::uint64_t max_fence = (1ULL << (life_bits + clock_bits)) - 1;
+
+//! The part of a token that counts the clock rises by 1 in this time.
+constexpr worker_time token_step(16);
 
 } // namespace
 
@@ -55,16 +61,20 @@
     return worker_ && worker_->id == id ? fence_ : fencing_token(0);
 }
 
-// The birth of a life and the clock in it rise over all lives of one worker, so
-// the first order of an agent's next process shuts out every order of earlier
-// processes, to this life or to an earlier one, and no token is persisted. A
-// worker that names no birth has 0, where only its clock counts. Not so if the
-// time of day was set back between two lives.
+// A later life has the higher token, wherever its clock begins, and so has a
+// later process in the same life. So the first order of an agent's next process
+// shuts out every order of earlier processes, and no token is persisted. Both
+// parts wrap, after 49 days and 9 hours; a token that has wrapped is refused
+// and raised. Not so if the time of day was set back between two lives. A
+// worker that names no birth has 0, where only its clock counts.
 fencing_token run_table::token_at(worker_time clock) const
 {
-    const auto since_birth = static_cast<std::uint64_t>(clock.count());
-    return fencing_token(
-        std::min(worker_->life.number() + since_birth + 1, max_fence));
+    const auto life = worker_->life.number();
+    if (life == 0)
+        return fencing_token(static_cast<std::uint64_t>(clock.count()) + 1);
+    const auto steps = static_cast<std::uint64_t>(clock / token_step);
+    return fencing_token((life % (1ULL << life_bits) << clock_bits) +
+                         steps % (1ULL << clock_bits));
 }
 
 // A run that is being stopped is on no list. Once the worker has accepted our
@@ -182,7 +192,7 @@
 void run_table::raise_fence(fencing_token refused, const order_reply& reply,
                             instant now)
 {
-    constexpr std::uint64_t first_excess = 100;
+    constexpr std::uint64_t first_excess = 8;
     constexpr std::uint64_t growth = 4;
     if (refused < fence_)
         return;
--- a/process/agent/tests/leased_runs_schedule.hpp
+++ b/process/agent/tests/leased_runs_schedule.hpp
@@ -26,6 +26,8 @@
     int orders_delayed = 0;  //!< executed up to 30 ms later
     //! Time between two restarts of the worker; zero for none.
     duration restart_period{};
+    //! The clock of each life after the first begins below this, at random.
+    worker_time max_first_clock{};
     //! Time between two freezes of the agent; zero for none.
     duration freeze_period{};
     duration pause{}; //!< time without starts in each pause_period
--- a/process/agent/tests/leased_runs_schedule_test.cpp
+++ b/process/agent/tests/leased_runs_schedule_test.cpp
@@ -127,6 +127,19 @@
                .max_stop_time = duration::zero()});
 }
 
+// Guards against a token that falls since a next life's clock begins lower.
+TEST(leased_runs_schedules, late_orders_of_an_earlier_process_to_any_clock)
+{
+    run_seeds({.answers_lost = 5,
+               .orders_late = 10,
+               .orders_delayed = 10,
+               .restart_period = std::chrono::seconds(3),
+               .max_first_clock = std::chrono::hours(2),
+               .process_period = std::chrono::seconds(4),
+               .max_lateness = std::chrono::seconds(12),
+               .max_stop_time = duration::zero()});
+}
+
 // Guards against a raised token that no later process can reach.
 TEST(leased_runs_schedules, late_orders_with_a_token_raised_after_a_refusal)
 {
