Tell a young replica of claims in flight too

What callers could see: two entries hold one job in round 1, and both run its task.

Cause: entry_service::held_claims() left out a claim whose votes are on their way, and one past its end whose renewal is in flight. A replica that had voted for it and started again never learned of it.

Change: both are reported, with a whole lease and the highest round that is known; a new claim in round zero, which marks it as asked for only. on_claim() keeps a held claim pending until its round is set, so that no report falls between. A replica that restored such a claim - lets nobody but its holder in for a lease, or until the holder releases it; - replaces it by the report of a holder, whichever comes first; - does not vote on it while it is young (an entry's own request that came after its report would have found a record, and so a vote); - takes no renewal away from another entry, and keeps no other content out after it has ended; - keeps two of them until the lease ends, as either may come to be held. The list costs as before: one pass over the open jobs, each reach encoded once.

Not covered: a claim in flight of which the earlier life gave a vote in round 2 or above is restored in round 1, until the holder's next report or renewal reaches the replica.

--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -190,7 +190,8 @@
     //! @return whether callers should send jobs here.
     bool ready() const;
 
-    //! @return the claims that this entry holds, each with its remaining lease.
+    //! @return the claims that this entry holds, each with its remaining lease,
+    //! and those in flight, with a whole one.
     std::vector<claim_request> held_claims();
 
     //! @return the number of jobs without an answer.
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -63,6 +63,7 @@
                      return;
                  it.claim_pending = true;
                  it.claim_retry_at.reset();
+                 it.asked_round = confirm;
                  if (confirm == claim_round())
                  {
                      it.ask = ask;
@@ -90,9 +91,11 @@
     with_job(state,
              [&](job_state& it)
              {
-                 it.claim_pending = false;
                  open = !it.answer;
-                 if (!open || outcome->status != claim_status::held)
+                 // One that is held stays pending until its round is set.
+                 it.claim_pending =
+                     open && outcome->status == claim_status::held;
+                 if (!it.claim_pending)
                      return;
                  const bool first = asked == claim_round();
                  it.needs_adoption = it.needs_adoption ||
@@ -119,6 +122,7 @@
     with_job(state,
              [&](job_state& it)
              {
+                 it.claim_pending = false;
                  it.round = outcome->round;
                  it.claim_end = outcome->valid_until;
                  it.reach = it.requested_reach;
@@ -252,6 +256,8 @@
     answer_and_remove(state, *answer);
 }
 
+// A claim in flight may come to be held by votes that were given before a
+// replica started again, for a whole lease from now at the longest.
 std::vector<claim_request> entry_service::held_claims()
 {
     const auto now = hooks_.now();
@@ -261,10 +267,12 @@
         with_job(state,
                  [&](const job_state& it)
                  {
-                     if (it.round == claim_round() || now >= it.claim_end)
+                     if (!it.claim_pending && now >= it.claim_end)
                          return;
                      auto options = request_for(it);
-                     options.lease = it.claim_end - now;
+                     options.round = std::max(it.round, it.asked_round);
+                     if (!it.claim_pending)
+                         options.lease = it.claim_end - now;
                      held.emplace_back(std::move(options));
                  });
     }
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -55,6 +55,7 @@
 
     claim_round round;
     instant claim_end{};
+    claim_round asked_round;    //!< that the last claim confirms, if any
     claim_sequence ask;         //!< number of the last new claim
     bool claim_pending = false; //!< a claim or renewal is in flight
     bool lapsed =
--- a/process/ledger/include/lagoonquay/process/held_claims.hpp
+++ b/process/ledger/include/lagoonquay/process/held_claims.hpp
@@ -8,7 +8,8 @@
 namespace lagoonquay
 {
 
-//! The claims that another entry holds, as it reports them.
+//! The claims that another entry holds or has in flight, as it reports them.
+//! The round of a new claim in flight is zero.
 struct held_claims
 {
     //! The peer's process has ended, so that it holds no claims.
--- a/process/ledger/include/lagoonquay/process/ledger_replica.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_replica.hpp
@@ -26,7 +26,8 @@
     //! @return the vote; unknown_reach, and no decision, if the request refers
     //! by number to a reach that this replica has not received.
     claim_vote claim(const claim_request& request);
-    //! Restores the record of a claim that its holder has reported.
+    //! Restores the record of a claim that an entry has reported as held or in
+    //! flight.
     void restore_claim(const claim_request& held);
     //! Notes that every claim in force has a record here, so that the replica
     //! also votes on submissions without a creation time.
--- a/process/ledger/include/lagoonquay/process/ledger_shard.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_shard.hpp
@@ -9,6 +9,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -125,8 +126,9 @@
     //! Decides on a claim and records it.
     claim_vote claim(const claim_request& request, instant now, wall_time wall);
 
-    //! Restores the record of a claim that its holder has reported, unless the
-    //! submission has a record already.
+    //! Restores the record of a claim that an entry has reported as held or, in
+    //! round zero, as in flight. Of several reports on a submission that of
+    //! the highest round counts; a record of a vote is kept.
     void restore_claim(const claim_request& held, instant now);
 
     //! Notes that every claim in force has a record here, so that the shard
@@ -152,6 +154,9 @@
         bool closed = false;
         //! Whether it had another holder, or an earlier claim by this one.
         bool adopted = false;
+        //! Round in the report that the record was restored from, until a vote
+        //! changes it; zero if that claim was in flight.
+        std::optional<claim_round> reported;
         agent_reach reach;
     };
 
@@ -168,7 +173,12 @@
     static claim_vote adopt(record& held, const claim_request& request,
                             instant now);
 
-    void record_claim(const claim_request& request, instant now);
+    record& record_claim(const claim_request& request, instant now);
+    static bool is_in_flight(const record& known) noexcept;
+    claim_vote replace_report(const record& known, const claim_request& request,
+                              instant now, wall_time wall);
+    static void join_report(record& known, const claim_request& other,
+                            instant now);
 
     ledger_options options_;
     std::unordered_map<submission_id, record> records_;
--- a/process/ledger/src/ledger_shard.cpp
+++ b/process/ledger/src/ledger_shard.cpp
@@ -50,6 +50,11 @@
     if (it == records_.end())
         return add(request, now, wall);
     auto& held = it->second;
+    if (is_in_flight(held) && !request->release &&
+        !can_vote(request, now, wall))
+        return claim_vote({.verdict = claim_verdict::fenced});
+    if (is_in_flight(held) && held.digest != request->digest)
+        return replace_report(held, request, now, wall);
     if (held.digest != request->digest)
         return claim_vote({.verdict = claim_verdict::mismatch});
     if (request->release)
@@ -98,12 +103,12 @@
         return claim_vote({.verdict = claim_verdict::fenced});
     if (request->release)
         return claim_vote({.verdict = claim_verdict::granted});
-    record_claim(request, now);
     return claim_vote({.verdict = claim_verdict::granted,
-                       .round = records_.at(request->submission).round});
+                       .round = record_claim(request, now).round});
 }
 
-void ledger_shard::record_claim(const claim_request& request, instant now)
+ledger_shard::record& ledger_shard::record_claim(const claim_request& request,
+                                                 instant now)
 {
     record fresh;
     fresh.digest = request->digest;
@@ -116,13 +121,54 @@
     fresh.first_claim = now;
     fresh.lease_end = now + request->lease;
     fresh.reach = request->reach;
-    records_.emplace(request->submission, std::move(fresh));
+    return records_.insert_or_assign(request->submission, std::move(fresh))
+        .first->second;
 }
 
 void ledger_shard::restore_claim(const claim_request& held, instant now)
 {
-    if (!records_.contains(held->submission))
-        record_claim(held, now);
+    const auto found = records_.find(held->submission);
+    if (found == records_.end())
+    {
+        record_claim(held, now).reported = held->round;
+        return;
+    }
+    const auto reported = found->second.reported;
+    if (!reported || held->round < *reported)
+        return;
+    if (held->round > *reported)
+        record_claim(held, now).reported = held->round;
+    else if (held->round == claim_round())
+        join_report(found->second, held, now);
+}
+
+bool ledger_shard::is_in_flight(const record& known) noexcept
+{
+    return known.reported == claim_round();
+}
+
+// Nobody has voted on the other content here: the entry that asked with it may
+// have been refused.
+claim_vote ledger_shard::replace_report(const record& known,
+                                        const claim_request& request,
+                                        instant now, wall_time wall)
+{
+    if (request->release || now < known.lease_end)
+        return claim_vote({.verdict = claim_verdict::fenced});
+    records_.erase(request->submission);
+    return add(request, now, wall);
+}
+
+// Either of two claims in flight may come to be held. Without a holder, neither
+// entry can release the record or renew it here before the lease ends.
+void ledger_shard::join_report(record& known, const claim_request& other,
+                               instant now)
+{
+    if (same_holder(known.holder, known.holder_run, other))
+        return;
+    known.holder_run = incarnation();
+    known.lease_end = std::max(known.lease_end, now + other->lease);
+    known.reach = known.reach.joined(other->reach);
 }
 
 void ledger_shard::set_complete() noexcept
@@ -132,7 +178,8 @@
 
 // A holder that makes a new claim has lost the state of its earlier one. It
 // adopts the submission like any other entry, but without waiting for its own
-// lease to end. Duplicate and stale messages change nothing.
+// lease to end. Duplicate and stale messages change nothing. A request that was
+// reported before it came is no duplicate.
 claim_vote ledger_shard::repeat_claim(record& held,
                                       const claim_request& request, instant now)
 {
@@ -140,6 +187,12 @@
         return held_by(held.holder_address);
     if (request->ask > held.ask)
         return adopt(held, request, now);
+    if (is_in_flight(held))
+    {
+        held.reported.reset();
+        return claim_vote(
+            {.verdict = claim_verdict::granted, .round = held.round});
+    }
     return claim_vote(
         {.verdict = claim_verdict::granted,
          .holder_address = {},
@@ -167,12 +220,15 @@
 
 // A renewal never takes a claim over, even after the lease of the other holder
 // has expired: that holder may have used its claim, and only an adoption
-// returns its reach.
+// returns its reach. Another's claim that was only in flight takes none away.
 claim_vote ledger_shard::renew(record& held, const claim_request& request,
                                instant now)
 {
     if (!same_holder(held.holder, held.holder_run, request))
-        return held_by(held.holder_address);
+        return is_in_flight(held)
+                   ? claim_vote({.verdict = claim_verdict::fenced})
+                   : held_by(held.holder_address);
+    held.reported.reset();
     held.closed = held.closed || request->close;
     held.round = std::max(held.round, request->round);
     held.lease_end = std::max(held.lease_end, now + request->lease);
@@ -188,6 +244,7 @@
                                instant now)
 {
     const auto earlier_reach = held.reach;
+    held.reported.reset();
     held.holder = request->holder;
     held.holder_run = request->holder_run;
     held.holder_address = request->holder_address;
--- a/process/ledger/tests/ledger_test.cpp
+++ b/process/ledger/tests/ledger_test.cpp
@@ -120,6 +120,72 @@
     EXPECT_EQ(refused->holder_address, "a");
 }
 
+claim_request reported_by(const std::string& holder, claim_round round)
+{
+    return undated_request_by(holder).with([&](claim_request_options& it)
+                                           { it.round = round; });
+}
+
+TEST(ledger_shard, a_claim_reported_in_flight_gives_way_to_its_holders_report)
+{
+    ledger_shard shard({.records_since = records_start});
+    shard.restore_claim(reported_by("a", claim_round()), now);
+    shard.restore_claim(reported_by("b", claim_round(1)), now);
+    shard.restore_claim(reported_by("c", claim_round()), now);
+    shard.set_complete();
+    EXPECT_EQ(shard.claim(undated_request_by("d"), now, wall)->holder_address,
+              "b");
+}
+
+// Guards against a vote by a replica that has not heard of all claims yet.
+TEST(ledger_shard, a_claim_reported_in_flight_gets_no_vote_before_completion)
+{
+    ledger_shard shard({.records_since = records_start,
+                        .started_at = now - std::chrono::seconds(1)});
+    const auto second = std::chrono::seconds(1);
+    shard.restore_claim(
+        reported_by("a", claim_round())
+            .with([=](claim_request_options& it) { it.lease = second; }),
+        now);
+    EXPECT_EQ(shard.claim(undated_request_by("a"), now, wall)->verdict,
+              claim_verdict::fenced);
+    EXPECT_EQ(shard.claim(undated_request_by("b"), now + second, wall)->verdict,
+              claim_verdict::fenced);
+    shard.set_complete();
+    const auto vote = shard.claim(undated_request_by("a"), now, wall);
+    EXPECT_EQ(vote->verdict, claim_verdict::granted);
+    EXPECT_EQ(vote->first_claim_age, duration());
+}
+
+TEST(ledger_shard, either_of_two_claims_reported_in_flight_keeps_others_out)
+{
+    ledger_shard shard({.records_since = records_start});
+    shard.restore_claim(reported_by("a", claim_round()), now);
+    shard.restore_claim(reported_by("b", claim_round()), now);
+    shard.set_complete();
+    const auto release = undated_request_by("a").with(
+        [](claim_request_options& it) { it.release = true; });
+    shard.claim(release, now, wall);
+    EXPECT_EQ(shard.claim(undated_request_by("c"), now, wall)->verdict,
+              claim_verdict::held);
+    EXPECT_EQ(shard.claim(undated_request_by("c"), now + lease, wall)->verdict,
+              claim_verdict::granted);
+}
+
+TEST(ledger_shard, a_claim_reported_in_flight_does_not_outlast_its_refusal)
+{
+    ledger_shard shard({.records_since = records_start});
+    shard.set_complete();
+    shard.restore_claim(reported_by("a", claim_round())
+                            .with([](claim_request_options& it)
+                                  { it.digest = content_digest(2); }),
+                        now);
+    EXPECT_EQ(shard.claim(undated_request_by("b"), now, wall)->verdict,
+              claim_verdict::fenced);
+    EXPECT_EQ(shard.claim(undated_request_by("b"), now + lease, wall)->verdict,
+              claim_verdict::granted);
+}
+
 claim_vote granted_vote()
 {
     return claim_vote(
