Name the agents of earlier holders in each request of an adopted claim

What callers could see: after an entry has adopted a job and a replica has started again, a third entry that adopts the job starts a task beside the run at an agent of the first holder.

Cause: entry_service::request_for() named the agents that this entry asked for, without those of the earlier holders, and ledger_shard::record_claim() took a report or a renewal of an adopted claim for a first claim. A replica without an older record then hid the first holder's agents from the next adopter.

Change: requests and reports join both; a record that starts or is renewed in a round above 1 counts as adopted, since only an adoption gives one. Earlier agents are kept as an agent_reach, so that a joined list that adds nothing is shared and keeps its number. Records that held the claim before already have this union: nobody asks more agents than there.

--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -34,7 +34,9 @@
 
 } // namespace
 
-// Requires the lock of the job's shard.
+// Requires the lock of the job's shard. A replica without a record has the
+// reach from this request alone, so that it names the agents of earlier holders
+// too.
 claim_request_options entry_service::request_for(const job_state& state) const
 {
     return {.submission = state.id,
@@ -47,7 +49,7 @@
             .round = state.round,
             .ask = state.ask,
             .lease = options_.claim_lease,
-            .reach = state.requested_reach};
+            .reach = state.requested_reach.joined(state.earlier_agents)};
 }
 
 //! @param confirm  the round to confirm, or zero for a new claim.
@@ -101,8 +103,7 @@
                  it.needs_adoption = it.needs_adoption ||
                                      outcome->first_claim_age.count() > 0 ||
                                      (!first && outcome->round != asked);
-                 it.earlier_agents.insert(outcome->reach.begin(),
-                                          outcome->reach.end());
+                 it.earlier_agents = it.earlier_agents.joined(outcome->reach);
                  confirm =
                      !outcome->confirmed || (!first && outcome->round != asked);
              });
@@ -129,7 +130,8 @@
                  it.run.set_base(attempt_base(outcome->round));
                  adopting = it.needs_adoption;
                  it.stage = adopting ? job_stage::adopting : job_stage::running;
-                 it.awaiting_status = it.earlier_agents;
+                 it.awaiting_status = {it.earlier_agents.begin(),
+                                       it.earlier_agents.end()};
                  it.recovery_end = hooks_.now() + options_.adoption_timeout;
              });
     write_event(log_level::info, part, state->id, "claimed",
@@ -179,7 +181,7 @@
              [&](job_state& it)
              {
                  it.needs_adoption = false;
-                 it.earlier_agents.clear();
+                 it.earlier_agents = {};
                  forwarded = it.stage == job_stage::forwarded;
                  if (other || forwarded)
                      it.claim_retry_at =
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -69,7 +69,7 @@
     bool needs_adoption = false; //!< tasks may have run under an earlier claim
     //! Subset of earlier_agents whose status has not arrived.
     std::set<agent_run_id> awaiting_status;
-    std::set<agent_run_id> earlier_agents; //!< reach of the earlier claims
+    agent_reach earlier_agents; //!< reach of the earlier claims
     //! An agent of earlier_agents can't report its status any more.
     bool has_lost_agents = false;
     instant recovery_end{};
--- a/process/ledger/src/ledger_shard.cpp
+++ b/process/ledger/src/ledger_shard.cpp
@@ -120,6 +120,7 @@
     fresh.round = std::max(request->round, claim_round(1));
     fresh.first_claim = now;
     fresh.lease_end = now + request->lease;
+    fresh.adopted = fresh.round > claim_round(1);
     fresh.reach = request->reach;
     return records_.insert_or_assign(request->submission, std::move(fresh))
         .first->second;
@@ -231,6 +232,7 @@
     held.reported.reset();
     held.closed = held.closed || request->close;
     held.round = std::max(held.round, request->round);
+    held.adopted = held.adopted || held.round > claim_round(1);
     held.lease_end = std::max(held.lease_end, now + request->lease);
     held.reach = held.reach.joined(request->reach);
     return claim_vote({.verdict = claim_verdict::granted,
--- a/process/ledger/tests/ledger_test.cpp
+++ b/process/ledger/tests/ledger_test.cpp
@@ -186,6 +186,22 @@
               claim_verdict::granted);
 }
 
+// Guards against a replica that took a report or a renewal of an adopted claim
+// for a first one, and then told the holder of no earlier agents.
+TEST(ledger_shard, a_claim_recorded_in_a_later_round_counts_as_adopted)
+{
+    const agent_reach reach{{agent_id("x"), incarnation(1)}};
+    const auto renewal =
+        reported_by("a", claim_round(2))
+            .with([&](claim_request_options& it) { it.reach = reach; });
+    ledger_shard reported({.complete = true});
+    reported.restore_claim(renewal, now);
+    EXPECT_EQ(reported.claim(renewal, now, wall)->reach, reach);
+    ledger_shard renewed({.complete = true});
+    renewed.claim(renewal, now, wall);
+    EXPECT_EQ(renewed.claim(renewal, now, wall)->reach, reach);
+}
+
 claim_vote granted_vote()
 {
     return claim_vote(
