--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -34,7 +34,9 @@
 
 } // namespace
 
-// Requires the lock of the job's shard.
+// Requires the lock of the job's shard. A replica without a record has the
+// reach from this request alone, so that it names the agents of earlier holders
+// too.
 claim_request_options entry_service::request_for(const job_state& state) const
 {
     return {.submission = state.id,
@@ -47,7 +49,7 @@
             .round = state.round,
             .ask = state.ask,
             .lease = options_.claim_lease,
-            .reach = state.requested_reach};
+            .reach = state.requested_reach.joined(state.earlier_agents)};
 }
 
 //! @param confirm  the round to confirm, or zero for a new claim.
@@ -63,6 +65,7 @@
                      return;
                  it.claim_pending = true;
                  it.claim_retry_at.reset();
+                 it.asked_round = confirm;
                  if (confirm == claim_round())
                  {
                      it.ask = ask;
@@ -90,16 +93,17 @@
     with_job(state,
              [&](job_state& it)
              {
-                 it.claim_pending = false;
                  open = !it.answer;
-                 if (!open || outcome->status != claim_status::held)
+                 // One that is held stays pending until its round is set.
+                 it.claim_pending =
+                     open && outcome->status == claim_status::held;
+                 if (!it.claim_pending)
                      return;
                  const bool first = asked == claim_round();
                  it.needs_adoption = it.needs_adoption ||
                                      outcome->first_claim_age.count() > 0 ||
                                      (!first && outcome->round != asked);
-                 it.earlier_agents.insert(outcome->reach.begin(),
-                                          outcome->reach.end());
+                 it.earlier_agents = it.earlier_agents.joined(outcome->reach);
                  confirm =
                      !outcome->confirmed || (!first && outcome->round != asked);
              });
@@ -119,13 +123,15 @@
     with_job(state,
              [&](job_state& it)
              {
+                 it.claim_pending = false;
                  it.round = outcome->round;
                  it.claim_end = outcome->valid_until;
                  it.reach = it.requested_reach;
                  it.run.set_base(attempt_base(outcome->round));
                  adopting = it.needs_adoption;
                  it.stage = adopting ? job_stage::adopting : job_stage::running;
-                 it.awaiting_status = it.earlier_agents;
+                 it.awaiting_status = {it.earlier_agents.begin(),
+                                       it.earlier_agents.end()};
                  it.recovery_end = hooks_.now() + options_.adoption_timeout;
              });
     write_event(log_level::info, part, state->id, "claimed",
@@ -175,7 +181,7 @@
              [&](job_state& it)
              {
                  it.needs_adoption = false;
-                 it.earlier_agents.clear();
+                 it.earlier_agents = {};
                  forwarded = it.stage == job_stage::forwarded;
                  if (other || forwarded)
                      it.claim_retry_at =
@@ -252,6 +258,8 @@
     answer_and_remove(state, *answer);
 }
 
+// A claim in flight may come to be held by votes that were given before a
+// replica started again, for a whole lease from now at the longest.
 std::vector<claim_request> entry_service::held_claims()
 {
     const auto now = hooks_.now();
@@ -261,10 +269,12 @@
         with_job(state,
                  [&](const job_state& it)
                  {
-                     if (it.round == claim_round() || now >= it.claim_end)
+                     if (!it.claim_pending && now >= it.claim_end)
                          return;
                      auto options = request_for(it);
-                     options.lease = it.claim_end - now;
+                     options.round = std::max(it.round, it.asked_round);
+                     if (!it.claim_pending)
+                         options.lease = it.claim_end - now;
                      held.emplace_back(std::move(options));
                  });
     }
