Log the attempts of placed tasks, and what a status changes

Change: placed and task_ended have the attempt, task_ended the agent's process too; status_applied has one line for each item of a status that changes the current attempt or makes the task wait again. No decision is changed, and a status that changes nothing leaves no line.

--- a/process/entry/src/dispatcher.cpp
+++ b/process/entry/src/dispatcher.cpp
@@ -49,11 +49,12 @@
 
 //! Logs which agent a task is sent to, and the age of that agent's last grant.
 void log_placed(const queued_task& next, const route_candidate& chosen,
-                const taken_credit& credit, instant now)
+                const taken_credit& credit, attempt_number attempt, instant now)
 {
     write_event(
         log_level::info, "entry", next.key.submission, "placed",
         {{"task", static_cast<std::int64_t>(next.key.index.number())},
+         {"attempt", static_cast<std::int64_t>(attempt.number())},
          {"agent", chosen.agent.text()},
          {"free_milli", std::int64_t{chosen.free.processors_milli}},
          {"priority", std::int64_t{next.priority}},
@@ -378,7 +379,7 @@
     ++dispatched_;
     const auto now = hooks_.now();
     waits_.add(now - next.since);
-    log_placed(next, chosen, credit, now);
+    log_placed(next, chosen, credit, message.key.attempt, now);
     credit.link->send(std::move(message));
 }
 
--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -216,7 +216,9 @@
         write_event(
             log_level::info, "entry", state->id, "task_ended",
             {{"task", static_cast<std::int64_t>(key.index.number())},
+             {"attempt", static_cast<std::int64_t>(key.attempt.number())},
              {"agent", key.agent.text()},
+             {"agent_run", std::to_string(key.agent_run.number())},
              {"reason", to_text(result->reason)},
              {"ran", to_text(result->ran)},
              {"then", again ? (retried ? "runs_again" : "moves") : "kept"}});
--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -18,6 +18,39 @@
     query_message message;
 };
 
+//! An item of a status that changed what the entry believes of its task.
+struct status_change
+{
+    status_item item;
+    attempt_key before; //!< the current attempt until then
+    bool waits = false; //!< the task is with no agent now
+};
+
+std::string_view to_text(start_state state)
+{
+    constexpr std::string_view names[] = {"not_started", "running", "finished"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+std::int64_t number_of(attempt_number attempt)
+{
+    return static_cast<std::int64_t>(attempt.number());
+}
+
+void log_change(const submission_id& submission, const agent_run_id& agent,
+                const status_change& it)
+{
+    write_event(log_level::info, part, submission, "status_applied",
+                {{"task", static_cast<std::int64_t>(it.item.index.number())},
+                 {"agent", agent.agent.text()},
+                 {"agent_run", std::to_string(agent.run.number())},
+                 {"attempt", number_of(it.item.attempt)},
+                 {"state", to_text(it.item.state)},
+                 {"forbidden", number_of(it.item.forbidden)},
+                 {"before", number_of(it.before.attempt)},
+                 {"outcome", it.waits ? "waits_again" : "adopted"}});
+}
+
 task_result lost_result(const attempt_key& key)
 {
     return task_result(
@@ -113,22 +146,31 @@
     const auto state = find(it.submission);
     if (!state)
         return;
+    const agent_run_id source{agent, it.agent_run};
     std::vector<task_index> moved;
+    std::vector<status_change> changes;
     with_job(state,
              [&](job_state& found)
              {
-                 const agent_run_id source{agent, it.agent_run};
                  if (found.answer)
                      return;
                  for (const auto& item : it.items)
                  {
+                     const auto before = found.run.current(item.index);
+                     const bool waited = found.run.is_waiting(item.index);
                      if (apply(found, source, item))
                          moved.push_back(item.index);
+                     const auto after = found.run.current(item.index);
+                     const bool waits = found.run.is_waiting(item.index);
+                     if (after != before || waited != waits)
+                         changes.push_back({item, before, waits});
                  }
                  if (fences_earlier_attempts(it, found.submitted->tasks.size(),
                                              attempt_base(found.round)))
                      found.awaiting_status.erase(source);
              });
+    for (const auto& each : changes)
+        log_change(state->id, source, each);
     requeued_ += moved.size();
     enqueue(*state, moved);
     record_finished(state, it);
--- a/request/include/lagoonquay/request/job_run.hpp
+++ b/request/include/lagoonquay/request/job_run.hpp
@@ -86,6 +86,10 @@
                         const std::string& detail,
                         effect known = effect::not_run);
 
+    //! @return the last attempt that was dispatched or adopted; number 0 if
+    //! there was none, or no such task.
+    attempt_key current(task_index index) const;
+
     //! @return the attempts that are with an agent.
     std::vector<attempt_key> dispatched() const;
 
--- a/request/src/job_run.cpp
+++ b/request/src/job_run.cpp
@@ -156,6 +156,13 @@
     return true;
 }
 
+attempt_key job_run::current(task_index index) const
+{
+    if (index.number() >= slots_.size())
+        return {};
+    return slots_[index.number()].key;
+}
+
 std::vector<attempt_key> job_run::dispatched() const
 {
     std::vector<attempt_key> keys;
