Never give out the number of an attempt twice

Callers saw nothing of it by itself. An entry numbered the next attempt of a task from the current one. Change: job_run keeps the highest number that was dispatched or adopted for each task, and numbers from it.

--- a/request/include/lagoonquay/request/job_run.hpp
+++ b/request/include/lagoonquay/request/job_run.hpp
@@ -42,7 +42,8 @@
 
     const job& submitted() const noexcept;
 
-    //! Records that a waiting task goes to an agent.
+    //! Records that a waiting task goes to an agent, as an attempt with a
+    //! higher number than all that were dispatched or adopted before.
     //! @return the key that its result must carry.
     attempt_key dispatch(task_index index, const agent_id& agent,
                          incarnation agent_run);
@@ -110,6 +111,7 @@
     {
         task_phase phase = task_phase::waiting;
         attempt_key key;
+        attempt_number last; //!< highest that was dispatched or adopted
         task_result result;
         bool may_have_run = false;          //!< in an earlier attempt
         std::vector<attempt_number> failed; //!< attempts that ended so
--- a/request/src/job_run.cpp
+++ b/request/src/job_run.cpp
@@ -49,10 +49,11 @@
                               incarnation agent_run)
 {
     auto& target = slots_.at(index.number());
-    const auto earlier = std::max(base_, target.key.attempt);
+    const auto earlier = std::max(base_, target.last);
+    target.last = attempt_number(earlier.number() + 1);
     target.phase = task_phase::dispatched;
     target.key = {.index = index,
-                  .attempt = attempt_number(earlier.number() + 1),
+                  .attempt = target.last,
                   .agent = agent,
                   .agent_run = agent_run};
     return target.key;
@@ -120,6 +121,7 @@
         return false;
     target.phase = task_phase::dispatched;
     target.key = started;
+    target.last = std::max(target.last, started.attempt);
     return true;
 }
 
