Count a reported end once, and go back to an attempt only on proof

Cause, one rule for both faults: a status named an attempt, and job_run::adopt made it the current one if the agent was the same, whether its end had been counted or not, and whether the later attempt could still start or not. So a retried attempt displaced the one that ran, and its end, which had come as a result, counted again as a status: the task was dispatched beside its own run. It needs no second link: an agent that declines a retry tells of the first attempt once more. Change: take_report replaces adopt and has_failed. Ends that an agent reported are kept for each task (also those of declined attempts), and such an attempt is never adopted again; it only returns the current one if the report forbids its start. A lost attempt, whose end nobody reported, may be adopted while the task waits, or if the report forbids the current one. retry() is told which of the two it is. A report that names an earlier attempt and proves nothing is logged as ignored. The unit tests of reports are new with take_report and did not run before it.

--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -302,15 +302,15 @@
                                                    const taken_credit& credit);
     void on_result(const agent_id& agent, const result_message& it);
     bool record_result(const job_pointer& state, const attempt_key& key,
-                       const task_result& result);
+                       const task_result& result, attempt_end how);
     bool grant_retry(const job_pointer& state, const task_result& result) const;
 
     // entry_recovery.cpp: lost links and adoption
     void query_agent(const agent_run_id& agent);
     void query_earlier_agents(const job_pointer& state);
     void on_status(const agent_id& agent, const status_message& it);
-    bool apply(job_state& state, const agent_run_id& agent,
-               const status_item& it);
+    report_outcome apply(job_state& state, const agent_run_id& agent,
+                         const status_item& it);
     void record_finished(const job_pointer& state, const status_message& it);
     void finish_adoption(const job_pointer& state);
     void check_lost(instant now);
--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -161,7 +161,8 @@
 void entry_service::on_result(const agent_id& agent, const result_message& it)
 {
     const auto state = find(it.submission);
-    const bool counted = state && record_result(state, it.key, it.result);
+    const bool counted =
+        state && record_result(state, it.key, it.result, attempt_end::reported);
     dispatcher_.finish(agent, it);
     if (!counted)
         ++dropped_;
@@ -182,7 +183,7 @@
 // @return false if the key is not a current attempt of the job.
 bool entry_service::record_result(const job_pointer& state,
                                   const attempt_key& key,
-                                  const task_result& result)
+                                  const task_result& result, attempt_end how)
 {
     const bool retry = grant_retry(state, result);
     bool counted = false;
@@ -202,7 +203,7 @@
                  else if (move)
                      again = counted = it.run.requeue(key);
                  else if (retried)
-                     again = counted = it.run.retry(key);
+                     again = counted = it.run.retry(key, how);
                  else if (ran_and_failed(result) && !it.cancelled &&
                           it.run.retry_failed(key))
                      again = counted = retried = true;
--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -18,12 +18,12 @@
     query_message message;
 };
 
-//! An item of a status that changed what the entry believes of its task.
+//! An item of a status, and what the entry made of it.
 struct status_change
 {
     status_item item;
     attempt_key before; //!< the current attempt until then
-    bool waits = false; //!< the task is with no agent now
+    report_outcome outcome = report_outcome::unchanged;
 };
 
 std::string_view to_text(start_state state)
@@ -32,6 +32,13 @@
     return names[static_cast<std::size_t>(state)];
 }
 
+std::string_view to_text(report_outcome outcome)
+{
+    constexpr std::string_view names[] = {"unchanged", "confirmed", "adopted",
+                                          "waits_again", "ignored"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
 std::int64_t number_of(attempt_number attempt)
 {
     return static_cast<std::int64_t>(attempt.number());
@@ -40,6 +47,9 @@
 void log_change(const submission_id& submission, const agent_run_id& agent,
                 const status_change& it)
 {
+    if (it.outcome == report_outcome::unchanged ||
+        it.outcome == report_outcome::confirmed)
+        return;
     write_event(log_level::info, part, submission, "status_applied",
                 {{"task", static_cast<std::int64_t>(it.item.index.number())},
                  {"agent", agent.agent.text()},
@@ -48,7 +58,7 @@
                  {"state", to_text(it.item.state)},
                  {"forbidden", number_of(it.item.forbidden)},
                  {"before", number_of(it.before.attempt)},
-                 {"outcome", it.waits ? "waits_again" : "adopted"}});
+                 {"outcome", to_text(it.outcome)}});
 }
 
 task_result lost_result(const attempt_key& key)
@@ -157,13 +167,11 @@
                  for (const auto& item : it.items)
                  {
                      const auto before = found.run.current(item.index);
-                     const bool waited = found.run.is_waiting(item.index);
-                     if (apply(found, source, item))
+                     const auto outcome = apply(found, source, item);
+                     changes.push_back({item, before, outcome});
+                     if (outcome == report_outcome::waits_again &&
+                         !found.cancelled && found.stage == job_stage::running)
                          moved.push_back(item.index);
-                     const auto after = found.run.current(item.index);
-                     const bool waits = found.run.is_waiting(item.index);
-                     if (after != before || waited != waits)
-                         changes.push_back({item, before, waits});
                  }
                  if (fences_earlier_attempts(it, found.submitted->tasks.size(),
                                              attempt_base(found.round)))
@@ -188,32 +196,26 @@
         if (item.state == start_state::finished)
             record_result(state,
                           {item.index, item.attempt, it.agent, it.agent_run},
-                          item.result);
+                          item.result, attempt_end::reported);
     }
 }
 
-// An agent keeps the result of a failed run and reports it again when it
-// declines a later attempt. Such a status forbids only the attempts after the
-// failed one.
-// @return whether the task waits for dispatch again.
-bool entry_service::apply(job_state& state, const agent_run_id& agent,
-                          const status_item& it)
+// An agent keeps the result of a run that has ended, and reports it again when
+// it declines a later attempt.
+report_outcome entry_service::apply(job_state& state, const agent_run_id& agent,
+                                    const status_item& it)
 {
-    const attempt_key key{it.index, it.attempt, agent.agent, agent.run};
-    if (it.state == start_state::not_started || state.run.has_failed(key))
-    {
-        if (!state.run.requeue(
-                {it.index, it.forbidden, agent.agent, agent.run}))
-            return false;
-        if (state.cancelled)
-            state.run.finish_waiting(it.index, failure_reason::cancelled,
-                                     "cancelled by the caller");
-        return !state.cancelled && state.stage == job_stage::running;
-    }
-    if (!state.run.adopt(key))
-        return false;
-    ++recovered_;
-    return false;
+    const auto outcome = state.run.take_report(
+        {.reported = {it.index, it.attempt, agent.agent, agent.run},
+         .started = it.state != start_state::not_started,
+         .forbidden = it.forbidden});
+    if (outcome == report_outcome::adopted ||
+        outcome == report_outcome::confirmed)
+        ++recovered_;
+    if (outcome == report_outcome::waits_again && state.cancelled)
+        state.run.finish_waiting(it.index, failure_reason::cancelled,
+                                 "cancelled by the caller");
+    return outcome;
 }
 
 // Tasks that no agent has started are dispatched once every agent of the
@@ -300,7 +302,8 @@
             if (it.once_accepting &&
                 !dispatcher_.agents().accepts(it.key.agent))
                 continue;
-            record_result(state, it.key, lost_result(it.key));
+            record_result(state, it.key, lost_result(it.key),
+                          attempt_end::lost);
         }
         if (adopting)
             finish_adoption(state);
--- a/process/entry/tests/two_links_test.cpp
+++ b/process/entry/tests/two_links_test.cpp
@@ -23,6 +23,16 @@
         fleet.run_for(milliseconds(20));
     }
 
+    //! Ends the first attempt as one that may have run, so that the task is
+    //! dispatched again.
+    attempt_key retry_first()
+    {
+        const auto first = fleet.dispatched().at(0);
+        fleet.deliver(older, fleet.result(first, failure_reason::link_lost));
+        fleet.run_for(milliseconds(500));
+        return first;
+    }
+
     //! Loses the link for longer than the grace period, and opens another.
     attempt_key lose_first()
     {
@@ -45,6 +55,31 @@
     std::shared_ptr<recorded_link> older;
 };
 
+// Guards against an adoption of an attempt that was retried already.
+TEST_F(two_links, a_late_status_does_not_replace_the_current_attempt)
+{
+    const auto first = retry_first();
+    ASSERT_EQ(fleet.dispatched().size(), 2U);
+    const auto second = fleet.dispatched().at(1);
+    fleet.deliver(older, fleet.status(first, first, start_state::running));
+    fleet.deliver(older, fleet.result(second, failure_reason::none));
+    expect_success();
+}
+
+// The status doesn't cover the second attempt, which may start any moment.
+TEST_F(two_links, a_lost_attempt_does_not_replace_one_that_may_start)
+{
+    const auto first = lose_first();
+    ASSERT_EQ(fleet.dispatched().size(), 2U);
+    const auto second = fleet.dispatched().at(1);
+    fleet.deliver(older, fleet.status(first, first, start_state::finished,
+                                      failure_reason::link_lost));
+    fleet.run_for(milliseconds(500));
+    EXPECT_EQ(fleet.dispatched().size(), 2U);
+    fleet.deliver(older, fleet.result(second, failure_reason::none));
+    expect_success();
+}
+
 TEST_F(two_links, a_lost_attempt_that_goes_on_is_adopted_and_never_doubled)
 {
     const auto first = lose_first();
@@ -70,6 +105,43 @@
     EXPECT_GT(fleet.dispatched().at(2).attempt, second.attempt);
 }
 
+// Guards against a second dispatch beside the run of the first retry.
+TEST_F(two_links, an_end_that_comes_as_result_and_as_status_counts_once)
+{
+    const auto first = retry_first();
+    fleet.deliver(older, fleet.status(first, first, start_state::finished,
+                                      failure_reason::link_lost));
+    fleet.run_for(milliseconds(500));
+    EXPECT_EQ(fleet.service().counts().retried, 1U);
+}
+
+// An agent that declines the retry tells of the first attempt once more.
+TEST_F(two_links, a_retry_that_is_declined_counts_no_second_end)
+{
+    const auto first = retry_first();
+    ASSERT_EQ(fleet.dispatched().size(), 2U);
+    const auto second = fleet.dispatched().at(1);
+    fleet.deliver(older, fleet.status(first, second, start_state::finished,
+                                      failure_reason::link_lost));
+    fleet.deliver(older, fleet.result(second, failure_reason::no_permit));
+    fleet.run_for(milliseconds(500));
+    EXPECT_EQ(fleet.service().counts().retried, 1U);
+    EXPECT_EQ(fleet.service().counts().requeued, 1U);
+    EXPECT_EQ(fleet.dispatched().size(), 3U);
+}
+
+// An attempt that was declined has ended, whatever comes later of it.
+TEST_F(two_links, a_declined_attempt_that_is_reported_again_counts_once)
+{
+    const auto first = fleet.dispatched().at(0);
+    fleet.deliver(older, fleet.result(first, failure_reason::no_permit));
+    fleet.deliver(older, fleet.status(first, first, start_state::finished,
+                                      failure_reason::no_permit));
+    fleet.run_for(milliseconds(500));
+    EXPECT_EQ(fleet.service().counts().requeued, 1U);
+    EXPECT_EQ(fleet.dispatched().size(), 2U);
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/request/include/lagoonquay/request/job_run.hpp
+++ b/request/include/lagoonquay/request/job_run.hpp
@@ -30,6 +30,34 @@
     friend auto operator<=>(const attempt_key&, const attempt_key&) = default;
 };
 
+//! How an entry learned that it need not wait for an attempt any longer.
+enum class attempt_end
+{
+    reported, //!< its agent told its end
+    lost,     //!< its agent is given up; it may go on there
+};
+
+//! What an agent tells of one task when an entry has asked for it.
+struct attempt_report
+{
+    attempt_key reported;     //!< that started there, if one has
+    bool started = false;     //!< if not, no attempt up to `forbidden` has
+    attempt_number forbidden; //!< no attempt after that one starts, up to this
+
+    friend bool operator==(const attempt_report&,
+                           const attempt_report&) = default;
+};
+
+//! What became of a task by a report.
+enum class report_outcome
+{
+    unchanged,
+    confirmed,   //!< the current attempt is the one that started
+    adopted,     //!< the reported attempt is the current one now
+    waits_again, //!< the current attempt never starts
+    ignored,     //!< it names an earlier attempt, and the current may start
+};
+
 //! Gathers the results of one job. Not thread-safe; the job's shard locks it.
 class job_run
 {
@@ -57,24 +85,21 @@
     bool requeue(const attempt_key& key);
 
     //! Returns a dispatched task to waiting although it may have run; it is
-    //! never again said not to have run.
+    //! never again said not to have run. A lost attempt may be adopted later.
     //! @return false if the key is not the current attempt.
-    bool retry(const attempt_key& key);
+    bool retry(const attempt_key& key, attempt_end how);
 
     //! Returns a task whose run has ended as failed to waiting, while the job
     //! grants it another attempt.
     //! @return false if the key is not the current attempt, or was the last.
     bool retry_failed(const attempt_key& key);
 
-    //! @return whether the attempt was returned by retry_failed().
-    bool has_failed(const attempt_key& key) const;
-
     //! Notes that some earlier attempt of the task may have run.
     void doubt(task_index index);
 
-    //! Takes over an attempt that an agent has started already.
-    //! @return false if the task is finished or with another agent.
-    bool adopt(const attempt_key& started);
+    //! Takes what an agent tells of a task. An end that was reported before
+    //! doesn't count again.
+    report_outcome take_report(const attempt_report& report);
 
     //! Finishes every unfinished task: dispatched ones as unknown.
     //! @param waiting_effect  what is known of those that are with no agent.
@@ -113,11 +138,15 @@
         attempt_key key;
         attempt_number last; //!< highest that was dispatched or adopted
         task_result result;
-        bool may_have_run = false;          //!< in an earlier attempt
-        std::vector<attempt_number> failed; //!< attempts that ended so
+        bool may_have_run = false;         //!< in an earlier attempt
+        std::size_t failures = 0;          //!< attempts that ran and failed
+        std::vector<attempt_number> ended; //!< whose end an agent reported
     };
 
     const slot* find(const attempt_key& key) const noexcept;
+    static bool has_ended(const slot& target, attempt_number attempt);
+    static bool covers(const attempt_report& report, const slot& target);
+    static report_outcome adopt(slot& target, const attempt_key& started);
     void finish(slot& target, task_result result);
 
     job job_;
--- a/request/src/job_run.cpp
+++ b/request/src/job_run.cpp
@@ -71,14 +71,18 @@
 {
     if (find(key) == nullptr)
         return false;
-    slots_[key.index.number()].phase = task_phase::waiting;
+    auto& target = slots_[key.index.number()];
+    target.phase = task_phase::waiting;
+    target.ended.push_back(key.attempt);
     return true;
 }
 
-bool job_run::retry(const attempt_key& key)
+bool job_run::retry(const attempt_key& key, attempt_end how)
 {
     if (!requeue(key))
         return false;
+    if (how == attempt_end::lost)
+        slots_[key.index.number()].ended.pop_back();
     doubt(key.index);
     return true;
 }
@@ -88,18 +92,10 @@
     if (find(key) == nullptr)
         return false;
     auto& target = slots_[key.index.number()];
-    if (target.failed.size() + 1 >= job_->attempts)
+    if (target.failures + 1 >= job_->attempts)
         return false;
-    target.failed.push_back(key.attempt);
-    return retry(key);
-}
-
-bool job_run::has_failed(const attempt_key& key) const
-{
-    if (key.index.number() >= slots_.size())
-        return false;
-    const auto& failed = slots_[key.index.number()].failed;
-    return std::find(failed.begin(), failed.end(), key.attempt) != failed.end();
+    ++target.failures;
+    return retry(key, attempt_end::reported);
 }
 
 void job_run::doubt(task_index index)
@@ -107,22 +103,38 @@
     slots_.at(index.number()).may_have_run = true;
 }
 
-// An agent may name another attempt than the current one: of an idempotent
-// task, an earlier attempt may be the one that started there.
-bool job_run::adopt(const attempt_key& started)
+// An agent may name an earlier attempt than the current one: of an idempotent
+// task, an earlier attempt may be the one that started there. It may stand for
+// the current one only on proof that the current one can't start there any
+// more, or both would run. While the task waits, there is no current one. An
+// attempt whose end was reported before is over, whatever is told of it again.
+report_outcome job_run::take_report(const attempt_report& report)
 {
-    if (started.index.number() >= slots_.size())
-        return false;
-    auto& target = slots_[started.index.number()];
-    const bool same_agent = target.key.agent == started.agent &&
-                            target.key.agent_run == started.agent_run;
-    if (target.phase == task_phase::finished || has_failed(started) ||
-        (target.phase == task_phase::dispatched && !same_agent))
-        return false;
-    target.phase = task_phase::dispatched;
-    target.key = started;
-    target.last = std::max(target.last, started.attempt);
-    return true;
+    const auto& reported = report.reported;
+    if (reported.index.number() >= slots_.size())
+        return report_outcome::unchanged;
+    auto& target = slots_[reported.index.number()];
+    if (target.phase == task_phase::finished)
+        return report_outcome::unchanged;
+    if (report.started && find(reported) != nullptr)
+        return report_outcome::confirmed;
+    const bool over = !report.started || has_ended(target, reported.attempt);
+    if (target.phase == task_phase::waiting)
+        return over ? report_outcome::unchanged : adopt(target, reported);
+    if (target.key.agent != reported.agent ||
+        target.key.agent_run != reported.agent_run)
+        return report_outcome::unchanged;
+    const bool fenced = covers(report, target);
+    if (over && fenced)
+    {
+        requeue(target.key);
+        return report_outcome::waits_again;
+    }
+    const bool later = reported.attempt > target.key.attempt;
+    if (!over && (fenced || later))
+        return adopt(target, reported);
+    return report.started && !later ? report_outcome::ignored
+                                    : report_outcome::unchanged;
 }
 
 void job_run::abandon(failure_reason reason, const std::string& detail,
@@ -242,6 +254,28 @@
     return current ? &target : nullptr;
 }
 
+bool job_run::has_ended(const slot& target, attempt_number attempt)
+{
+    return std::find(target.ended.begin(), target.ended.end(), attempt) !=
+           target.ended.end();
+}
+
+// @return whether the report proves that the current attempt never starts.
+bool job_run::covers(const attempt_report& report, const slot& target)
+{
+    const auto current = target.key.attempt;
+    return current <= report.forbidden &&
+           (!report.started || report.reported.attempt < current);
+}
+
+report_outcome job_run::adopt(slot& target, const attempt_key& started)
+{
+    target.phase = task_phase::dispatched;
+    target.key = started;
+    target.last = std::max(target.last, started.attempt);
+    return report_outcome::adopted;
+}
+
 void job_run::finish(slot& target, task_result result)
 {
     target.phase = task_phase::finished;
--- a/request/tests/job_run_test.cpp
+++ b/request/tests/job_run_test.cpp
@@ -98,6 +98,65 @@
     EXPECT_TRUE(run.record(second, success(0)));
 }
 
+//! Reports of one agent on the first task, after two dispatches there.
+class reports : public testing::Test
+{
+protected:
+    report_outcome started(const attempt_key& key, const attempt_key& asked)
+    {
+        return run.take_report(
+            {.reported = key, .started = true, .forbidden = asked.attempt});
+    }
+
+    attempt_key dispatch()
+    {
+        return run.dispatch(task_index(0), agent, agent_run);
+    }
+
+    job_run run{two_tasks()};
+    attempt_key first = dispatch();
+};
+
+TEST_F(reports, of_an_ended_attempt_change_nothing_while_the_task_waits)
+{
+    run.retry(first, attempt_end::reported);
+    EXPECT_EQ(started(first, first), report_outcome::unchanged);
+    EXPECT_TRUE(run.is_waiting(task_index(0)));
+}
+
+TEST_F(reports, of_a_lost_attempt_are_taken_over_while_the_task_waits)
+{
+    run.retry(first, attempt_end::lost);
+    EXPECT_EQ(started(first, first), report_outcome::adopted);
+    EXPECT_TRUE(run.record(first, success(0)));
+}
+
+TEST_F(reports, of_a_lost_attempt_wait_for_proof_against_the_current_one)
+{
+    run.retry(first, attempt_end::lost);
+    const auto second = dispatch();
+    EXPECT_EQ(started(first, first), report_outcome::ignored);
+    EXPECT_EQ(run.current(task_index(0)), second);
+    EXPECT_EQ(started(first, second), report_outcome::adopted);
+    EXPECT_EQ(run.current(task_index(0)), first);
+}
+
+TEST_F(reports, of_an_ended_attempt_return_one_that_they_forbid)
+{
+    run.retry(first, attempt_end::reported);
+    const auto second = dispatch();
+    EXPECT_EQ(started(first, second), report_outcome::waits_again);
+    EXPECT_EQ(started(first, second), report_outcome::unchanged);
+    EXPECT_GT(dispatch().attempt, second.attempt);
+}
+
+TEST_F(reports, of_another_process_of_the_agent_change_no_dispatched_task)
+{
+    auto other = first;
+    other.agent_run = incarnation(8);
+    EXPECT_EQ(started(other, first), report_outcome::unchanged);
+}
+
 } // namespace
 
 } // namespace lagoonquay
