--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -18,6 +18,49 @@
     query_message message;
 };
 
+//! An item of a status, and what the entry made of it.
+struct status_change
+{
+    status_item item;
+    attempt_key before; //!< the current attempt until then
+    report_outcome outcome = report_outcome::unchanged;
+};
+
+std::string_view to_text(start_state state)
+{
+    constexpr std::string_view names[] = {"not_started", "running", "finished"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+std::string_view to_text(report_outcome outcome)
+{
+    constexpr std::string_view names[] = {"unchanged", "confirmed", "adopted",
+                                          "waits_again", "ignored"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+std::int64_t number_of(attempt_number attempt)
+{
+    return static_cast<std::int64_t>(attempt.number());
+}
+
+void log_change(const submission_id& submission, const agent_run_id& agent,
+                const status_change& it)
+{
+    if (it.outcome == report_outcome::unchanged ||
+        it.outcome == report_outcome::confirmed)
+        return;
+    write_event(log_level::info, part, submission, "status_applied",
+                {{"task", static_cast<std::int64_t>(it.item.index.number())},
+                 {"agent", agent.agent.text()},
+                 {"agent_run", std::to_string(agent.run.number())},
+                 {"attempt", number_of(it.item.attempt)},
+                 {"state", to_text(it.item.state)},
+                 {"forbidden", number_of(it.item.forbidden)},
+                 {"before", number_of(it.before.attempt)},
+                 {"outcome", to_text(it.outcome)}});
+}
+
 task_result lost_result(const attempt_key& key)
 {
     return task_result(
@@ -113,22 +156,29 @@
     const auto state = find(it.submission);
     if (!state)
         return;
+    const agent_run_id source{agent, it.agent_run};
     std::vector<task_index> moved;
+    std::vector<status_change> changes;
     with_job(state,
              [&](job_state& found)
              {
-                 const agent_run_id source{agent, it.agent_run};
                  if (found.answer)
                      return;
                  for (const auto& item : it.items)
                  {
-                     if (apply(found, source, item))
+                     const auto before = found.run.current(item.index);
+                     const auto outcome = apply(found, source, item);
+                     changes.push_back({item, before, outcome});
+                     if (outcome == report_outcome::waits_again &&
+                         !found.cancelled && found.stage == job_stage::running)
                          moved.push_back(item.index);
                  }
                  if (fences_earlier_attempts(it, found.submitted->tasks.size(),
                                              attempt_base(found.round)))
                      found.awaiting_status.erase(source);
              });
+    for (const auto& each : changes)
+        log_change(state->id, source, each);
     requeued_ += moved.size();
     enqueue(*state, moved);
     record_finished(state, it);
@@ -146,32 +196,26 @@
         if (item.state == start_state::finished)
             record_result(state,
                           {item.index, item.attempt, it.agent, it.agent_run},
-                          item.result);
+                          item.result, attempt_end::reported);
     }
 }
 
-// An agent keeps the result of a failed run and reports it again when it
-// declines a later attempt. Such a status forbids only the attempts after the
-// failed one.
-// @return whether the task waits for dispatch again.
-bool entry_service::apply(job_state& state, const agent_run_id& agent,
-                          const status_item& it)
+// An agent keeps the result of a run that has ended, and reports it again when
+// it declines a later attempt.
+report_outcome entry_service::apply(job_state& state, const agent_run_id& agent,
+                                    const status_item& it)
 {
-    const attempt_key key{it.index, it.attempt, agent.agent, agent.run};
-    if (it.state == start_state::not_started || state.run.has_failed(key))
-    {
-        if (!state.run.requeue(
-                {it.index, it.forbidden, agent.agent, agent.run}))
-            return false;
-        if (state.cancelled)
-            state.run.finish_waiting(it.index, failure_reason::cancelled,
-                                     "cancelled by the caller");
-        return !state.cancelled && state.stage == job_stage::running;
-    }
-    if (!state.run.adopt(key))
-        return false;
-    ++recovered_;
-    return false;
+    const auto outcome = state.run.take_report(
+        {.reported = {it.index, it.attempt, agent.agent, agent.run},
+         .started = it.state != start_state::not_started,
+         .forbidden = it.forbidden});
+    if (outcome == report_outcome::adopted ||
+        outcome == report_outcome::confirmed)
+        ++recovered_;
+    if (outcome == report_outcome::waits_again && state.cancelled)
+        state.run.finish_waiting(it.index, failure_reason::cancelled,
+                                 "cancelled by the caller");
+    return outcome;
 }
 
 // Tasks that no agent has started are dispatched once every agent of the
@@ -258,7 +302,8 @@
             if (it.once_accepting &&
                 !dispatcher_.agents().accepts(it.key.agent))
                 continue;
-            record_result(state, it.key, lost_result(it.key));
+            record_result(state, it.key, lost_result(it.key),
+                          attempt_end::lost);
         }
         if (adopting)
             finish_adoption(state);
