Keep a newer link to an agent when the older one's end is heard

What callers could see: a repeatable task given up and run again while its run went on, or, unless it may be repeated, a job that failed as link_lost. Cause: the end of any link closed the agent in the entry's tables, also if a newer link had been opened; and while the older one counted as open, the first grant of the newer led to no query, so that nobody asked for what was lost with the older. In production the entry opens a link only after it has heard the end of the earlier one, so this was reached in a test only, which plays both links. Change: the table closes only the link that ended; each link's first grant leads to a query.

--- a/process/entry/include/lagoonquay/process/agent_table.hpp
+++ b/process/entry/include/lagoonquay/process/agent_table.hpp
@@ -67,6 +67,9 @@
     void begin_link(const agent_id& agent);
     void open(const agent_id& agent, std::shared_ptr<message_link> link);
     void close(const agent_id& agent);
+    //! Closes as close() does, unless another link was opened since.
+    //! @return whether `closed` was the agent's link.
+    bool close(const agent_id& agent, const message_link* closed);
 
     //! Records the credits, load and capacity in an agent's grant. A draining
     //! agent gets its unused credits back.
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -266,7 +266,7 @@
     void on_messages(const agent_id& agent,
                      const std::vector<link_message>& messages);
     void on_grant(const agent_id& agent, const grant_message& grant);
-    void on_close(const agent_id& agent);
+    void on_close(const agent_id& agent, const message_link* closed);
     std::shared_ptr<const linked_runs> linked_agents();
     std::shared_ptr<const linked_runs> cached_links();
     agent_reach linked_reach();
--- a/process/entry/src/agent_table.cpp
+++ b/process/entry/src/agent_table.cpp
@@ -120,6 +120,20 @@
                        });
 }
 
+bool agent_table::close(const agent_id& agent, const message_link* closed)
+{
+    return agents_.with_shard(agent,
+                              [&](auto& values)
+                              {
+                                  auto& it = values[agent];
+                                  if (it.link.get() != closed)
+                                      return false;
+                                  reset_link_state(it);
+                                  it.linking = false;
+                                  return true;
+                              });
+}
+
 void agent_table::update(const agent_id& agent, const grant_message& grant,
                          instant now)
 {
@@ -431,18 +445,6 @@
     return credits_ > 0;
 }
 
-std::size_t agent_table::suspect_count()
-{
-    std::size_t n = 0;
-    agents_.for_each_shard(
-        [&](auto& values)
-        {
-            for (const auto& [id, it] : values)
-                n += it.health.is_suspect() ? 1 : 0;
-        });
-    return n;
-}
-
 std::size_t agent_table::size()
 {
     return agents_.size();
@@ -473,22 +475,6 @@
     agent.other_tasks_need = {};
 }
 
-bool agent_table::no_stray_runs()
-{
-    bool known = false;
-    bool stray = false;
-    agents_.for_each_shard(
-        [&](const auto& values)
-        {
-            for (const auto& [id, it] : values)
-            {
-                known = true;
-                stray = stray || !it.has_no_stray_runs;
-            }
-        });
-    return known && !stray;
-}
-
 agent_health_options agent_table::health_options() const
 {
     const std::lock_guard lock(health_mutex_);
--- a/process/entry/src/entry_links.cpp
+++ b/process/entry/src/entry_links.cpp
@@ -14,6 +14,8 @@
 
 } // namespace
 
+// What was sent on an earlier link may be lost, so the first grant of this one
+// leads to a query, whether the close of the earlier one has been heard or not.
 void entry_service::on_link(const agent_id& agent,
                             const std::shared_ptr<message_link>& link)
 {
@@ -21,11 +23,13 @@
                 {{"agent", agent.text()}});
     dispatcher_.agents().open(agent, link);
     link->send(hello_message{options_.id, options_.run});
+    linked_.with_shard(agent, [&](auto& values) { values.erase(agent); });
+    reset_link_caches();
     link->start({[this, agent](const std::vector<link_message>& it)
                  { on_messages(agent, it); },
-                 [this, agent]
+                 [this, agent, closed = link.get()]
                  {
-                     on_close(agent);
+                     on_close(agent, closed);
                  }});
 }
 
@@ -60,12 +64,14 @@
 }
 
 // check_lost() decides on the tasks of the lost agent, once it has reconnected
-// or its time to do so has passed.
-void entry_service::on_close(const agent_id& agent)
+// or its time to do so has passed. The end of an older link leaves a newer one
+// in use.
+void entry_service::on_close(const agent_id& agent, const message_link* closed)
 {
     write_event(log_level::info, part, {}, "link_lost",
                 {{"agent", agent.text()}});
-    dispatcher_.agents().close(agent);
+    if (!dispatcher_.agents().close(agent, closed))
+        return;
     linked_.with_shard(agent, [&](auto& values) { values.erase(agent); });
     reset_link_caches();
 }
--- a/process/entry/tests/two_links_test.cpp
+++ b/process/entry/tests/two_links_test.cpp
@@ -2,6 +2,7 @@
 // one attempt arrive doubled and in any order.
 #include "linked_entry.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace lagoonquay
@@ -142,6 +143,31 @@
     EXPECT_EQ(fleet.dispatched().size(), 2U);
 }
 
+// Guards against the loss of the newer link when the older one's end is heard.
+TEST_F(two_links, the_close_of_the_older_leaves_the_newer_in_use)
+{
+    const auto newer = fleet.open(0);
+    fleet.close(older);
+    fleet.run_for(seconds(3));
+    EXPECT_EQ(fleet.service().counts().retried, 0U);
+    const auto first = fleet.dispatched().at(0);
+    fleet.deliver(newer, fleet.result(first, failure_reason::link_lost));
+    fleet.run_for(milliseconds(500));
+    EXPECT_EQ(fleet.dispatched().size(), 2U);
+}
+
+// Guards against a task that nobody asks for: its dispatch may be lost with the
+// older link.
+TEST_F(two_links, the_newer_is_asked_for_what_the_older_was_sent)
+{
+    const auto newer = fleet.open(0);
+    const auto asked =
+        std::count_if(newer->sent.begin(), newer->sent.end(),
+                      [](const link_message& it)
+                      { return std::holds_alternative<query_message>(it); });
+    EXPECT_EQ(asked, 1);
+}
+
 } // namespace
 
 } // namespace lagoonquay
