Charge the retry budget only for results that count

Cause: the customer's retry budget was charged before the entry looked whether the result belongs to the current attempt, so an end that came doubled, or as a result and as a status, used up retries that other tasks of the customer then lacked. Change: only a result of the current attempt is charged.

--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -180,12 +180,20 @@
     return !hooks_.retry || hooks_.retry(state->submitted->customer);
 }
 
-// @return false if the key is not a current attempt of the job.
+// The customer's budget is charged only for a result that can count; one that
+// comes again is dropped. @return false if the key is not a current attempt.
 bool entry_service::record_result(const job_pointer& state,
                                   const attempt_key& key,
                                   const task_result& result, attempt_end how)
 {
-    const bool retry = grant_retry(state, result);
+    bool is_current = false;
+    with_job(state,
+             [&](const job_state& it)
+             {
+                 is_current = it.run.current(key.index) == key &&
+                              !it.run.is_waiting(key.index);
+             });
+    const bool retry = is_current && grant_retry(state, result);
     bool counted = false;
     bool again = false;
     bool retried = false;
--- a/process/entry/tests/linked_entry.hpp
+++ b/process/entry/tests/linked_entry.hpp
@@ -195,6 +195,8 @@
         return time_;
     }
 
+    std::uint64_t retries_asked = 0; //!< of the customer's retry budget
+
     //! Observes each message that the entry sends to an agent.
     std::function<void(std::size_t agent, const link_message&)> on_send;
 
@@ -236,9 +238,9 @@
                                  .cancel = {},
                                  .draw = [](std::uint64_t) { return 0U; },
                                  .retry =
-                                     [](const customer_id&)
+                                     [this](const customer_id&)
                                  {
-                                     return true;
+                                     return ++retries_asked > 0;
                                  }});
         permit_options endless;
         endless.valid_until = instant::max();
--- a/process/entry/tests/two_links_test.cpp
+++ b/process/entry/tests/two_links_test.cpp
@@ -143,6 +143,15 @@
     EXPECT_EQ(fleet.dispatched().size(), 2U);
 }
 
+TEST_F(two_links, a_doubled_end_uses_up_no_second_retry_of_the_budget)
+{
+    const auto first = retry_first();
+    fleet.deliver(older, fleet.result(first, failure_reason::link_lost));
+    fleet.deliver(older, fleet.status(first, first, start_state::finished,
+                                      failure_reason::link_lost));
+    EXPECT_EQ(fleet.retries_asked, 1U);
+}
+
 // Guards against the loss of the newer link when the older one's end is heard.
 TEST_F(two_links, the_close_of_the_older_leaves_the_newer_in_use)
 {
