Let a new entry claim at the group of the older ones too

What callers could see: two entries hold one job in round 1, and both run its task, while entries join.

Cause: a new entry took itself for an established one, and so did it those that were named with its first list. It needed no majority of the group that an older entry asked which had not heard of the new ones yet.

Ruled out: leaving out only the new entry itself. With two or more new ones a majority of the rest can miss that of the older. A start time in the list of members depends on the hosts' clocks, and doesn't tell an entry that kept its place.

Change: an entry tells, with its claims, which entries it knows as established; none while it is new itself. For two leases after its first list a new entry needs a majority of the group of those named so as well. If all that name any name the entry itself, it has started again and keeps its place. If nobody names any, the whole fleet is new and there is one group, as before. A peer of the first list that has not told yet counts as older.

What remains: until the answers are there, two or more other new ones of the first list may take part in a majority that misses the older one. While a peer neither answers nor refuses, a new entry that isn't named by others needs a majority of such peers for two leases.

Not run: a fleet of real processes.

--- a/process/entry/include/lagoonquay/process/entry_http.hpp
+++ b/process/entry/include/lagoonquay/process/entry_http.hpp
@@ -10,6 +10,7 @@
 namespace lagoonquay
 {
 
+class entry_peers;
 class http_client;
 class ledger_replica;
 class latency_statistics;
@@ -21,10 +22,10 @@
 http_handler caller_routes(entry_service& service, const job_limits& limits,
                            latency_statistics& answers);
 
-//! @return the routes for other entries. The service and the ledger must
+//! @return the routes for other entries. The service, ledger and peers must
 //! outlive the handler.
 http_handler peer_routes(entry_service& service, ledger_replica& ledger,
-                         const job_limits& limits);
+                         entry_peers& peers, const job_limits& limits);
 
 //! @return the replica's vote on the claim request in `body`, or 400 if the
 //! body can't be decoded.
--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -35,9 +35,19 @@
 
     //! @return the other entries as ledger replicas. A replica is fresh while
     //! claims that were made without it, before control listed it to every
-    //! entry, may still be valid.
+    //! entry, may still be valid. While this entry is new, the ones that were
+    //! there before are marked as older.
     std::vector<ledger_peer> replicas();
 
+    //! Notes which entries a peer knows as established. A peer whose process
+    //! has ended knows none.
+    void learn_established(const endpoint& peer,
+                           const std::vector<endpoint>& established);
+
+    //! @return this entry and the others that have not joined recently; none
+    //! while this one is new itself.
+    std::vector<endpoint> established();
+
     //! @return whether control has listed any entry, this one included.
     bool known() const;
 
@@ -50,6 +60,10 @@
     };
 
     void remove_unlisted();
+    bool is_new(instant now) const;
+    bool keeps_its_place() const;
+    bool is_fresh(const listed_entry& it, instant now) const;
+    bool is_older(const endpoint& address, const listed_entry& it) const;
 
     const std::string own_;
     const duration retention_;
@@ -59,6 +73,8 @@
     std::optional<instant> first_list_time_; //!< empty before the first list
     instant last_list_time_{}; //!< of those received in touch with control
     std::map<endpoint, listed_entry> entries_;
+    //! What each peer has told; empty for one that is new itself.
+    std::map<endpoint, std::vector<endpoint>> established_at_;
 };
 
 } // namespace lagoonquay
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -3,6 +3,7 @@
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/connection/http_routes.hpp"
 #include "lagoonquay/process/decision_log.hpp"
+#include "lagoonquay/process/entry_peers.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
 #include "lagoonquay/process/load_report.hpp"
@@ -310,19 +311,20 @@
 }
 
 http_handler peer_routes(entry_service& service, ledger_replica& ledger,
-                         const job_limits& limits)
+                         entry_peers& peers, const job_limits& limits)
 {
     const auto claim = [&ledger](const http_request& request, std::string_view,
                                  const http_responder& respond)
     {
         respond(claim_response(ledger, request.body));
     };
-    const auto held = [&service, &ledger]() -> http_response
+    const auto held = [&service, &ledger, &peers]() -> http_response
     {
         return {.body = encode_held_claims(
                     {.settled =
                          ledger.complete() || service.agents().no_stray_runs(),
-                     .claims = service.held_claims()})};
+                     .claims = service.held_claims(),
+                     .established = peers.established()})};
     };
     return route_requests(
         {{http_method::post, "/v1/ledger/claim", claim},
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -134,13 +134,27 @@
         };
     }
 
+    void ask_for_claims(const endpoint& peer, const held_claims_hook& done)
+    {
+        request_held_claims(
+            client, peer, refusal_proof(),
+            [this, peer, done](const std::optional<held_claims>& answer)
+            {
+                if (answer && answer->gone)
+                    peers.learn_established(peer, {});
+                else if (answer && answer->established)
+                    peers.learn_established(peer, *answer->established);
+                done(answer);
+            });
+    }
+
     ledger_recovery_hooks recovery_hooks()
     {
         return {
             .now = steady_now,
             .peers = [this] { return recovery_peers(); },
             .ask = [this](const endpoint& peer, const held_claims_hook& done)
-            { request_held_claims(client, peer, refusal_proof(), done); },
+            { ask_for_claims(peer, done); },
             .restore_claim = [this](const claim_request& claim)
             { ledger.restore_claim(claim); },
             .no_stray_runs = [this]
@@ -285,7 +299,7 @@
     const auto& process = node.settings.process;
     auto peers = http_server::listen(
         node.io.context(), listener_options(process, node.settings.peers),
-        peer_routes(node.service, node.ledger, node.settings.jobs));
+        peer_routes(node.service, node.ledger, node.peers, node.settings.jobs));
     auto operators = http_server::listen(
         node.io.context(), operator_listener_options(process),
         entry_operator_routes(node.service, node.answers,
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -1,5 +1,7 @@
 #include "lagoonquay/process/entry_peers.hpp"
 
+#include <algorithm>
+
 namespace lagoonquay
 {
 
@@ -9,6 +11,11 @@
 // Time after the first list within which control lists every live entry.
 constexpr duration listing_delay = std::chrono::seconds(1);
 
+bool contains(const std::vector<endpoint>& all, const endpoint& wanted)
+{
+    return std::find(all.begin(), all.end(), wanted) != all.end();
+}
+
 } // namespace
 
 entry_peers::entry_peers(std::string own, duration retention, clock_hook now)
@@ -68,15 +75,80 @@
     const std::lock_guard lock(mutex_);
     remove_unlisted();
     std::vector<ledger_peer> found;
+    const bool self_is_new = is_new(now);
+    for (const auto& [address, it] : entries_)
+        found.push_back({address, it.domain, is_fresh(it, now),
+                         self_is_new && is_older(address, it)});
+    return found;
+}
+
+void entry_peers::learn_established(const endpoint& peer,
+                                    const std::vector<endpoint>& established)
+{
+    const std::lock_guard lock(mutex_);
+    established_at_[peer] = established;
+}
+
+std::vector<endpoint> entry_peers::established()
+{
+    const auto now = now_();
+    const std::lock_guard lock(mutex_);
+    remove_unlisted();
+    std::vector<endpoint> found;
+    const auto own = parse_endpoint(own_);
+    if (!first_list_time_ || is_new(now) || !own)
+        return found;
+    found.push_back(own.value());
     for (const auto& [address, it] : entries_)
     {
-        const bool joined = it.first_listed - *first_list_time_ > listing_delay;
-        const bool fresh = joined && now - it.first_listed <= retention_;
-        found.push_back({address, it.domain, fresh});
+        if (!is_fresh(it, now))
+            found.push_back(address);
     }
     return found;
 }
 
+// Call these with the lock held.
+bool entry_peers::is_new(instant now) const
+{
+    return first_list_time_ && now - *first_list_time_ <= retention_ &&
+           !keeps_its_place();
+}
+
+// An entry that started again so soon that the others have not dropped it is in
+// the groups of all of them.
+bool entry_peers::keeps_its_place() const
+{
+    const auto own = parse_endpoint(own_);
+    bool kept = false;
+    for (const auto& [peer, known] : established_at_)
+    {
+        if (known.empty())
+            continue;
+        kept = own && contains(known, own.value());
+        if (!kept)
+            return false;
+    }
+    return kept;
+}
+
+bool entry_peers::is_fresh(const listed_entry& it, instant now) const
+{
+    return it.first_listed - *first_list_time_ > listing_delay &&
+           now - it.first_listed <= retention_;
+}
+
+// Until it has told, a peer of the first list counts as older. If the whole
+// fleet is new, no peer knows an older one.
+bool entry_peers::is_older(const endpoint& address,
+                           const listed_entry& it) const
+{
+    const bool silent = !established_at_.contains(address) &&
+                        it.first_listed == *first_list_time_;
+    return silent || std::any_of(established_at_.begin(), established_at_.end(),
+                                 [&](const auto& told)
+                                 { return contains(told.second, address); });
+}
+
 // Call with the lock held. The age is measured against the last list instead of
 // the clock, so that no peer is removed while control is unreachable: an entry
 // without peers would grant its claims alone.
--- a/process/entry/tests/joined_entries_test.cpp
+++ b/process/entry/tests/joined_entries_test.cpp
@@ -1,8 +1,10 @@
 // Claims while some entries have not heard of others that joined.
 #include "lagoonquay/process/claim_quorum.hpp"
 #include "lagoonquay/process/entry_peers.hpp"
+#include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
 
@@ -41,6 +43,12 @@
 protected:
     joined_entries()
     {
+        start_replicas();
+    }
+
+    void start_replicas()
+    {
+        replicas.clear();
         for (std::size_t n = 1; n <= 6; ++n)
             replicas.emplace(
                 entry(n).address,
@@ -106,8 +114,10 @@
 
     //! An entry among `before` claims each submission, then the first of those
     //! that make it `after`.
+    //! @param told  whether the others have told that one which are older.
     //! @return how many of 100 submissions both hold in round 1.
-    std::size_t held_twice(std::size_t before, std::size_t after, bool heard)
+    std::size_t held_twice(std::size_t before, std::size_t after, bool heard,
+                           bool told = false)
     {
         const auto old_list = list_of(before);
         learn(*old_list, before);
@@ -116,6 +126,10 @@
         const auto newcomer = before + 1;
         const auto new_list = list_of(newcomer);
         learn(*new_list, after);
+        for (std::size_t n = 1; told && n <= after; ++n)
+            new_list->learn_established(entry(n).address,
+                                        n <= before ? old_list->established()
+                                                    : first(0));
         std::size_t both = 0;
         for (std::size_t n = 0; n < 100; ++n)
         {
@@ -131,6 +145,22 @@
         return both;
     }
 
+    static std::vector<endpoint> first(std::size_t count)
+    {
+        std::vector<endpoint> all;
+        for (std::size_t n = 1; n <= count; ++n)
+            all.push_back(entry(n).address);
+        return all;
+    }
+
+    static std::size_t count_older(entry_peers& list)
+    {
+        const auto all = list.replicas();
+        return static_cast<std::size_t>(std::count_if(all.begin(), all.end(),
+                                                      [](const ledger_peer& it)
+                                                      { return it.older; }));
+    }
+
     instant now = instant() + seconds(100);
     std::map<endpoint, std::unique_ptr<ledger_replica>> replicas;
 };
@@ -154,4 +184,64 @@
     EXPECT_EQ(held_twice(5, 6, false), 0U);
 }
 
+TEST_F(joined_entries, get_no_claim_that_an_older_one_holds_once_told_of_it)
+{
+    for (std::size_t before = 1; before < 6; ++before)
+    {
+        start_replicas();
+        EXPECT_EQ(held_twice(before, 6, false, true), 0U) << before;
+    }
+}
+
+TEST_F(joined_entries, have_one_group_if_all_are_new)
+{
+    const auto list = list_of(1);
+    learn(*list, 3);
+    EXPECT_EQ(count_older(*list), 2U);
+    EXPECT_TRUE(list->established().empty());
+    list->learn_established(entry(2).address, {});
+    list->learn_established(entry(3).address, {});
+    EXPECT_EQ(count_older(*list), 0U);
+    EXPECT_EQ(
+        choose_replica_groups(submission_id("s"), entry(1), list->replicas())
+            .size(),
+        1U);
+}
+
+TEST_F(joined_entries, that_started_again_keep_their_place)
+{
+    const auto list = list_of(3);
+    learn(*list, 3);
+    list->learn_established(entry(1).address, first(3));
+    EXPECT_EQ(count_older(*list), 0U);
+    EXPECT_EQ(list->established().size(), 3U);
+    list->learn_established(entry(2).address, first(2));
+    EXPECT_EQ(count_older(*list), 2U);
+}
+
+TEST_F(joined_entries, are_established_after_two_leases)
+{
+    const auto list = list_of(3);
+    learn(*list, 3);
+    now += 2 * lease;
+    EXPECT_EQ(count_older(*list), 2U);
+    now += milliseconds(1);
+    EXPECT_EQ(count_older(*list), 0U);
+    EXPECT_EQ(list->established().size(), 3U);
+}
+
+TEST_F(joined_entries, are_told_of_older_ones_with_their_claims)
+{
+    for (const std::size_t count : {0U, 2U})
+    {
+        const held_claims told{.established = first(count)};
+        const auto read = decode_held_claims(encode_held_claims(told));
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read.value(), told);
+    }
+    const auto silent = decode_held_claims(encode_held_claims({}));
+    ASSERT_TRUE(silent);
+    EXPECT_FALSE(silent.value().established);
+}
+
 } // namespace lagoonquay
--- a/process/ledger/include/lagoonquay/process/held_claims.hpp
+++ b/process/ledger/include/lagoonquay/process/held_claims.hpp
@@ -1,8 +1,10 @@
 //! Answer of an entry to a ledger replica that recovers after its start.
 #pragma once
 
+#include "lagoonquay/connection/endpoint.hpp"
 #include "lagoonquay/process/claim.hpp"
 
+#include <optional>
 #include <vector>
 
 namespace lagoonquay
@@ -18,6 +20,9 @@
     //! been in contact with the current incarnation.
     bool settled = false;
     std::vector<claim_request> claims;
+    //! The entries that the peer knows to have been there before recent ones;
+    //! none while it is a new one itself. Nothing if the peer doesn't tell.
+    std::optional<std::vector<endpoint>> established;
 
     friend bool operator==(const held_claims&, const held_claims&) = default;
 };
--- a/process/ledger/include/lagoonquay/process/replica_group.hpp
+++ b/process/ledger/include/lagoonquay/process/replica_group.hpp
@@ -17,6 +17,8 @@
     domain_id domain;
     //! Joined so recently that other entries may not have it in their view yet.
     bool recently_joined = false;
+    //! Was there before this entry, which has joined so recently itself.
+    bool older = false;
 
     friend bool operator==(const ledger_peer&, const ledger_peer&) = default;
 };
@@ -41,11 +43,11 @@
 replica_group all_replicas_group(const submission_id& submission,
                                  const std::vector<endpoint>& others);
 
-//! @param self  this entry; its `recently_joined` is false.
+//! @param self  this entry; its `recently_joined` and `older` are false.
 //! @return a group of up to `max_group_size` entries, spread over as many
 //! failure domains as possible. While peers have recently joined, also the
-//! group chosen without them, if it differs. A claim needs a majority of each
-//! group.
+//! group chosen without them, and while this entry has, that of the older ones,
+//! if they differ. A claim needs a majority of each group.
 std::vector<replica_group>
 choose_replica_groups(const submission_id& submission, const ledger_peer& self,
                       const std::vector<ledger_peer>& peers);
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -155,6 +155,26 @@
     return all;
 }
 
+std::string endpoints_to_text(const std::vector<endpoint>& all)
+{
+    std::string text;
+    for (const auto& it : all)
+        text += (text.empty() ? "" : ",") + to_text(it);
+    return text;
+}
+
+std::optional<std::vector<endpoint>> endpoints_from_json(json_fields& fields)
+{
+    constexpr std::size_t max_bytes = 65536;
+    if (fields.member("established") == nullptr)
+        return std::nullopt;
+    auto all = parse_endpoints(fields.text_or("established", "", max_bytes));
+    if (all)
+        return std::move(all).value();
+    fields.reject(request_errc::malformed, "no list of endpoints");
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string encode_claim_request(const claim_request& request)
@@ -192,9 +212,12 @@
         object["reach"] = reaches.add(it->reach);
         array.push_back(std::move(object));
     }
-    return json::serialize(json::object{{"claims", std::move(array)},
-                                        {"reaches", reaches.to_json()},
-                                        {"settled", held.settled}});
+    json::object object{{"claims", std::move(array)},
+                        {"reaches", reaches.to_json()},
+                        {"settled", held.settled}};
+    if (held.established)
+        object["established"] = endpoints_to_text(*held.established);
+    return json::serialize(object);
 }
 
 request_result<held_claims> decode_held_claims(std::string_view text)
@@ -203,6 +226,7 @@
     json_fields fields(document, "");
     held_claims held;
     held.settled = fields.flag_or("settled", false);
+    held.established = endpoints_from_json(fields);
     const auto* source = fields.array("claims");
     if (source != nullptr)
     {
--- a/process/ledger/src/replica_group.cpp
+++ b/process/ledger/src/replica_group.cpp
@@ -42,6 +42,17 @@
     return group;
 }
 
+void add_group(std::vector<replica_group>& groups, replica_group more)
+{
+    const bool known = std::any_of(groups.begin(), groups.end(),
+                                   [&](const replica_group& it) {
+                                       return it.local == more.local &&
+                                              it.others == more.others;
+                                   });
+    if (!known)
+        groups.push_back(std::move(more));
+}
+
 } // namespace
 
 replica_group all_replicas_group(const submission_id& submission,
@@ -56,8 +67,9 @@
 }
 
 // For a moment after an entry has joined, the views of the fleet differ. An
-// entry whose view contains the new one needs a majority of both groups, so
-// that its quorum overlaps that of an entry whose view does not contain it yet.
+// entry whose view contains the new one, and the new one itself, need a
+// majority of both groups, so that their quorums overlap that of an entry whose
+// view does not contain it yet.
 std::vector<replica_group>
 choose_replica_groups(const submission_id& submission, const ledger_peer& self,
                       const std::vector<ledger_peer>& peers)
@@ -68,14 +80,15 @@
         choose_group(submission, self.address, entries)};
     const auto removed = std::erase_if(entries, [](const ledger_peer& it)
                                        { return it.recently_joined; });
-    if (removed == 0)
+    if (removed > 0)
+        add_group(groups, choose_group(submission, self.address, entries));
+    entries = peers;
+    std::erase_if(entries, [](const ledger_peer& it) { return !it.older; });
+    if (entries.empty())
         return groups;
-    auto established = choose_group(submission, self.address, entries);
-    const auto& group = groups.front();
-    const bool same =
-        established.local == group.local && established.others == group.others;
-    if (!same)
-        groups.push_back(std::move(established));
+    auto older = choose_group(submission, self.address, entries);
+    older.includes_all_entries = false;
+    add_group(groups, std::move(older));
     return groups;
 }
 
