Test that a claim past its end is reported while its renewal is in flight

Change: a test of a holder that is cut off and goes on asking for its renewal.

With reports of claims past their end taken out of held_claims(): "Expected: (reports) > (0U), actual: 0 vs 0".

--- a/process/entry/tests/young_replica_test.cpp
+++ b/process/entry/tests/young_replica_test.cpp
@@ -159,4 +159,24 @@
         << second->first_claim_age.count() << " us ago";
 }
 
+TEST_F(young_replicas, know_of_a_claim_past_its_end_whose_renewal_is_in_flight)
+{
+    fleet.run_for(milliseconds(10));
+    ASSERT_EQ(fleet.entry(0).held_claims().size(), 1U);
+    fleet.part_entry(0, true);
+    fleet.run_for(milliseconds(1500));
+    std::size_t reports = 0;
+    for (int n = 0; n < 100; ++n)
+    {
+        fleet.run_for(milliseconds(1));
+        for (const auto& it : fleet.entry(0).held_claims())
+        {
+            ++reports;
+            EXPECT_EQ(it->round, claim_round(1));
+            EXPECT_EQ(it->lease, milliseconds(1500));
+        }
+    }
+    EXPECT_GT(reports, 0U);
+}
+
 } // namespace lagoonquay
