Keep an unconfirmed run for no longer than the longest lease

Clocks of two lives may be hours apart, so a silent worker's run was kept for hours, and its task with it. Change: the bound is also the longest lease from the last order, with the allowance for a slow clock. Test: leased_run_table.a_run_of_a_silent_worker_is_kept_for_one_lease failed before (0 results after 3 s, not 1) and passes.

--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -172,16 +172,21 @@
 }
 
 // A next life that accepted the start grants a lease until the time that was
-// sent, on its own clock, which may be behind that of the earlier life.
+// sent, on its own clock, which may be behind that of the earlier life, and
+// never for longer than the longest lease from the last order.
 instant run_table::max_run_end(const run& it) const
 {
     if (!it.is_start_resolved || it.is_life_confirmed)
         return all_runs_end_at_;
     const duration left = std::max(last_lease_end_, it.earlier_lease_end) -
                           it.clock_when_accepted;
-    return std::max(all_runs_end_at_, it.accepted + left +
-                                          left / clock_drift_part +
-                                          options_.clock_margin);
+    const auto by_clock =
+        it.accepted + left + left / clock_drift_part + options_.clock_margin;
+    const auto longest = all_runs_end_at_ + options_.longest_lease -
+                         options_.lease +
+                         options_.longest_lease / clock_drift_part;
+    return std::clamp(by_clock, all_runs_end_at_,
+                      std::max(all_runs_end_at_, longest));
 }
 
 // The worker refused our token, so it has accepted a higher one: of an agent
--- a/process/agent/tests/run_table_restarts_test.cpp
+++ b/process/agent/tests/run_table_restarts_test.cpp
@@ -269,6 +269,26 @@
     EXPECT_EQ(results.size(), 1U);
 }
 
+// Guards against a run that is kept for hours, since the clocks of two lives
+// differ by that much.
+TEST_F(leased_run_table, a_run_of_a_silent_worker_is_kept_for_one_lease)
+{
+    const worker_life next(2000);
+    answer(start(0), order_result::accepted);
+    table.set_worker(worker(next), std::chrono::hours(2), now);
+    take();
+    const auto silent_since = now;
+    while (now < silent_since + std::chrono::seconds(3))
+    {
+        if (last_order)
+            table.on_extended(next, *last_order, {}, now);
+        now += milliseconds(40);
+        table.tick(now);
+        take();
+    }
+    EXPECT_EQ(results.size(), 1U);
+}
+
 TEST_F(leased_run_table, a_worker_of_another_name_has_not_begun_earlier_starts)
 {
     start(0);
