Let the token carry, and wait from the last one that was accepted

Change: nine hours of the clock carry into one millisecond of the birth, which is still below the next birth; the wait begins with the answer to the present token only. Tests: new_run_table.begins_above_an_earlier_process_after_hours and waits_from_the_acceptance_of_its_last_token failed before (a lower token after 10, 19, 28 ... hours; ready too early) and pass; process_tests 386 of 386, platform_tests 48 of 48 in the release build.

--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -185,7 +185,7 @@
     if (reply.order.result != order_result::accepted)
         return poll_if_needed(now);
     last_report_at_ = now;
-    if (!fence_accepted_)
+    if (!fence_accepted_ && sent.order.fence == fence_)
         fence_accepted_ = now;
     last_end_acknowledged_ = std::max(last_end_acknowledged_, sent.order.seen);
     record_ends(reply.ended, now);
--- a/process/agent/src/run_table_restarts.cpp
+++ b/process/agent/src/run_table_restarts.cpp
@@ -63,18 +63,19 @@
 
 // A later life has the higher token, wherever its clock begins, and so has a
 // later process in the same life. So the first order of an agent's next process
-// shuts out every order of earlier processes, and no token is persisted. Both
-// parts wrap, after 49 days and 9 hours; a token that has wrapped is refused
-// and raised. Not so if the time of day was set back between two lives. A
-// worker that names no birth has 0, where only its clock counts.
+// shuts out every order of earlier processes, and no token is persisted. Nine
+// hours of the clock carry into one millisecond of the birth, which is no later
+// than the next birth. Not so if the time of day was set back between two
+// lives, or as the birth wraps after 49 days. A worker that names no birth has
+// 0, where only its clock counts.
 fencing_token run_table::token_at(worker_time clock) const
 {
     const auto life = worker_->life.number();
     if (life == 0)
         return fencing_token(static_cast<std::uint64_t>(clock.count()) + 1);
     const auto steps = static_cast<std::uint64_t>(clock / token_step);
-    return fencing_token((life % (1ULL << life_bits) << clock_bits) +
-                         steps % (1ULL << clock_bits));
+    const std::uint64_t birth = life % (1ULL << life_bits) << clock_bits;
+    return fencing_token(std::min(birth + steps, max_fence));
 }
 
 // A run that is being stopped is on no list. Once the worker has accepted our
--- a/process/agent/tests/run_table_restarts_test.cpp
+++ b/process/agent/tests/run_table_restarts_test.cpp
@@ -343,6 +343,45 @@
     EXPECT_TRUE(table.ready(now));
 }
 
+// Guards against a wait that counts from the answer to a token that was
+// refused meanwhile.
+TEST(new_run_table, waits_from_the_acceptance_of_its_last_token)
+{
+    const endpoint address{"127.0.0.1", 9};
+    auto now = began;
+    run_table table({});
+    table.set_worker({address, "w", life}, worker_time(5000), now);
+    const auto first = table.take_output(now).extensions.at(0);
+    lease_reply refused;
+    refused.order = {order_result::fenced, worker_time(5000)};
+    table.on_extended(life, first, refused, now);
+    lease_reply empty;
+    empty.order = {order_result::accepted, worker_time(5001)};
+    table.on_extended(life, first, empty, now); // overtaken by the refusal
+    now += milliseconds(100);
+    table.tick(now);
+    for (const auto& it : table.take_output(now).extensions)
+        table.on_extended(life, it, empty, now);
+    EXPECT_FALSE(table.ready(now));
+}
+
+// Guards against a token that falls while the worker lives on.
+TEST(new_run_table, begins_above_an_earlier_process_after_hours)
+{
+    const endpoint address{"127.0.0.1", 9};
+    const worker_address worker{address, "w", worker_life(1'780'000'000'000)};
+    fencing_token earlier;
+    for (int hours = 1; hours < 100; ++hours)
+    {
+        run_table table({});
+        table.set_worker(worker, std::chrono::hours(hours), began);
+        const auto token =
+            table.take_output(began).extensions.at(0).order.fence;
+        EXPECT_GT(token, earlier) << "after " << hours << " hours";
+        earlier = token;
+    }
+}
+
 // Guards against a wait at each crash of a worker.
 TEST_F(leased_run_table, waits_for_no_earlier_stop_after_it_was_ready)
 {
