Let a test put its own upstreams and ledger behind the fake fleet

No schedule has entries, ledger, agents, run tables and a worker with leases together. The fake fleet gains hooks for both ends, entries that begin later, and its checks as calls; its own parts stay in use where a hook is empty.

--- a/process/entry/tests/fake_fleet.cpp
+++ b/process/entry/tests/fake_fleet.cpp
@@ -16,7 +16,7 @@
         agents_.push_back(std::make_unique<agent_host>());
     for (std::size_t n = 0; n < options_.agents; ++n)
         start_agent(n);
-    for (std::size_t n = 0; n < options_.entries; ++n)
+    for (std::size_t n = 0; n + options_.late_entries < options_.entries; ++n)
         start_entry(n);
     run_for(std::chrono::seconds(2));
 }
@@ -85,6 +85,8 @@
     for (const auto& [id, n] : host.calls)
         record_.lost_calls += n;
     host.calls.clear();
+    if (options_.hooks.on_entry_killed)
+        options_.hooks.on_entry_killed(entry);
 }
 
 void fake_fleet::start_entry(std::size_t entry)
@@ -116,6 +118,8 @@
     options.claim_retry_delay = std::chrono::milliseconds(100);
     options.answer_retention = std::chrono::seconds(2);
     options.probe_ledger = true;
+    if (options_.hooks.adjust_entry)
+        options_.hooks.adjust_entry(options);
     host.service = std::make_unique<entry_service>(
         options,
         entry_hooks{.now = now,
@@ -139,6 +143,8 @@
         agents.push_back(
             member({.id = agent_name(n), .capacity = {1000, 1000, 0}}));
     host.service->learn(agents, entries_.size());
+    if (options_.hooks.on_entry_begun)
+        options_.hooks.on_entry_begun(entry, host.process);
     tick_entry(entry);
 }
 
@@ -150,6 +156,8 @@
     for (const auto& it : host.links)
         it->close();
     host.links.clear();
+    if (options_.hooks.on_agent_killed)
+        options_.hooks.on_agent_killed(agent);
 }
 
 void fake_fleet::start_agent(std::size_t agent)
@@ -162,27 +170,47 @@
     options.id = agent_id(agent_name(agent));
     options.run = incarnation(++last_incarnation_);
     options.upstream_silence = std::chrono::hours(100);
-    agent_hooks hooks{
-        .now = [this, &host] { return time_.now() + host.clock_offset; },
-        .call_upstream =
-            [this, agent](const upstream_call& call, upstream_callback done)
-        {
-            call_upstream(agent, call, done);
-        }};
+    if (options_.hooks.adjust_agent)
+        options_.hooks.adjust_agent(options);
+    const auto upstream = make_upstream(agent);
+    agent_hooks hooks{.now = [this, &host]
+                      { return time_.now() + host.clock_offset; },
+                      .call_upstream = upstream.call,
+                      .stop_upstream_task = upstream.stop};
+    host.service = std::make_unique<agent_service>(options, std::move(hooks));
+    host.service->set_permit(endless_permit());
+    if (options_.hooks.on_agent_begun)
+        options_.hooks.on_agent_begun(agent);
+    else
+        announce(*host.service);
+    tick_agent(agent);
+}
+
+fake_fleet_hooks::agent_upstream fake_fleet::make_upstream(std::size_t agent)
+{
+    if (options_.hooks.make_upstream)
+        return options_.hooks.make_upstream(agent, agents_[agent]->process);
+    fake_fleet_hooks::agent_upstream own;
+    own.call = [this, agent](const upstream_call& call, upstream_callback done)
+    {
+        call_upstream(agent, call, done);
+    };
     if (options_.upstreams_can_stop)
-        hooks.stop_upstream_task = [this](const submission_id& submission,
-                                          task_index index, attempt_number)
+        own.stop = [this](const submission_id& submission, task_index index,
+                          attempt_number)
         {
             stop_upstream_task({submission, index});
         };
-    host.service = std::make_unique<agent_service>(options, std::move(hooks));
-    host.service->set_permit(endless_permit());
+    return own;
+}
+
+void fake_fleet::announce(agent_service& service) const
+{
     upstream_announcement announced;
     announced.slots = options_.slots;
     announced.capacity = {1000, 1000, 0};
     announced.service = options_.service;
-    host.service->announce(announced);
-    tick_agent(agent);
+    service.announce(announced);
 }
 
 void fake_fleet::freeze_entry(std::size_t entry, bool frozen)
--- a/process/entry/tests/fake_fleet.hpp
+++ b/process/entry/tests/fake_fleet.hpp
@@ -30,10 +30,43 @@
 
 using process_pointer = std::shared_ptr<fake_process>;
 
+//! What a test puts in place of the fleet's own upstreams and replicas of the
+//! ledger. An empty hook leaves the fleet's own part in use.
+struct fake_fleet_hooks
+{
+    //! What the next process of an agent calls.
+    struct agent_upstream
+    {
+        upstream_hook call;
+        upstream_stop_hook stop; //!< empty if a running call can't be stopped
+    };
+
+    //! Called before an agent's process begins, and once its service is there;
+    //! the latter announces the upstream in place of the fleet.
+    std::function<agent_upstream(std::size_t agent, const process_pointer&)>
+        make_upstream;
+    std::function<void(std::size_t agent)> on_agent_begun;
+    //! Called after a process was killed.
+    std::function<void(std::size_t agent)> on_agent_killed;
+    std::function<void(std::size_t agent)> on_agent_tick;
+    std::function<void(agent_options&)> adjust_agent;
+
+    //! Asks replicas of the ledger in place of the fleet.
+    std::function<void(std::size_t from, const claim_request&, claim_callback)>
+        claim;
+    std::function<void(std::size_t entry, const process_pointer&)>
+        on_entry_begun;
+    //! Called after a process was killed.
+    std::function<void(std::size_t entry)> on_entry_killed;
+    std::function<void(std::size_t entry)> on_entry_tick;
+    std::function<void(entry_options&)> adjust_entry;
+};
+
 //! Settings of a fake fleet.
 struct fake_fleet_options
 {
     std::size_t entries = 3;
+    std::size_t late_entries = 0; //!< of them, the last that don't begin yet
     std::size_t agents = 3;
     std::uint32_t slots = 2;
     std::uint64_t seed = 1;
@@ -42,6 +75,7 @@
     std::uint64_t claim_loss_percent = 0; //!< share of lost requests and votes
     bool upstreams_can_stop = false; //!< whether a running call can be stopped
     service_id service = {};         //!< of all upstreams
+    fake_fleet_hooks hooks = {};
 };
 
 //! What callers and upstreams observed, and the violations that were found.
@@ -103,13 +137,23 @@
     wall_time wall() const;
     std::uint64_t draw(std::uint64_t bound);
 
+    //! For parts that a test puts in: runs an event at a process, at once or
+    //! after the latency. Nothing runs at one that was killed; at a frozen one
+    //! the event waits.
+    void deliver(const process_pointer& to, virtual_time::event run);
+    void send(const process_pointer& to, virtual_time::event run);
+    //! Counts the start of a task and checks that it was allowed.
+    void note_start(const task_key& key);
+    void add_violation(const submission_id& submission,
+                       const std::string& what);
+
 private:
     class fake_link;
     struct entry_host;
     struct agent_host;
     static void drop_backlog(const process_pointer& process);
-    void deliver(const process_pointer& to, virtual_time::event run);
-    void send(const process_pointer& to, virtual_time::event run);
+    fake_fleet_hooks::agent_upstream make_upstream(std::size_t agent);
+    void announce(agent_service& service) const;
     void thaw(const process_pointer& process);
     void link(std::size_t entry, std::size_t agent);
     void tick_entry(std::size_t n);
@@ -126,8 +170,6 @@
     void stop_upstream_task(const task_key& key);
     void check_answer(const job& work, const job_answer& answer);
     std::uint64_t open_calls(const submission_id& submission) const;
-    void add_violation(const submission_id& submission,
-                       const std::string& what);
     permit endless_permit() const;
 
     fake_fleet_options options_;
--- a/process/entry/tests/fake_fleet_calls.cpp
+++ b/process/entry/tests/fake_fleet_calls.cpp
@@ -10,6 +10,8 @@
     for (const auto& it : host.service->agents().unlinked())
         link(n, std::stoul(it->id.substr(std::string("agent-").size())));
     host.service->tick();
+    if (options_.hooks.on_entry_tick)
+        options_.hooks.on_entry_tick(n);
     const auto process = host.process;
     time_.after(tick_period, [this, n, process]
                 { deliver(process, [this, n] { tick_entry(n); }); });
@@ -19,6 +21,8 @@
 {
     agents_[n]->service->tick();
     agents_[n]->service->return_overdue_tasks();
+    if (options_.hooks.on_agent_tick)
+        options_.hooks.on_agent_tick(n);
     const auto process = agents_[n]->process;
     time_.after(tick_period, [this, n, process]
                 { deliver(process, [this, n] { tick_agent(n); }); });
@@ -30,6 +34,8 @@
                        claim_callback done)
 {
     record_.claims.push_back(asked);
+    if (options_.hooks.claim)
+        return options_.hooks.claim(from, asked, std::move(done));
     struct exchange
     {
         claim_tally tally;
@@ -124,19 +130,24 @@
          });
 }
 
-void fake_fleet::call_upstream(std::size_t agent, const upstream_call& call,
-                               const upstream_callback& done)
+void fake_fleet::note_start(const task_key& key)
 {
-    const auto& id = call.submission;
-    const task_key key{id, call.index};
+    const auto& id = key.submission;
     const auto n = ++record_.starts[key];
     if (n > 1 && !idempotent_[id])
-        add_violation(id, "task " + std::to_string(call.index.number()) +
+        add_violation(id, "task " + std::to_string(key.index.number()) +
                               " started twice");
-    auto& reported = reported_not_run_[id];
-    if (reported.contains(call.index.number()))
-        add_violation(id, "task " + std::to_string(call.index.number()) +
+    if (reported_not_run_[id].contains(key.index.number()))
+        add_violation(id, "task " + std::to_string(key.index.number()) +
                               " started after it was reported as not run");
+}
+
+void fake_fleet::call_upstream(std::size_t agent, const upstream_call& call,
+                               const upstream_callback& done)
+{
+    const auto& id = call.submission;
+    const task_key key{id, call.index};
+    note_start(key);
     if (on_start)
         on_start(call);
     const auto process = agents_[agent]->process;
