Confirm an adoption again that a new replica was told of in flight

What callers saw, in a test: entry 0 held a job and died. Entry 1 adopted it by the votes of replicas 0 and 1, and replica 0 began anew while its vote was on the way. It was told of the claim in flight, which names no round and none of the agents of entry 0. Entry 1 then died before its first renewal. Entry 2, which asked replicas 0 and 2, was confirmed in the same round:

- the attempt number 131073 was given out twice;
- a task that must not be repeated was started a second time by entry 2, while its run at an agent of entry 0 went on: entry 2 was not told of that agent.

Cause: the adoption counted the vote of a life that had forgotten it, and what the next life had been told lacked what the vote had recorded.

Change: an entry notes that it has told a new replica of a claim in flight. If that claim turns out to be an adoption, it is confirmed once more, by votes that were given after the report; they record its round and the agents of the earlier holders at a quorum of present lives. The round is reported from the moment the votes are counted, not from when the next request is sent.

Cost: one exchange more (3 ms at 1.5 ms one way) for an adoption of which a starting replica asks in just these milliseconds; nothing for first claims. If such an adoption can't be confirmed, since that replica does not vote yet and another of the group is gone, it is refused as fenced. Ruled out: no vote at the replica until the wait for undated submissions is over, since entries repeat a claim for longer, and it would cost first claims their adopter too.

Evidence: adoptions_in_flight.* (3 tests). Before the change the first two failed: rounds 2 and 2, numbers 131073 and 131073; 2 starts instead of 1, "task 0 started twice".

--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -66,6 +66,7 @@
                  it.claim_pending = true;
                  it.claim_retry_at.reset();
                  it.asked_round = confirm;
+                 it.told_in_flight = false;
                  if (confirm == claim_round())
                  {
                      it.ask = ask;
@@ -85,6 +86,11 @@
 // the same highest round. A round is therefore used only once a quorum has
 // recorded it: any two quorums share a replica, and that replica grants each
 // new holder a higher round.
+//
+// A replica that began anew and was told of an adoption in flight lacks its
+// round or knows it from there alone, and its earlier life may be one of those
+// that voted. Such an adoption is confirmed once more, by votes that were given
+// after that. They record the agents of the earlier holders too.
 void entry_service::on_claim(const job_pointer& state, claim_round asked,
                              const claim_outcome& outcome)
 {
@@ -104,8 +110,10 @@
                                      outcome->first_claim_age.count() > 0 ||
                                      (!first && outcome->round != asked);
                  it.earlier_agents = it.earlier_agents.joined(outcome->reach);
-                 confirm =
-                     !outcome->confirmed || (!first && outcome->round != asked);
+                 confirm = !outcome->confirmed ||
+                           (!first && outcome->round != asked) ||
+                           (it.needs_adoption && it.told_in_flight);
+                 it.asked_round = outcome->round;
              });
     if (!open)
         return release_claim(state);
@@ -267,12 +275,13 @@
     for (const auto& state : open_jobs())
     {
         with_job(state,
-                 [&](const job_state& it)
+                 [&](job_state& it)
                  {
                      if (!it.claim_pending && now >= it.claim_end)
                          return;
                      auto options = request_for(it);
                      options.round = std::max(it.round, it.asked_round);
+                     it.told_in_flight = it.told_in_flight || it.claim_pending;
                      if (!it.claim_pending)
                          options.lease = it.claim_end - now;
                      held.emplace_back(std::move(options));
