Let a claim that was reported in flight refuse renewals for its lease only

What callers saw, in a test: a job came to two entries at once, and a replica began anew while both claims were in flight. It was told of both. One entry held the job. Then another of the three replicas was lost. The replica that began anew refused each renewal of the holder as fenced, without end; the claim ran out, the run was stopped, and nothing ran again for the rest of the test.

Cause: a record of a claim in flight gives way to the next report, release or new claim of its holder. A record that two claims share has no holder, and the reported entry may have been refused long since. Neither is asked for again. The lease of the record was compared for new claims and for other content, not for renewals.

Change: once the lease of such a record is over, and the replica votes, a renewal by another replaces it, as a claim with other content did already. A holder can't lose its claim by a fenced vote, before or after; it could run out.

Cost: none found. While the lease lasts the renewal is refused as before, so a holder that needs this very replica may be without a claim for up to a lease.

Evidence: before the change adoptions_in_flight.leave_the_holder_its_renewals_* ended with 0 runs instead of 1, and ledger_shard.claims_reported_in_flight_refuse_renewals_* was fenced after the lease. With it both pass, and a record that its holder has renewed is still not taken over (ledger_shard.a_reported_claim_that_its_holder_*); 166 of 166 tests of claims, recovery, replicas and schedules pass.

--- a/process/entry/tests/adoption_in_flight_test.cpp
+++ b/process/entry/tests/adoption_in_flight_test.cpp
@@ -152,13 +152,18 @@
                     .tasks = std::vector<task>(1)});
     }
 
-    //! Restores what the only live holder reports.
+    //! Restores what the live entries report.
     void begin_anew(std::size_t replica)
     {
         auto& fresh = replicas.at(address(replica));
         fresh = new_replica(false);
-        for (const auto& it : fleet.entry(1).held_claims())
-            fresh->restore_claim(it);
+        for (const std::size_t n : {0U, 1U})
+        {
+            if (!fleet.entry_alive(n))
+                continue;
+            for (const auto& it : fleet.entry(n).held_claims())
+                fresh->restore_claim(it);
+        }
     }
 
     claim_round round_held_by(std::size_t entry)
@@ -225,4 +230,25 @@
         EXPECT_EQ(it->round, claim_round(2));
 }
 
+// Guards against a holder whose claim ran out: a replica that had been told of
+// two claims in flight, by entries that had the job at once, refused the
+// renewals of either for ever, and another replica was lost.
+TEST_F(adoptions_in_flight, leave_the_holder_its_renewals_after_their_lease)
+{
+    fleet.run_for(seconds(3)); // until the entries are ready
+    fleet.submit(0, work(true));
+    fleet.submit(1, work(true));
+    fleet.run_for(milliseconds(2));
+    begin_anew(0);
+    fleet.run_for(milliseconds(50));
+    replicas.at(address(0))->set_complete();
+    lost.insert(address(2));
+    fleet.run_for(seconds(10));
+    EXPECT_EQ(attempts.size(), 1U);
+    EXPECT_EQ(fleet.agent(0).running() + fleet.agent(1).running(), 1U);
+    const auto held = fleet.entry(0).held_claims();
+    ASSERT_EQ(held.size(), 1U);
+    EXPECT_GT(held.front()->lease, milliseconds(400));
+}
+
 } // namespace lagoonquay
--- a/process/ledger/src/ledger_shard.cpp
+++ b/process/ledger/src/ledger_shard.cpp
@@ -53,13 +53,16 @@
     if (is_in_flight(held) && !request->release &&
         !can_vote(request, now, wall))
         return claim_vote({.verdict = claim_verdict::fenced});
-    if (is_in_flight(held) && held.digest != request->digest)
+    const bool renews = request->round != claim_round();
+    if (is_in_flight(held) &&
+        (held.digest != request->digest ||
+         (renews && !same_holder(held.holder, held.holder_run, request))))
         return replace_report(held, request, now, wall);
     if (held.digest != request->digest)
         return claim_vote({.verdict = claim_verdict::mismatch});
     if (request->release)
         return release(held, request, now);
-    if (request->round != claim_round())
+    if (renews)
         return renew(held, request, now);
     if (held.closed)
         return claim_vote({.verdict = claim_verdict::closed});
@@ -148,8 +151,12 @@
     return known.reported == claim_round();
 }
 
-// Nobody has voted on the other content here: the entry that asked with it may
-// have been refused.
+// The entry that was reported may have been refused, also if it asked with the
+// same content. If it came to hold the claim, a later record of it is
+// elsewhere: an adopter confirms its claim by votes that are given after the
+// report. So a majority that renews an earlier holder's claim includes a
+// replica that refuses it. A first holder had no earlier one; who renews beside
+// it has adopted from it.
 claim_vote ledger_shard::replace_report(const record& known,
                                         const claim_request& request,
                                         instant now, wall_time wall)
@@ -221,14 +228,12 @@
 
 // A renewal never takes a claim over, even after the lease of the other holder
 // has expired: that holder may have used its claim, and only an adoption
-// returns its reach. Another's claim that was only in flight takes none away.
+// returns its reach.
 claim_vote ledger_shard::renew(record& held, const claim_request& request,
                                instant now)
 {
     if (!same_holder(held.holder, held.holder_run, request))
-        return is_in_flight(held)
-                   ? claim_vote({.verdict = claim_verdict::fenced})
-                   : held_by(held.holder_address);
+        return held_by(held.holder_address);
     held.reported.reset();
     held.closed = held.closed || request->close;
     held.round = std::max(held.round, request->round);
--- a/process/ledger/tests/ledger_test.cpp
+++ b/process/ledger/tests/ledger_test.cpp
@@ -186,6 +186,43 @@
               claim_verdict::granted);
 }
 
+// Guards against a replica that refused the renewals of a holder for ever.
+TEST(ledger_shard, claims_reported_in_flight_refuse_renewals_for_their_lease)
+{
+    const auto renewal = reported_by("c", claim_round(1));
+    for (const bool two : {false, true})
+    {
+        ledger_shard shard({.complete = true});
+        shard.restore_claim(reported_by("a", claim_round()), now);
+        if (two)
+            shard.restore_claim(reported_by("b", claim_round()), now);
+        EXPECT_EQ(shard.claim(renewal, now, wall)->verdict,
+                  claim_verdict::fenced);
+        EXPECT_EQ(shard.claim(renewal, now + lease, wall)->verdict,
+                  claim_verdict::granted);
+        EXPECT_EQ(shard.claim(undated_request_by("a"), now + lease, wall)
+                      ->holder_address,
+                  "c");
+    }
+}
+
+TEST(ledger_shard, a_reported_claim_that_its_holder_renewed_is_not_taken_over)
+{
+    ledger_shard shard({.complete = true});
+    shard.restore_claim(reported_by("a", claim_round()), now);
+    EXPECT_EQ(shard.claim(reported_by("a", claim_round(2)), now, wall)->verdict,
+              claim_verdict::granted);
+    const auto later = now + 2 * lease;
+    EXPECT_EQ(
+        shard.claim(reported_by("b", claim_round(1)), later, wall)->verdict,
+        claim_verdict::held);
+    ledger_shard incomplete({.started_at = now});
+    incomplete.restore_claim(reported_by("a", claim_round()), now - lease);
+    EXPECT_EQ(
+        incomplete.claim(reported_by("b", claim_round(1)), now, wall)->verdict,
+        claim_verdict::fenced);
+}
+
 // Guards against a replica that took a report or a renewal of an adopted claim
 // for a first one, and then told the holder of no earlier agents.
 TEST(ledger_shard, a_claim_recorded_in_a_later_round_counts_as_adopted)
