Start no repeatable task too late for its agent to end it in time

What callers saw, in a test with the product's default durations (claim 5 s, margin 250 ms, reconnect_timeout 2 s): an agent was frozen, its entry's link to it was closed at that moment, and a dispatch waited there. The agent woke 1.45 to 1.7 s later, started the task, and would have ended it as an orphan 0.6 s after that. The entry gave the attempt up after 2 s and started the task elsewhere: two runs at the same time in 6 of 20 wakes, from 1.0 to 1.95 s in steps of 50 ms.

Cause: a dispatch might start until reconnect_timeout less the margin, but the grace of orphans begins when the agent notices the loss, and a frozen one does so when it wakes. Order to be kept: start, orphan_grace, tick and stop end before reconnect_timeout. Nothing kept it; a claim of 1.5 s hid it, since 1.35 s + 0.6 s come out 50 ms before 2 s.

Change: a repeatable task starts no later than reconnect_timeout less the time that an agent takes to end it (orphan_run_time, 750 ms) and the margin.

Cost: a dispatch of a repeatable task that arrives 1.0 s after it was sent (1.1 s with a margin of 150 ms; before 1.35 s with a claim of 1.5 s) is declined and sent again. Only a frozen agent or a stalled path holds it for so long.

--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -70,6 +70,10 @@
     duration clock_skew = std::chrono::milliseconds(500);
     //! How long an agent may take to reconnect before its tasks are given up.
     duration reconnect_timeout = std::chrono::seconds(2);
+    //! Longest time from the start of a repeatable run at an agent without a
+    //! link to this entry to its end: the agent's `orphan_grace`, its tick and
+    //! the stop. Must be shorter than `reconnect_timeout`.
+    duration orphan_run_time = std::chrono::milliseconds(750);
     //! Time after the end of a claim that could not be renewed until the runs
     //! under it are stopped. Must be shorter than `adoption_timeout`.
     duration lapse_timeout = std::chrono::seconds(1);
--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -106,16 +106,17 @@
 }
 
 // An attempt starts neither after the claim's end nor after the time at which
-// it may be given up if its link is lost now. An entry that adopts the job
-// queries only the agents in the claim's reach, so a task for any other agent
-// waits for a renewal that adds the agent. Tasks that wait for a renewal leave
-// the queue.
+// it may be given up if its link is lost now. One that may then start elsewhere
+// has to be over by that time: an agent that was frozen starts what had waited
+// there, and stops it only once its own grace period is over. An entry that
+// adopts the job queries only the agents in the claim's reach, so a task for
+// any other agent waits for a renewal that adds the agent. Tasks that wait for
+// a renewal leave the queue.
 std::optional<dispatch_message>
 entry_service::begin_dispatch(const task_key& key, const agent_id& agent,
                               const taken_credit& credit)
 {
     const auto now = hooks_.now();
-    const auto reconnect_deadline = now + options_.reconnect_timeout;
     const agent_run_id target{agent, credit.agent_run};
     job_pointer widen;
     auto message = jobs_.with(
@@ -140,6 +141,10 @@
                 it.has_parked_tasks = true;
                 return std::nullopt;
             }
+            const auto reconnect_deadline =
+                now + options_.reconnect_timeout -
+                (it.submitted->idempotent ? options_.orphan_run_time
+                                          : duration::zero());
             dispatch_message result;
             result.submission = key.submission;
             result.key = it.run.dispatch(key.index, agent, credit.agent_run);
--- a/process/entry/tests/linked_entry.hpp
+++ b/process/entry/tests/linked_entry.hpp
@@ -228,6 +228,8 @@
         options.run = incarnation(1);
         options.claim_lease = std::chrono::seconds(100);
         options.reconnect_timeout = std::chrono::seconds(1);
+        // In the proportion of the product to its `reconnect_timeout`.
+        options.orphan_run_time = options.reconnect_timeout * 3 / 8;
         service_ = std::make_unique<entry_service>(
             options, entry_hooks{.now = [this] { return time_.now(); },
                                  .wall = [this] { return wall(); },
--- a/process/entry/tests/lost_link_test.cpp
+++ b/process/entry/tests/lost_link_test.cpp
@@ -2,6 +2,7 @@
 // dispatch never starts.
 #include "fake_fleet.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace lagoonquay
@@ -114,6 +115,49 @@
     EXPECT_TRUE(succeeded(fleet.record().answers.front()));
 }
 
+// Guards against two runs at once: an agent that was frozen while its link was
+// closed starts what had waited there, and ends it only after its own grace
+// period, when the entry has started the task elsewhere.
+TEST(lost_links, a_dispatch_that_waited_at_a_frozen_agent_does_not_outlast_them)
+{
+    fake_fleet_options options{.agents = 2,
+                               .slots = 1,
+                               .lease = seconds(5),
+                               .upstreams_can_stop = true};
+    options.hooks.adjust_entry = [](entry_options& it)
+    {
+        const entry_options product;
+        it.reconnect_timeout = product.reconnect_timeout;
+        it.claim_margin = product.claim_margin;
+    };
+    for (int wake = 1000; wake < 2000; wake += 50)
+    {
+        fake_fleet fleet(options);
+        fleet.run_time = [](const upstream_call&)
+        {
+            return seconds(8);
+        };
+        fleet.run_for(milliseconds(500));
+        fleet.freeze_agent(0, true);
+        fleet.separate(0, 1, true);
+        fleet.submit(0, job_of(fleet, 1));
+        fleet.run_for(milliseconds(10));
+        fleet.cut(0, 0, false);
+        fleet.separate(0, 0, true);
+        fleet.separate(0, 1, false);
+        fleet.run_for(milliseconds(wake));
+        fleet.freeze_agent(0, false);
+        std::uint32_t most = 0;
+        for (int n = 0; n < 3000; n += 10)
+        {
+            fleet.run_for(milliseconds(10));
+            most = std::max(most, fleet.agent(0).running() +
+                                      fleet.agent(1).running());
+        }
+        EXPECT_EQ(most, 1U) << "awake after " << wake << " ms";
+    }
+}
+
 } // namespace
 
 } // namespace lagoonquay
