--- a/process/common/src/process_settings.cpp
+++ b/process/common/src/process_settings.cpp
@@ -124,7 +124,9 @@
     return it;
 }
 
-// A record must outlive every submission that may still arrive.
+// A record must outlive every submission that may still arrive. The margin is
+// taken from the time by which a dispatch has to start, 1.25 s after it was
+// sent.
 void read_ledger(ini_file& file, entry_settings& it)
 {
     constexpr std::string_view section = "ledger";
@@ -132,7 +134,7 @@
     it.claim_lease = file.duration_or(section, "claim_lease", it.claim_lease,
                                       second, minute);
     it.claim_margin = file.duration_or(section, "claim_margin", it.claim_margin,
-                                       millisecond, minute);
+                                       millisecond, second);
     it.clock_skew = file.duration_or(section, "clock_skew", it.clock_skew,
                                      millisecond, minute);
     it.oldest_submission = file.duration_or(
--- a/process/common/tests/process_settings_test.cpp
+++ b/process/common/tests/process_settings_test.cpp
@@ -99,8 +99,11 @@
          "[limits] body_bytes: '-1'"},
         {common + listeners + "[ledger]\nclaim_lease = 99h\n",
          "[ledger] claim_lease: 99h is not from"},
-        {common + listeners + "[ledger]\nclaim_margin = 4s\n",
+        {common + listeners +
+             "[ledger]\nclaim_lease = 1s\nclaim_margin = 501ms\n",
          "[ledger] claim_margin: is more than half of claim_lease"},
+        {common + listeners + "[ledger]\nclaim_margin = 1001ms\n",
+         "[ledger] claim_margin: 1001ms is not from"},
         {common + listeners + "[ledger]\nclaim_retention = 1min\n",
          "[ledger] claim_retention: is shorter"},
         {common + listeners + "[ledger]\npeers = here\n",
