Test that an unlisted entry gets no vote from a replica

unlisted_entry.gets_no_vote_but_may_release: the peers' interface answers a claim of an unlisted process with 503 and records nothing; releases, lookups and the claims of listed processes are answered.

--- a/process/entry/tests/unlisted_entry_test.cpp
+++ b/process/entry/tests/unlisted_entry_test.cpp
@@ -1,7 +1,9 @@
 // Claims of an entry that goes on by its last view of the fleet, and of those
 // that control lists.
 #include "lagoonquay/process/claim_quorum.hpp"
+#include "lagoonquay/process/entry_http.hpp"
 #include "lagoonquay/process/entry_peers.hpp"
+#include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
 
 #include <gtest/gtest.h>
@@ -286,4 +288,36 @@
     EXPECT_FALSE(lists[1]->is_unlisted(id_of(99), incarnation(1)));
 }
 
+// The entry's releases and lookups are answered: they give it nothing.
+TEST_F(unlisted_entry, gets_no_vote_but_may_release)
+{
+    begin(3);
+    auto& replica = *replicas.begin()->second;
+    const auto status = [&](bool release, bool lookup, bool unlisted)
+    {
+        const claim_request asked({.submission = submission_id("s"),
+                                   .digest = content_digest(1),
+                                   .dated = false,
+                                   .holder = id_of(cut_off),
+                                   .holder_run = incarnation(1),
+                                   .holder_address = "10.0.0.3:1",
+                                   .ask = claim_sequence(1),
+                                   .release = release,
+                                   .lookup = lookup,
+                                   .lease = lease});
+        return claim_response(replica, encode_claim_request(asked),
+                              [=](const entry_id& it, incarnation run) {
+                                  return unlisted && it == id_of(3) &&
+                                         run == incarnation(1);
+                              })
+            .status;
+    };
+    EXPECT_EQ(status(false, false, true), http_status::unavailable);
+    EXPECT_EQ(replica.size(), 0U);
+    EXPECT_EQ(status(true, false, true), http_status::ok);
+    EXPECT_EQ(status(false, true, true), http_status::ok);
+    EXPECT_EQ(status(false, false, false), http_status::ok);
+    EXPECT_EQ(replica.size(), 1U);
+}
+
 } // namespace lagoonquay
