Let a list age other entries only while contact goes on

What callers could see, in a test: all entries were cut off from control for 4 s. The entry that reached control first got three lists with itself alone, the third in touch with a majority, and dropped all its peers. It held a job by itself that another entry held too, both in round 1. After a restart of all of control the same young lists made living entries unlisted, so that their claims got no votes (status unavailable at 300, 450 and 600 ms).

Cause: the time between two lists counted as time in which the others were not listed, though nobody had been listed at all.

Change: after a gap of more than 700 ms (rounds of heartbeats are 500 ms apart) the others count as listed now.

Cost: an entry that ends in such a gap is dropped up to one retention later.

--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -65,6 +65,7 @@
         instant last_listed{};
     };
 
+    void note_list(instant now);
     void remove_unlisted();
     bool is_new(instant now) const;
     bool keeps_its_place() const;
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -11,6 +11,10 @@
 // Time after the first list within which control lists every live entry.
 constexpr duration listing_delay = std::chrono::seconds(1);
 
+// Longest time between two lists while control is in touch; rounds of
+// heartbeats are 500 ms apart.
+constexpr duration max_list_gap = std::chrono::milliseconds(700);
+
 bool contains(const std::vector<endpoint>& all, const endpoint& wanted)
 {
     return std::find(all.begin(), all.end(), wanted) != all.end();
@@ -33,7 +37,7 @@
         return;
     first_list_time_ = first_list_time_.value_or(now);
     if (in_touch)
-        last_list_time_ = now;
+        note_list(now);
     for (const auto& it : entries)
     {
         const auto address = parse_endpoint(it->address);
@@ -51,6 +55,18 @@
     }
 }
 
+// After a gap the first lists may lack entries that have not reached control
+// again yet, or that a replica which began anew has not heard of.
+void entry_peers::note_list(instant now)
+{
+    const bool regained = now - last_list_time_ > max_list_gap;
+    last_list_time_ = now;
+    if (!regained)
+        return;
+    for (auto& [address, it] : entries_)
+        it.last_listed = now;
+}
+
 bool entry_peers::known() const
 {
     const std::lock_guard lock(mutex_);
--- a/process/entry/tests/unlisted_entry_test.cpp
+++ b/process/entry/tests/unlisted_entry_test.cpp
@@ -283,6 +283,12 @@
     now += seconds(10);
     lists[1]->learn(alone, false);
     EXPECT_FALSE(lists[1]->is_unlisted(id_of(cut_off), incarnation(1)));
+    for (int n = 0; n <= 2; ++n)
+    {
+        lists[1]->learn(alone, true);
+        EXPECT_FALSE(lists[1]->is_unlisted(id_of(cut_off), incarnation(1)));
+        now += milliseconds(500);
+    }
     lists[1]->learn(alone, true);
     EXPECT_TRUE(lists[1]->is_unlisted(id_of(cut_off), incarnation(1)));
     EXPECT_FALSE(lists[1]->is_unlisted(id_of(99), incarnation(1)));
