Refuse an unlisted process also once its next one is listed

Cause: each list that named an entry's id took it out of those that are removed, whatever process it named. An earlier process that was cut off was served again from 4 s on, as the others had changed their groups.

Change: only the same process is taken out.

--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -51,7 +51,9 @@
         known.id = it->id;
         known.run = it->run;
         known.last_listed = now;
-        removed_.erase(it->id);
+        const auto removed = removed_.find(it->id);
+        if (removed != removed_.end() && removed->second == it->run)
+            removed_.erase(removed);
     }
 }
 
@@ -111,8 +113,8 @@
     const std::lock_guard lock(mutex_);
     remove_unlisted();
     const auto removed = removed_.find(entry.text());
-    if (removed != removed_.end())
-        return removed->second == run;
+    if (removed != removed_.end() && removed->second == run)
+        return true;
     return std::any_of(entries_.begin(), entries_.end(),
                        [&](const auto& it)
                        {
--- a/process/entry/tests/unlisted_entry_test.cpp
+++ b/process/entry/tests/unlisted_entry_test.cpp
@@ -326,4 +326,28 @@
     EXPECT_EQ(replica.size(), 1U);
 }
 
+// Guards against a process that is served again 3 s after it was unlisted,
+// since its next process with the same id is listed at another address.
+TEST_F(unlisted_entry, stays_refused_once_its_next_process_is_listed)
+{
+    begin(6);
+    auto& list = *lists[1];
+    auto next = listed(cut_off).with(
+        [](member_options& it)
+        {
+            it.run = incarnation(2);
+            it.address = "10.0.0.99:1";
+        });
+    for (int n = 1; n <= 10; ++n)
+    {
+        now += milliseconds(500);
+        list.learn({listed(1), listed(2), next}, true);
+        EXPECT_FALSE(list.is_unlisted(id_of(cut_off), incarnation(2)));
+        if (n <= 2)
+            continue;
+        EXPECT_TRUE(list.is_unlisted(id_of(cut_off), incarnation(1)))
+            << 500 * n << " ms";
+    }
+}
+
 } // namespace lagoonquay
