Confirm an adoption three times at most

Cause: a replica that began anew asks its peers every 20 ms, and each question made the entry confirm its adoption once more.

Change: three confirmations at most. More questions come from one life of the replica, whose earlier life can't have voted since the first.

Not covered: a fourth replica that begins anew within the same adoption.

--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::string_view part = "entry";
 
+//! Of one adoption, for reports to replicas that began anew.
+constexpr std::uint32_t max_confirmations = 3;
+
 job_answer claim_refusal(const submission_id& submission, claim_status status)
 {
     switch (status)
@@ -67,6 +70,8 @@
                  it.claim_retry_at.reset();
                  it.asked_round = confirm;
                  it.told_in_flight = false;
+                 it.confirmations =
+                     confirm == claim_round() ? 0 : it.confirmations + 1;
                  if (confirm == claim_round())
                  {
                      it.ask = ask;
@@ -90,7 +95,8 @@
 // A replica that began anew and was told of an adoption in flight lacks its
 // round or knows it from there alone, and its earlier life may be one of those
 // that voted. Such an adoption is confirmed once more, by votes that were given
-// after that. They record the agents of the earlier holders too.
+// after that. They record the agents of the earlier holders too. The replica
+// goes on asking; more than a few reports are to one life of it.
 void entry_service::on_claim(const job_pointer& state, claim_round asked,
                              const claim_outcome& outcome)
 {
@@ -112,7 +118,8 @@
                  it.earlier_agents = it.earlier_agents.joined(outcome->reach);
                  confirm = !outcome->confirmed ||
                            (!first && outcome->round != asked) ||
-                           (it.needs_adoption && it.told_in_flight);
+                           (it.needs_adoption && it.told_in_flight &&
+                            it.confirmations < max_confirmations);
                  it.asked_round = outcome->round;
              });
     if (!open)
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -58,6 +58,8 @@
     claim_round asked_round; //!< that the last claim confirms, if any
     //! A new replica was told of the claim in flight since it was sent.
     bool told_in_flight = false;
+    std::uint32_t confirmations =
+        0;                      //!< that were sent since the last new claim
     claim_sequence ask;         //!< number of the last new claim
     bool claim_pending = false; //!< a claim or renewal is in flight
     bool lapsed =
--- a/process/entry/tests/adoption_in_flight_test.cpp
+++ b/process/entry/tests/adoption_in_flight_test.cpp
@@ -88,14 +88,14 @@
              const claim_callback& done)
     {
         fleet.time().after(
-            one_way,
+            way,
             [this, to, asked, quorum, done]
             {
                 claim_answer answer;
                 if (replicas.contains(to) && !lost.contains(to))
                     answer.vote = replicas.at(to)->claim(asked);
                 fleet.time().after(
-                    one_way, [this, to, asked, quorum, done, answer]
+                    way, [this, to, asked, quorum, done, answer]
                     { take(quorum->add(to, answer), asked, quorum, done); });
             });
     }
@@ -177,6 +177,7 @@
     const std::vector<std::vector<std::size_t>> orders = {
         {0, 1, 2}, {0, 1, 2}, {0, 2, 1}};
     std::set<endpoint> lost; //!< replicas that don't answer
+    duration way = one_way;
     std::vector<attempt_number> attempts;
     std::vector<claim_request> claims;
     fake_fleet fleet{options()};
@@ -251,4 +252,21 @@
     EXPECT_GT(held.front()->lease, milliseconds(400));
 }
 
+// Guards against an adoption that waits for as long as a replica that began
+// anew asks, once every 20 ms, where an exchange takes longer than that.
+TEST_F(adoptions_in_flight, are_held_while_a_new_replica_goes_on_asking)
+{
+    way = milliseconds(12);
+    adopt_once(true);
+    begin_anew(0);
+    claims.clear();
+    for (int n = 0; n < 50; ++n)
+    {
+        for (const auto& it : fleet.entry(1).held_claims())
+            replicas.at(address(0))->restore_claim(it);
+        fleet.run_for(milliseconds(20));
+    }
+    EXPECT_LE(claims.size(), 3U);
+}
+
 } // namespace lagoonquay
