Don't refuse an adopter for the renewal that replaced its report

Cause: once a reported claim in flight has lapsed, another's renewal replaces it. If the report was that of an adopter that came to hold the claim elsewhere, the replica told that one, as it renewed in its later round, that another held its claim.

Change: a record that replaced a report refuses a renewal in a later round without naming a holder, and gives way to it once its own lease is over.

--- a/process/ledger/include/lagoonquay/process/ledger_shard.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_shard.hpp
@@ -157,6 +157,8 @@
         //! Round in the report that the record was restored from, until a vote
         //! changes it; zero if that claim was in flight.
         std::optional<claim_round> reported;
+        //! Whether a renewal replaced the report of another's claim in flight.
+        bool replaces_report = false;
         agent_reach reach;
     };
 
@@ -168,7 +170,8 @@
     static claim_vote look_up(const record& held, instant now);
     static claim_vote release(record& held, const claim_request& request,
                               instant now);
-    static claim_vote renew(record& held, const claim_request& request,
+    claim_vote renew(record& held, const claim_request& request, instant now);
+    claim_vote renew_beside(const record& held, const claim_request& request,
                             instant now);
     static claim_vote adopt(record& held, const claim_request& request,
                             instant now);
--- a/process/ledger/src/ledger_shard.cpp
+++ b/process/ledger/src/ledger_shard.cpp
@@ -164,7 +164,11 @@
     if (request->release || now < known.lease_end)
         return claim_vote({.verdict = claim_verdict::fenced});
     records_.erase(request->submission);
-    return add(request, now, wall);
+    const auto vote = add(request, now, wall);
+    const auto fresh = records_.find(request->submission);
+    if (fresh != records_.end())
+        fresh->second.replaces_report = request->round != claim_round();
+    return vote;
 }
 
 // Either of two claims in flight may come to be held. Without a holder, neither
@@ -233,7 +237,7 @@
                                instant now)
 {
     if (!same_holder(held.holder, held.holder_run, request))
-        return held_by(held.holder_address);
+        return renew_beside(held, request, now);
     held.reported.reset();
     held.closed = held.closed || request->close;
     held.round = std::max(held.round, request->round);
@@ -247,6 +251,23 @@
                        .reach = held.adopted ? held.reach : agent_reach()});
 }
 
+// A record that replaced a report may be that of an earlier holder, and the
+// report that of the adopter which now renews in a later round.
+claim_vote ledger_shard::renew_beside(const record& held,
+                                      const claim_request& request, instant now)
+{
+    if (!held.replaces_report || request->round <= held.round)
+        return held_by(held.holder_address);
+    if (now < held.lease_end)
+        return claim_vote({.verdict = claim_verdict::fenced});
+    const auto& fresh = record_claim(request, now);
+    return claim_vote({.verdict = claim_verdict::granted,
+                       .holder_address = {},
+                       .round = fresh.round,
+                       .first_claim_age = {},
+                       .reach = fresh.reach});
+}
+
 claim_vote ledger_shard::adopt(record& held, const claim_request& request,
                                instant now)
 {
--- a/process/ledger/tests/ledger_test.cpp
+++ b/process/ledger/tests/ledger_test.cpp
@@ -223,6 +223,20 @@
         claim_verdict::fenced);
 }
 
+// Guards against an adopter that is told that another holds its claim: the
+// earlier holder's renewal replaced the report of the adoption.
+TEST(ledger_shard, a_renewal_in_a_later_round_is_not_refused_for_an_earlier_one)
+{
+    ledger_shard shard({.complete = true});
+    shard.restore_claim(reported_by("b", claim_round()), now);
+    EXPECT_EQ(shard.claim(reported_by("a", claim_round(1)), now + lease, wall)
+                  ->verdict,
+              claim_verdict::granted);
+    EXPECT_NE(shard.claim(reported_by("b", claim_round(2)), now + lease, wall)
+                  ->verdict,
+              claim_verdict::held);
+}
+
 // Guards against a replica that took a report or a renewal of an adopted claim
 // for a first one, and then told the holder of no earlier agents.
 TEST(ledger_shard, a_claim_recorded_in_a_later_round_counts_as_adopted)
