List two faults that were shown and are not mended

Both were found while looking for the class of fault of the mended ones elsewhere.

- answered_jobs.*: a job that must not be repeated was answered.
A replica of its claim began anew and heard of the claims of open jobs only.
The job was sent again within 5 s through another entry, which asked that replica and one that never knew of it, and whose agents were others: its task started a second time.
- unlisted_entry.that_died_*: with three entries, one dies and is replaced. 3.1 s after control has unlisted it, 80 of 400 of its lapsed claims are granted as if they were new: the changed group's majority needn't have their record.
Repeatable runs have ended by then; a run that must not be repeated may have taken place.

--- a/process/entry/tests/adoption_in_flight_test.cpp
+++ b/process/entry/tests/adoption_in_flight_test.cpp
@@ -182,6 +182,11 @@
     fake_fleet fleet{options()};
 };
 
+//! The same entries and replicas, once a job has ended.
+class answered_jobs : public adoptions_in_flight
+{
+};
+
 } // namespace
 
 // Guards against two holders of one round, of which the later one gave out the
@@ -251,4 +256,28 @@
     EXPECT_GT(held.front()->lease, milliseconds(400));
 }
 
+// Guards against a second run of a task that must not be repeated: its job was
+// answered, a replica of its claim began anew, and no entry told of the claim.
+TEST_F(answered_jobs, are_known_to_a_new_replica)
+{
+    fleet.run_time = [](const upstream_call&)
+    {
+        return milliseconds(20);
+    };
+    fleet.separate(0, 1, true);
+    fleet.separate(2, 0, true);
+    fleet.run_for(seconds(3)); // until the entries are ready
+    fleet.submit(0, work(false));
+    fleet.run_for(milliseconds(100));
+    ASSERT_EQ(fleet.record().answers.size(), 1U);
+    begin_anew(0);
+    fleet.run_for(milliseconds(750));
+    replicas.at(address(0))->set_complete();
+    fleet.submit(2, work(false));
+    fleet.run_for(seconds(3));
+    EXPECT_EQ(attempts.size(), 1U);
+    for (const auto& it : fleet.record().violations)
+        ADD_FAILURE() << it;
+}
+
 } // namespace lagoonquay
--- a/process/entry/tests/unlisted_entry_test.cpp
+++ b/process/entry/tests/unlisted_entry_test.cpp
@@ -320,4 +320,30 @@
     EXPECT_EQ(replica.size(), 1U);
 }
 
+// Guards against a claim that is granted as if the job were new, so that no
+// agent is asked what the dead holder had started.
+TEST_F(unlisted_entry, that_died_leaves_its_lapsed_claims_to_the_changed_group)
+{
+    begin(3);
+    std::vector<submission_id> left;
+    for (std::size_t n = 0; n < 400; ++n)
+    {
+        left.emplace_back("job-" + std::to_string(++jobs));
+        EXPECT_EQ(claim(cut_off, left.back())->status, claim_status::held);
+    }
+    replicas.erase(entry(cut_off).address);
+    join_one();
+    wait(milliseconds(3100));
+    std::size_t as_new = 0;
+    for (const auto& it : left)
+    {
+        const auto found = claim(*fleet.begin(), it);
+        as_new += found->status == claim_status::held &&
+                          found->first_claim_age == duration::zero()
+                      ? 1
+                      : 0;
+    }
+    EXPECT_EQ(as_new, 0U);
+}
+
 } // namespace lagoonquay
