Give the fake fleet the ledger of the product

Cause: the schedules' fake ledger asks the replicas of all entries, on dated jobs. The product asks groups of replicas from lists that differ for up to a second, with hedges, on undated jobs, and replicas that began anew recover the claims from their peers. No schedule drove these together.

Change: listed_ledger, behind the hooks of the fake fleet, has for each entry's process a replica, its list of the others and its recovery, and claims over claim_quorum. Requests and answers are delayed and lost; control lists entries late. held_rounds follows each claim by its requests and outcomes, and reports two entries that hold one job.

--- /dev/null
+++ b/process/entry/tests/listed_ledger.cpp
@@ -0,0 +1,349 @@
+#include "listed_ledger_parts.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration latency = std::chrono::microseconds(1500);
+// As in permit_client, ledger_client and request_held_claims().
+constexpr duration poll_period = milliseconds(500);
+constexpr duration call_timeout = milliseconds(500);
+constexpr duration expiry_period = seconds(1);
+// Time until control lists an entry that has started.
+constexpr duration join_delay = milliseconds(100);
+
+} // namespace
+
+listed_ledger::listed_ledger(fake_fleet& fleet,
+                             const listed_ledger_options& options)
+    : fleet_(fleet), options_(options), random_(options.seed),
+      held_(
+          {.now = [this] { return fleet_.time().now(); },
+           .is_open =
+               [this](const held_round& it, const submission_id& submission)
+           {
+               if (!fleet_.entry_alive(it.entry) ||
+                   hosts_[it.entry]->run != it.run)
+                   return false;
+               const auto found = fleet_.entry(it.entry).progress(submission);
+               return found && !found->answer;
+           },
+           .on_violation =
+               [this](const submission_id& submission, const std::string& what)
+           {
+               fleet_.add_violation(submission, what);
+           }})
+{
+}
+
+listed_ledger::~listed_ledger() = default;
+
+fake_fleet_options listed_ledger::attach(fake_fleet_options options)
+{
+    hosts_.resize(options.entries);
+    options.lease = options_.lease;
+    adjust_further_ = options.hooks.adjust_entry;
+    options.hooks.adjust_entry = [this](entry_options& it)
+    {
+        adjust(it);
+    };
+    options.hooks.claim = [this](std::size_t from, const claim_request& asked,
+                                 claim_callback done)
+    {
+        claim(from, asked, std::move(done));
+    };
+    options.hooks.on_entry_begun =
+        [this](std::size_t entry, const process_pointer& process)
+    {
+        begin(entry, process);
+    };
+    options.hooks.on_entry_killed = [this](std::size_t entry)
+    {
+        end(entry);
+    };
+    options.hooks.on_entry_tick = [this](std::size_t entry)
+    {
+        tick(entry);
+    };
+    return options;
+}
+
+// The durations are those of entry_options, apart from the lease.
+void listed_ledger::adjust(entry_options& options) const
+{
+    const entry_options usual;
+    options.address =
+        to_text(entry_address(std::stoul(options.id.text().substr(6))));
+    options.dated_jobs = false;
+    options.claim_margin = usual.claim_margin;
+    options.reconnect_timeout = usual.reconnect_timeout;
+    options.adoption_timeout = usual.adoption_timeout;
+    options.claim_retry_delay = usual.claim_retry_delay;
+    if (adjust_further_)
+        adjust_further_(options);
+}
+
+void listed_ledger::begin(std::size_t entry, const process_pointer& process)
+{
+    const auto now = [this]
+    {
+        return fleet_.time().now();
+    };
+    const auto fresh = std::make_shared<host>();
+    fresh->number = entry;
+    fresh->process = process;
+    fresh->started_at = fresh->expired_at = now();
+    fresh->replica = std::make_unique<ledger_replica>(
+        ledger_options{.records_since = fleet_.wall(), .started_at = now()},
+        now, [this] { return fleet_.wall(); });
+    fresh->peers = std::make_unique<entry_peers>(to_text(entry_address(entry)),
+                                                 2 * options_.lease, now);
+    const auto self = std::weak_ptr<host>(fresh);
+    fresh->recovery = std::make_unique<ledger_recovery>(
+        ledger_recovery_options(),
+        ledger_recovery_hooks{
+            .now = now,
+            .peers = [self]() -> std::optional<std::vector<endpoint>>
+            {
+                const auto& peers = self.lock()->peers;
+                if (!peers->known())
+                    return std::nullopt;
+                return peers->current();
+            },
+            .ask =
+                [this, self](const endpoint& peer, const held_claims_hook& done)
+            { ask_for_claims(self.lock(), peer, done); },
+            .restore_claim = [self](const claim_request& it)
+            { self.lock()->replica->restore_claim(it); },
+            .no_stray_runs = [this, entry]
+            { return fleet_.entry(entry).agents().no_stray_runs(); },
+            .done =
+                [self](const ledger_completion&)
+            {
+                self.lock()->replica->set_complete();
+            }});
+    hosts_[entry] = fresh;
+    fleet_.time().after(duration(draw(poll_period.count())),
+                        [this, fresh] { poll(fresh); });
+}
+
+void listed_ledger::end(std::size_t entry)
+{
+    hosts_[entry]->ended_at = fleet_.time().now();
+}
+
+void listed_ledger::tick(std::size_t entry)
+{
+    auto& it = *hosts_[entry];
+    it.recovery->tick();
+    const auto now = fleet_.time().now();
+    if (now - it.expired_at < expiry_period)
+        return;
+    it.expired_at = now;
+    it.replica->expire();
+}
+
+// An entry hears a list at most a second after it changed, unless a poll or an
+// answer is lost or the entry stands still.
+void listed_ledger::poll(const host_pointer& to)
+{
+    if (!to->process->alive)
+        return;
+    fleet_.time().after(poll_period, [this, to] { poll(to); });
+    if (to->process->frozen || cut_off_.contains(to->number) || is_lost())
+        return;
+    const auto sent = fleet_.time().now();
+    fleet_.time().after(
+        duration(draw(duration(milliseconds(450)).count())),
+        [this, to, sent, entries = listed_entries()]
+        {
+            fleet_.deliver(
+                to->process,
+                [this, to, sent, entries]
+                {
+                    fleet_.entry(to->number)
+                        .set_permit(
+                            permit({.valid_until = sent + permit_duration}));
+                    learn(*to, entries);
+                });
+        });
+}
+
+std::vector<member> listed_ledger::listed_entries() const
+{
+    const auto now = fleet_.time().now();
+    std::vector<member> listed;
+    for (const auto& it : hosts_)
+    {
+        if (!it || now - it->started_at < join_delay)
+            continue;
+        if (!it->process->alive && now - it->ended_at > options_.member_silence)
+            continue;
+        member_options options;
+        options.role = member_role::entry;
+        options.id = "entry-" + std::to_string(it->number);
+        options.domain =
+            domain_id("d" + std::to_string(it->number % options_.domains));
+        options.address = to_text(entry_address(it->number));
+        options.serving = true;
+        listed.emplace_back(std::move(options));
+    }
+    return listed;
+}
+
+void listed_ledger::learn(host& to, const std::vector<member>& entries)
+{
+    to.peers->learn(entries,
+                    fleet_.entry(to.number).is_in_touch_with_control());
+}
+
+void listed_ledger::part(std::size_t a, std::size_t b, bool apart)
+{
+    if (apart)
+        parted_.insert(std::minmax(a, b));
+    else
+        parted_.erase(std::minmax(a, b));
+}
+
+void listed_ledger::cut_off(std::size_t entry, bool apart)
+{
+    if (apart)
+        cut_off_.insert(entry);
+    else
+        cut_off_.erase(entry);
+}
+
+void listed_ledger::join_all()
+{
+    parted_.clear();
+    cut_off_.clear();
+}
+
+bool listed_ledger::complete(std::size_t entry) const
+{
+    return fleet_.entry_alive(entry) && hosts_[entry]->replica->complete();
+}
+
+const held_round_counts& listed_ledger::counts() const noexcept
+{
+    return held_.counts();
+}
+
+// A request that was lost, an answer that was lost and one after the timeout
+// look the same to the sender. The peer may have carried out the request, also
+// after the timeout. A cut is silent: what a refused connection in a cut may do
+// is in docs/design/ledger.md.
+void listed_ledger::send(const host_pointer& from, std::size_t to, call made)
+{
+    const auto shared = std::make_shared<call>(std::move(made));
+    const auto fail = [this, from, shared](bool refused)
+    {
+        fleet_.deliver(from->process,
+                       [shared, refused]
+                       {
+                           if (!std::exchange(shared->ended, true))
+                               shared->fail(refused);
+                       });
+    };
+    fleet_.time().after(call_timeout, [fail] { fail(false); });
+    if (is_apart(from->number, to) || is_lost())
+        return;
+    const auto peer = hosts_[to];
+    if (!peer || !peer->process->alive)
+        return fleet_.time().after(2 * latency, [fail] { fail(true); });
+    fleet_.time().after(delay(),
+                        [this, peer, from, shared]
+                        {
+                            fleet_.deliver(peer->process,
+                                           [this, peer, from, shared]
+                                           { serve(peer, from, shared); });
+                        });
+}
+
+void listed_ledger::serve(const host_pointer& peer, const host_pointer& from,
+                          const std::shared_ptr<call>& made)
+{
+    const auto answer = made->serve(*peer);
+    if (is_apart(from->number, peer->number) || is_lost())
+        return;
+    fleet_.time().after(delay(),
+                        [this, from, made, answer]
+                        {
+                            fleet_.deliver(
+                                from->process,
+                                [made, answer]
+                                {
+                                    if (!std::exchange(made->ended, true))
+                                        answer();
+                                });
+                        });
+}
+
+// As the route /v1/ledger/held and the entry node's question to it.
+void listed_ledger::ask_for_claims(const host_pointer& from,
+                                   const endpoint& peer,
+                                   const held_claims_hook& done)
+{
+    const auto note = [from, peer, done](const std::optional<held_claims>& it)
+    {
+        if (it && it->gone)
+            from->peers->learn_established(peer, {});
+        else if (it && it->established)
+            from->peers->learn_established(peer, *it->established);
+        done(it);
+    };
+    send(from, entry_number(peer),
+         {.serve = [this, note](host& at) -> virtual_time::event
+          {
+              auto& service = fleet_.entry(at.number);
+              const held_claims told{.settled =
+                                         at.replica->complete() ||
+                                         service.agents().no_stray_runs(),
+                                     .claims = service.held_claims(),
+                                     .established = at.peers->established()};
+              return [note, told]
+              {
+                  note(told);
+              };
+          },
+          .fail =
+              [this, from, note](bool refused)
+          {
+              if (refused &&
+                  fleet_.entry(from->number).is_in_touch_with_control())
+                  return note(held_claims{.gone = true});
+              note(std::nullopt);
+          }});
+}
+
+bool listed_ledger::is_apart(std::size_t a, std::size_t b) const
+{
+    return cut_off_.contains(a) || cut_off_.contains(b) ||
+           parted_.contains(std::minmax(a, b));
+}
+
+bool listed_ledger::is_lost()
+{
+    return draw(100) < options_.loss_percent;
+}
+
+duration listed_ledger::delay()
+{
+    if (draw(100) >= options_.late_percent)
+        return latency;
+    return latency + duration(draw(options_.longest_delay.count()));
+}
+
+std::uint64_t listed_ledger::draw(std::uint64_t bound)
+{
+    return bound == 0 ? 0 : random_() % bound;
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/entry/tests/listed_ledger_claims.cpp
@@ -0,0 +1,146 @@
+// Claims at groups of replicas, as ledger_client, claim_exchange and
+// claim_sender make them.
+#include "listed_ledger_parts.hpp"
+
+#include "lagoonquay/process/claim_quorum.hpp"
+
+#include <algorithm>
+
+namespace lagoonquay
+{
+
+//! Carries out the steps of a claim_quorum. Owned by its requests in flight.
+struct listed_ledger::exchange : std::enable_shared_from_this<exchange>
+{
+    exchange(listed_ledger& owner, host_pointer sender, claim_request request,
+             std::vector<replica_group> groups, claim_callback callback)
+        : ledger(owner), from(std::move(sender)), asked(std::move(request)),
+          quorum(asked, std::move(groups), owner.fleet_.time().now()),
+          done(std::move(callback))
+    {
+    }
+
+    void carry_out(const claim_step& step)
+    {
+        if (step.outcome)
+            return done(*step.outcome);
+        for (const auto& it : step.ask)
+            ledger.send_claim(
+                from, it, asked,
+                [self = shared_from_this(), it,
+                 sent = ledger.fleet_.time().now()](const claim_answer& answer)
+                { self->on_answer(it, sent, answer); });
+    }
+
+    void on_answer(const endpoint& replica, instant sent,
+                   const claim_answer& answer)
+    {
+        const auto now = ledger.fleet_.time().now();
+        if (answer.vote)
+        {
+            from->response_times.add_sample(now - sent);
+            from->unresponsive.note_responsive(replica);
+        }
+        else
+            from->unresponsive.note_unresponsive(replica, now);
+        carry_out(quorum.add(replica, answer));
+    }
+
+    void hedge_pending()
+    {
+        const auto pending = quorum.pending();
+        const auto step = quorum.hedge_pending();
+        for (const auto& it : pending)
+            from->unresponsive.note_unresponsive(it,
+                                                 ledger.fleet_.time().now());
+        carry_out(step);
+    }
+
+    listed_ledger& ledger;
+    host_pointer from;
+    const claim_request asked;
+    claim_quorum quorum;
+    const claim_callback done;
+};
+
+void listed_ledger::claim(std::size_t from, const claim_request& asked,
+                          claim_callback done)
+{
+    const auto own = hosts_[from];
+    own->run = asked->holder_run;
+    held_.on_request(asked);
+    const auto numbered = own->reaches.name(asked);
+    const auto& submission = asked->submission;
+    const ledger_peer self{
+        entry_address(from),
+        domain_id("d" + std::to_string(from % options_.domains))};
+    auto groups =
+        submission.empty()
+            ? std::vector{all_replicas_group(submission, own->peers->current())}
+            : choose_replica_groups(submission, self, own->peers->replicas());
+    std::optional<claim_vote> vote;
+    if (std::any_of(groups.begin(), groups.end(),
+                    [](const replica_group& it) { return it.local; }))
+        vote = own->replica->claim(numbered);
+    for (auto& it : groups)
+        it.others = own->unresponsive.order_unresponsive_last(
+            std::move(it.others), fleet_.time().now());
+    const auto made = std::make_shared<exchange>(
+        *this, own, numbered, std::move(groups),
+        [this, from, asked, callback = std::move(done)](const claim_outcome& it)
+        {
+            held_.on_outcome(from, asked, it);
+            callback(it);
+        });
+    made->carry_out(made->quorum.start(vote));
+    fleet_.time().after(
+        own->response_times.patience(), [this, own, made]
+        { fleet_.deliver(own->process, [made] { made->hedge_pending(); }); });
+}
+
+void listed_ledger::send_claim(
+    const host_pointer& from, const endpoint& replica,
+    const claim_request& asked,
+    const std::function<void(const claim_answer&)>& done)
+{
+    const auto number = asked->cached_reach_number;
+    const bool omit =
+        number != reach_number() && from->reaches.is_delivered(replica, number);
+    const auto request = asked.with(
+        [&](claim_request_options& it)
+        {
+            it.contains_reach = !omit;
+            if (omit)
+                it.reach = {};
+        });
+    const auto on_vote =
+        [this, from, replica, asked, number, omit, done](const claim_vote& vote)
+    {
+        if (omit && vote->verdict == claim_verdict::unknown_reach)
+        {
+            from->reaches.forget(replica);
+            return send_claim(from, replica, asked, done);
+        }
+        if (number != reach_number())
+            from->reaches.note_delivered(replica, number);
+        done({.vote = vote});
+    };
+    send(from, entry_number(replica),
+         {.serve = [request, on_vote](host& at) -> virtual_time::event
+          {
+              return [on_vote, vote = at.replica->claim(request)]
+              {
+                  on_vote(vote);
+              };
+          },
+          .fail =
+              [this, from, done](bool refused)
+          {
+              done({.vote = {},
+                    .gone =
+                        refused &&
+                        fleet_.entry(from->number).is_in_touch_with_control()});
+          }});
+}
+
+} // namespace lagoonquay
--- /dev/null
+++ b/process/entry/tests/listed_ledger_test.cpp
@@ -0,0 +1,114 @@
+// The fake fleet on the listed ledger, in calm and with one fault.
+#include "listed_ledger.hpp"
+
+#include "lagoonquay/process/log.hpp"
+
+#include <gtest/gtest.h>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+job repeatable(const std::string& name, duration limit)
+{
+    return job({.submission = submission_id(name),
+                .customer = customer_id("c"),
+                .dated = false,
+                .time_limit = limit,
+                .idempotent = true,
+                .tasks = std::vector<task>(3)});
+}
+
+class listed_ledgers : public testing::Test
+{
+protected:
+    static void SetUpTestSuite()
+    {
+        open_log({.level = log_level::error});
+    }
+
+    void expect_all_succeeded(std::size_t count)
+    {
+        std::size_t succeeded_count = 0;
+        for (const auto& it : fleet.record().answers)
+            succeeded_count += succeeded(it) ? 1 : 0;
+        EXPECT_EQ(succeeded_count, count);
+        for (const auto& it : fleet.record().violations)
+            ADD_FAILURE() << it;
+    }
+
+    listed_ledger ledger{fleet, {}};
+    fake_fleet fleet{ledger.attach(
+        {.entries = 6, .late_entries = 2, .upstreams_can_stop = true})};
+};
+
+} // namespace
+
+TEST_F(listed_ledgers, serves_jobs_through_each_entry_in_calm)
+{
+    for (std::size_t n = 0; n < 4; ++n)
+    {
+        EXPECT_TRUE(ledger.complete(n)) << n;
+        fleet.submit(n, repeatable("job-" + std::to_string(n), seconds(5)));
+    }
+    fleet.run_for(seconds(2));
+    expect_all_succeeded(4);
+    EXPECT_EQ(ledger.counts().first, 4U);
+}
+
+TEST_F(listed_ledgers, has_a_killed_entrys_job_adopted_by_another)
+{
+    fleet.run_time = [](const upstream_call&)
+    {
+        return seconds(1);
+    };
+    fleet.submit(0, repeatable("job", seconds(20)));
+    fleet.run_for(milliseconds(100));
+    fleet.kill_entry(0);
+    fleet.submit(1, repeatable("job", seconds(20)));
+    fleet.run_for(seconds(15));
+    expect_all_succeeded(1);
+    EXPECT_EQ(ledger.counts().first, 1U);
+    EXPECT_EQ(ledger.counts().later, 1U);
+}
+
+TEST_F(listed_ledgers, has_late_entries_vote_and_hold)
+{
+    fleet.start_entry(4);
+    fleet.start_entry(5);
+    fleet.run_for(seconds(3));
+    EXPECT_TRUE(ledger.complete(4));
+    EXPECT_TRUE(ledger.complete(5));
+    fleet.submit(4, repeatable("job-4", seconds(5)));
+    fleet.submit(5, repeatable("job-5", seconds(5)));
+    fleet.run_for(seconds(2));
+    expect_all_succeeded(2);
+}
+
+TEST_F(listed_ledgers, has_a_restarted_entry_know_what_others_hold)
+{
+    fleet.run_time = [](const upstream_call&)
+    {
+        return seconds(4);
+    };
+    fleet.submit(0, repeatable("job", seconds(20)));
+    fleet.run_for(milliseconds(100));
+    for (std::size_t n = 1; n < 4; ++n)
+    {
+        fleet.kill_entry(n);
+        fleet.start_entry(n);
+        fleet.run_for(seconds(1));
+    }
+    fleet.submit(1, repeatable("job", seconds(20)));
+    fleet.run_for(seconds(15));
+    expect_all_succeeded(2);
+    EXPECT_EQ(ledger.counts().first, 1U);
+    EXPECT_EQ(ledger.counts().later, 0U);
+}
+
+} // namespace lagoonquay
