Schedule entries that join, restart and are cut off on the listed ledger

Cause: no schedule drove groups of replicas, lists that differ and replicas that recover their claims together.

--- a/process/entry/tests/listed_ledger.cpp
+++ b/process/entry/tests/listed_ledger.cpp
@@ -14,7 +14,10 @@
 constexpr duration latency = std::chrono::microseconds(1500);
 // As in permit_client, ledger_client and request_held_claims().
 constexpr duration poll_period = milliseconds(500);
+constexpr duration longest_poll = milliseconds(450);
 constexpr duration call_timeout = milliseconds(500);
+// As in entry_node.
+constexpr duration recovery_period = milliseconds(20);
 constexpr duration expiry_period = seconds(1);
 // Time until control lists an entry that has started.
 constexpr duration join_delay = milliseconds(100);
@@ -68,10 +71,6 @@
     {
         end(entry);
     };
-    options.hooks.on_entry_tick = [this](std::size_t entry)
-    {
-        tick(entry);
-    };
     return options;
 }
 
@@ -130,8 +129,8 @@
                 self.lock()->replica->set_complete();
             }});
     hosts_[entry] = fresh;
-    fleet_.time().after(duration(draw(poll_period.count())),
-                        [this, fresh] { poll(fresh); });
+    poll(fresh);
+    tick(fresh);
 }
 
 void listed_ledger::end(std::size_t entry)
@@ -139,15 +138,18 @@
     hosts_[entry]->ended_at = fleet_.time().now();
 }
 
-void listed_ledger::tick(std::size_t entry)
+void listed_ledger::tick(const host_pointer& at)
 {
-    auto& it = *hosts_[entry];
-    it.recovery->tick();
+    at->recovery->tick();
     const auto now = fleet_.time().now();
-    if (now - it.expired_at < expiry_period)
-        return;
-    it.expired_at = now;
-    it.replica->expire();
+    if (now - at->expired_at >= expiry_period)
+    {
+        at->expired_at = now;
+        at->replica->expire();
+    }
+    fleet_.time().after(
+        recovery_period,
+        [this, at] { fleet_.deliver(at->process, [this, at] { tick(at); }); });
 }
 
 // An entry hears a list at most a second after it changed, unless a poll or an
@@ -160,8 +162,9 @@
     if (to->process->frozen || cut_off_.contains(to->number) || is_lost())
         return;
     const auto sent = fleet_.time().now();
+    const bool late = draw(4) == 0;
     fleet_.time().after(
-        duration(draw(duration(milliseconds(450)).count())),
+        2 * latency + duration(late ? draw(longest_poll.count()) : 0),
         [this, to, sent, entries = listed_entries()]
         {
             fleet_.deliver(
--- a/process/entry/tests/listed_ledger.hpp
+++ b/process/entry/tests/listed_ledger.hpp
@@ -64,6 +64,9 @@
     bool complete(std::size_t entry) const;
     const held_round_counts& counts() const noexcept;
 
+    //! Called after the replica of an entry has voted on another's claim.
+    std::function<void(std::size_t entry, const claim_request&)> on_vote;
+
 private:
     struct host;
     struct exchange;
@@ -80,7 +83,7 @@
 
     void begin(std::size_t entry, const process_pointer& process);
     void end(std::size_t entry);
-    void tick(std::size_t entry);
+    void tick(const host_pointer& at);
     void adjust(entry_options& options) const;
 
     // The lists of control.
--- a/process/entry/tests/listed_ledger_claims.cpp
+++ b/process/entry/tests/listed_ledger_claims.cpp
@@ -113,7 +113,7 @@
             if (omit)
                 it.reach = {};
         });
-    const auto on_vote =
+    const auto take_vote =
         [this, from, replica, asked, number, omit, done](const claim_vote& vote)
     {
         if (omit && vote->verdict == claim_verdict::unknown_reach)
@@ -126,11 +126,14 @@
         done({.vote = vote});
     };
     send(from, entry_number(replica),
-         {.serve = [request, on_vote](host& at) -> virtual_time::event
+         {.serve = [this, request, take_vote](host& at) -> virtual_time::event
           {
-              return [on_vote, vote = at.replica->claim(request)]
+              const auto vote = at.replica->claim(request);
+              if (on_vote && !request->submission.empty())
+                  on_vote(at.number, request);
+              return [take_vote, vote]
               {
-                  on_vote(vote);
+                  take_vote(vote);
               };
           },
           .fail =
