--- a/process/entry/tests/listed_ledger.cpp
+++ b/process/entry/tests/listed_ledger.cpp
@@ -128,6 +128,9 @@
             {
                 self.lock()->replica->set_complete();
             }});
+    const auto& earlier = hosts_[entry];
+    fresh->began_anew =
+        earlier && now() - earlier->ended_at <= options_.member_silence;
     hosts_[entry] = fresh;
     poll(fresh);
     tick(fresh);
@@ -185,7 +188,7 @@
     std::vector<member> listed;
     for (const auto& it : hosts_)
     {
-        if (!it || now - it->started_at < join_delay)
+        if (!it || (!it->began_anew && now - it->started_at < join_delay))
             continue;
         if (!it->process->alive && now - it->ended_at > options_.member_silence)
             continue;
--- a/process/entry/tests/listed_ledger_parts.hpp
+++ b/process/entry/tests/listed_ledger_parts.hpp
@@ -31,6 +31,7 @@
     std::size_t number = 0;
     process_pointer process;
     instant started_at{};
+    bool began_anew = false; //!< control still listed the earlier process
     instant ended_at{};
     instant expired_at{};
     std::unique_ptr<ledger_replica> replica;
