Tell new entries of older ones while these are new too

What callers could see: two entries hold one job in round 1, and both run its tasks, in a fleet that grows within two leases of its start (10 s with the default lease).

Cause: an entry that is new itself tells its peers of no established ones. So entries that joined then knew of no older ones, and asked a group of themselves, while those of the start had not heard of them for up to a second.

Change: an entry of a fleet that starts tells of the entries of that start once 2 s have passed since its first list, if every one of them has told it that it knows none. A new entry of an older fleet hears of older ones, or awaits them, and still tells of none.

The whole suite and the sanitizers were not run.

--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -45,7 +45,7 @@
                            const std::vector<endpoint>& established);
 
     //! @return this entry and the others that have not joined recently; none
-    //! while this one is new itself.
+    //! while this one is new itself, unless the whole fleet is.
     std::vector<endpoint> established();
 
     //! @return whether control has listed any entry, this one included.
@@ -62,6 +62,7 @@
     void remove_unlisted();
     bool is_new(instant now) const;
     bool keeps_its_place() const;
+    bool started_with_fleet(instant now) const;
     bool is_fresh(const listed_entry& it, instant now) const;
     bool is_older(const endpoint& address, const listed_entry& it) const;
 
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -11,6 +11,10 @@
 // Time after the first list within which control lists every live entry.
 constexpr duration listing_delay = std::chrono::seconds(1);
 
+// Time after the first list within which each entry that was in it, or joined
+// within listing_delay, is listed to all others.
+constexpr duration fleet_start_duration = 2 * listing_delay;
+
 bool contains(const std::vector<endpoint>& all, const endpoint& wanted)
 {
     return std::find(all.begin(), all.end(), wanted) != all.end();
@@ -96,7 +100,7 @@
     remove_unlisted();
     std::vector<endpoint> found;
     const auto own = parse_endpoint(own_);
-    if (!first_list_time_ || is_new(now) || !own)
+    if (!first_list_time_ || !own || (is_new(now) && !started_with_fleet(now)))
         return found;
     found.push_back(own.value());
     for (const auto& [address, it] : entries_)
@@ -131,6 +135,24 @@
     return kept;
 }
 
+// Whoever joins later than this does so after the entries of a fleet that has
+// just started, although these are new themselves. An older entry that hasn't
+// told yet may know this one as the newcomer.
+bool entry_peers::started_with_fleet(instant now) const
+{
+    if (now - *first_list_time_ <= fleet_start_duration)
+        return false;
+    return std::all_of(entries_.begin(), entries_.end(),
+                       [&](const auto& it)
+                       {
+                           if (is_fresh(it.second, now))
+                               return true;
+                           const auto told = established_at_.find(it.first);
+                           return told != established_at_.end() &&
+                                  told->second.empty();
+                       });
+}
+
 bool entry_peers::is_fresh(const listed_entry& it, instant now) const
 {
     return it.first_listed - *first_list_time_ > listing_delay &&
--- a/process/entry/tests/joined_entries_test.cpp
+++ b/process/entry/tests/joined_entries_test.cpp
@@ -130,13 +130,20 @@
             new_list->learn_established(entry(n).address,
                                         n <= before ? old_list->established()
                                                     : first(0));
+        return count_held_twice(before, *old_list, newcomer, *new_list);
+    }
+
+    //! @return how many of 100 submissions two entries both hold in round 1.
+    std::size_t count_held_twice(std::size_t holder, entry_peers& holder_list,
+                                 std::size_t newcomer, entry_peers& new_list)
+    {
         std::size_t both = 0;
         for (std::size_t n = 0; n < 100; ++n)
         {
             const submission_id submission("job-" + std::to_string(n));
-            const auto first = claim(before, *old_list, submission);
+            const auto first = claim(holder, holder_list, submission);
             EXPECT_EQ(first->status, claim_status::held);
-            const auto second = claim(newcomer, *new_list, submission);
+            const auto second = claim(newcomer, new_list, submission);
             both += second->status == claim_status::held &&
                             second->round == first->round
                         ? 1
@@ -193,6 +200,23 @@
     }
 }
 
+// Guards against two entries that held round 1 in a fleet that grew soon after
+// its start: the older ones were new themselves and told of none.
+TEST_F(joined_entries, get_no_claim_of_older_ones_that_are_still_new)
+{
+    const auto old_list = list_of(3);
+    learn(*old_list, 3);
+    for (std::size_t n = 1; n <= 2; ++n)
+        old_list->learn_established(entry(n).address, {});
+    now += milliseconds(2500);
+    const auto new_list = list_of(4);
+    learn(*new_list, 6);
+    for (std::size_t n = 1; n <= 6; ++n)
+        new_list->learn_established(
+            entry(n).address, n <= 3 ? old_list->established() : first(0));
+    EXPECT_EQ(count_held_twice(3, *old_list, 4, *new_list), 0U);
+}
+
 TEST_F(joined_entries, have_one_group_if_all_are_new)
 {
     const auto list = list_of(1);
