Count entries that joined as one began anew as new to it

What callers could see: two entries hold one job in round 1, and both run its task, where an entry begins anew while others join.

Cause: an entry that its peers still know keeps its place and counts all of its first list as known to everyone. Entries that joined in that moment are in it too, but others have not heard of them, so its group had no majority in common with theirs.

Change: such an entry counts a peer that no established list names as joined recently for two leases, so that a claim also needs the group without it, and names it to nobody.

The whole suite and the sanitizers were not run.

--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -20,6 +20,14 @@
     return std::find(all.begin(), all.end(), wanted) != all.end();
 }
 
+bool is_named(const std::map<endpoint, std::vector<endpoint>>& established_at,
+              const endpoint& wanted)
+{
+    return std::any_of(established_at.begin(), established_at.end(),
+                       [&](const auto& told)
+                       { return contains(told.second, wanted); });
+}
+
 } // namespace
 
 entry_peers::entry_peers(std::string own, duration retention, clock_hook now)
@@ -72,7 +80,8 @@
 // still be valid. After `retention_`, every entry has received such a list, and
 // those claims have been renewed or have expired. An entry that has just
 // started has no earlier list to compare with, so peers that are listed within
-// `listing_delay` of its first list are not fresh.
+// `listing_delay` of its first list are not fresh. One that began anew and
+// keeps its place has heard from the others who was there before.
 std::vector<ledger_peer> entry_peers::replicas()
 {
     const auto now = now_();
@@ -80,9 +89,17 @@
     remove_unlisted();
     std::vector<ledger_peer> found;
     const bool self_is_new = is_new(now);
+    const bool began_anew = first_list_time_ &&
+                            now - *first_list_time_ <= retention_ &&
+                            keeps_its_place();
     for (const auto& [address, it] : entries_)
-        found.push_back({address, it.domain, is_fresh(it, now),
+    {
+        const bool joined_meanwhile =
+            began_anew && !is_named(established_at_, address);
+        found.push_back({address, it.domain,
+                         is_fresh(it, now) || joined_meanwhile,
                          self_is_new && is_older(address, it)});
+    }
     return found;
 }
 
@@ -103,9 +120,13 @@
     if (!first_list_time_ || !own || (is_new(now) && !started_with_fleet(now)))
         return found;
     found.push_back(own.value());
+    const bool began_anew =
+        now - *first_list_time_ <= retention_ && keeps_its_place();
     for (const auto& [address, it] : entries_)
     {
-        if (!is_fresh(it, now))
+        const bool joined_meanwhile =
+            began_anew && !is_named(established_at_, address);
+        if (!is_fresh(it, now) && !joined_meanwhile)
             found.push_back(address);
     }
     return found;
@@ -166,9 +187,7 @@
 {
     const bool silent = !established_at_.contains(address) &&
                         it.first_listed == *first_list_time_;
-    return silent || std::any_of(established_at_.begin(), established_at_.end(),
-                                 [&](const auto& told)
-                                 { return contains(told.second, address); });
+    return silent || is_named(established_at_, address);
 }
 
 // Call with the lock held. The age is measured against the last list instead of
--- a/process/entry/tests/joined_entries_test.cpp
+++ b/process/entry/tests/joined_entries_test.cpp
@@ -217,6 +217,21 @@
     EXPECT_EQ(count_held_twice(3, *old_list, 4, *new_list), 0U);
 }
 
+// Guards against two entries that held round 1: one that began anew as others
+// joined, and one that these were not named to yet.
+TEST_F(joined_entries, are_new_to_one_that_began_anew_in_that_moment)
+{
+    const auto old_list = list_of(3);
+    learn(*old_list, 3);
+    now += seconds(10);
+    const auto kept_list = list_of(1);
+    learn(*kept_list, 6);
+    for (std::size_t n = 1; n <= 6; ++n)
+        kept_list->learn_established(
+            entry(n).address, n <= 3 ? old_list->established() : first(0));
+    EXPECT_EQ(count_held_twice(3, *old_list, 1, *kept_list), 0U);
+}
+
 TEST_F(joined_entries, have_one_group_if_all_are_new)
 {
     const auto list = list_of(1);
