--- a/process/agent/tests/fake_lease_worker.cpp
+++ b/process/agent/tests/fake_lease_worker.cpp
@@ -30,7 +30,12 @@
     first_clock_ = first_clock;
     fence_ = {};
     lease_end_ = {};
-    running_.clear();
+    const auto lost = std::exchange(running_, {});
+    for (const auto& it : lost)
+    {
+        if (on_end)
+            on_end(it.first, std::nullopt);
+    }
     ended_.clear();
     highest_over_.clear();
     last_end_ = 0;
@@ -177,6 +182,8 @@
 void fake_lease_worker::end(task_run run, run_end how)
 {
     running_.erase(run);
+    if (on_end)
+        on_end(run, how);
     auto& over = highest_over_[{run.submission, run.index}];
     over = std::max(over, run.attempt);
     ended_.push_back({++last_end_, run, how});
--- a/process/agent/tests/fake_lease_worker.hpp
+++ b/process/agent/tests/fake_lease_worker.hpp
@@ -47,6 +47,8 @@
 
     //! Called for each run that begins.
     std::function<void(const task_run&)> on_begin;
+    //! Called for each run that ends; without a way to end at a restart.
+    std::function<void(const task_run&, std::optional<run_end>)> on_end;
 
 private:
     using task = std::pair<submission_id, task_index>;
