Add a schedule of the whole fleet with leases

The fake fleet can lose a path, of which each end hears in its own time, and has the silence of a link as a setting.

--- a/process/entry/tests/fake_fleet.cpp
+++ b/process/entry/tests/fake_fleet.cpp
@@ -220,7 +220,7 @@
     if (!frozen)
         return thaw(process);
     for (const auto& it : entries_[entry]->links)
-        time_.after(link_silence_timeout,
+        time_.after(options_.link_silence,
                     [process, it]
                     {
                         if (process->frozen)
@@ -235,7 +235,7 @@
     if (!frozen)
         return thaw(process);
     for (const auto& it : agents_[agent]->links)
-        time_.after(link_silence_timeout,
+        time_.after(options_.link_silence,
                     [process, it]
                     {
                         if (process->frozen)
@@ -264,6 +264,21 @@
     }
 }
 
+void fake_fleet::lose_path(std::size_t entry, std::size_t agent,
+                           duration entry_hears, duration agent_hears)
+{
+    for (const auto& it : entries_[entry]->links)
+    {
+        if (it->agent == agent)
+            it->lose(entry_hears);
+    }
+    for (const auto& it : agents_[agent]->links)
+    {
+        if (it->entry == entry)
+            it->lose(agent_hears);
+    }
+}
+
 void fake_fleet::separate(std::size_t entry, std::size_t agent, bool apart)
 {
     if (!apart)
--- a/process/entry/tests/fake_fleet.hpp
+++ b/process/entry/tests/fake_fleet.hpp
@@ -73,6 +73,8 @@
     duration latency = std::chrono::microseconds(1500);
     duration lease = std::chrono::seconds(1);
     std::uint64_t claim_loss_percent = 0; //!< share of lost requests and votes
+    //! Time after which the links of a frozen process close.
+    duration link_silence = std::chrono::milliseconds(600);
     bool upstreams_can_stop = false; //!< whether a running call can be stopped
     service_id service = {};         //!< of all upstreams
     fake_fleet_hooks hooks = {};
@@ -114,6 +116,10 @@
     //! Delays messages from the entry to the agent on open links until `span`
     //! from now.
     void stall(std::size_t entry, std::size_t agent, duration span);
+    //! Loses all further messages between the entry and the agent. Each end
+    //! hears of the close after its own time, as on a path that is gone.
+    void lose_path(std::size_t entry, std::size_t agent, duration entry_hears,
+                   duration agent_hears);
     //! Closes the links between the entry and the agent, and prevents new ones
     //! until it is called with `apart` false.
     void separate(std::size_t entry, std::size_t agent, bool apart);
--- a/process/entry/tests/fake_fleet_parts.hpp
+++ b/process/entry/tests/fake_fleet_parts.hpp
@@ -10,8 +10,6 @@
 
 constexpr duration tick_period = std::chrono::milliseconds(50);
 constexpr duration claim_timeout = std::chrono::milliseconds(200);
-// Time after which the links of a frozen process close.
-constexpr duration link_silence_timeout = std::chrono::milliseconds(600);
 constexpr wall_time wall_start(std::chrono::hours(400000));
 
 inline std::string agent_name(std::size_t n)
@@ -74,6 +72,18 @@
         }
     }
 
+    //! Discards all messages from now on; the owner hears of the close after
+    //! `span`.
+    void lose(duration span)
+    {
+        if (closed_)
+            return;
+        closed_ = true;
+        loses_in_flight_ = true;
+        fleet_.time_.after(span, [this, it = self.lock()]
+                           { fleet_.deliver(owner_, [it] { it->end(); }); });
+    }
+
     //! Makes the close of the link discard the messages in flight.
     void lose_in_flight() noexcept
     {
--- /dev/null
+++ b/process/entry/tests/whole_fleet_schedule_test.cpp
@@ -0,0 +1,88 @@
+// Seeded schedules of faults of a whole fleet. WHOLE_FLEET_SEEDS=FIRST-LAST
+// runs others than the fixed ones; a single seed also writes the log of all
+// processes.
+#include "lagoonquay/process/log.hpp"
+#include "whole_fleet_schedule.hpp"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <iostream>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+struct seed_range
+{
+    std::uint64_t first = 1;
+    std::uint64_t last = 200;
+};
+
+seed_range chosen_seeds()
+{
+    const char* const text = std::getenv("WHOLE_FLEET_SEEDS");
+    if (text == nullptr)
+        return {};
+    char* rest = nullptr;
+    seed_range found;
+    found.first = std::strtoull(text, &rest, 10);
+    found.last =
+        *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : found.first;
+    return found;
+}
+
+//! Sums over schedules.
+struct schedule_totals
+{
+    std::uint64_t began = 0;
+    std::uint64_t crashes = 0;
+    std::uint64_t answers = 0;
+    std::uint64_t complete = 0;
+    std::uint64_t overlaps = 0;
+    std::uint64_t open_cases = 0;
+
+    void add(whole_fleet_schedule& tested)
+    {
+        began += tested.workers().began();
+        crashes += tested.workers().crashes();
+        overlaps += tested.workers().overlaps().size();
+        open_cases += tested.workers().open_cases();
+        const auto& record = tested.fleet().record();
+        answers += record.answers.size();
+        for (const auto& it : record.answers)
+            complete += succeeded(it) ? 1 : 0;
+    }
+};
+
+std::ostream& operator<<(std::ostream& out, const schedule_totals& it)
+{
+    return out << it.began << " runs, " << it.crashes << " crashes, "
+               << it.answers << " answers, " << it.complete << " complete, "
+               << it.overlaps << " overlaps, " << it.open_cases
+               << " first orders of a next life";
+}
+
+TEST(whole_fleet, never_runs_a_task_twice_at_the_same_time)
+{
+    const auto seeds = chosen_seeds();
+    open_log({.level = seeds.first == seeds.last ? log_level::info
+                                                 : log_level::error});
+    schedule_totals totals;
+    for (auto seed = seeds.first; seed <= seeds.last; ++seed)
+    {
+        whole_fleet_schedule tested(seed);
+        tested.run();
+        for (const auto& it : tested.failures())
+            ADD_FAILURE() << "seed " << seed << ": " << it;
+        totals.add(tested);
+    }
+    std::cout << "seeds " << seeds.first << " to " << seeds.last << ": "
+              << totals << "\n";
+    EXPECT_GT(totals.complete, 0U);
+}
+
+} // namespace
+
+} // namespace lagoonquay
