Put the listed ledger behind half of the whole fleet's schedules

Cause: the schedules had the fleet's own ledger only: no groups of replicas, no entries that join, no jobs without a creation time.

Change: half of the seeds attach listed_ledger, with up to two entries that begin later.

--- a/process/entry/tests/whole_fleet_schedule.cpp
+++ b/process/entry/tests/whole_fleet_schedule.cpp
@@ -39,6 +39,8 @@
     };
     entries = 5 + random() % 3;
     agents = 4 + random() % 3;
+    lists_entries = random() % 2 == 0;
+    late_entries = lists_entries ? random() % 3 : 0;
     const std::vector<std::pair<int, int>> claims{
         {1500, 150}, {5000, 250}, {1000, 100}, {3000, 1500}, {8000, 400}};
     const auto [lease, margin] = claims[random() % claims.size()];
@@ -78,6 +80,7 @@
 {
     fake_fleet_options options;
     options.entries = settings_.entries;
+    options.late_entries = settings_.late_entries;
     options.agents = settings_.agents;
     options.seed = settings_.seed;
     options.lease = settings_.claim_lease;
@@ -91,7 +94,14 @@
         it.claim_retry_delay = claim_retry_delay;
     };
     workers_.attach(options.hooks);
-    return options;
+    if (!settings_.lists_entries)
+        return options;
+    ledger_.emplace(fleet_, listed_ledger_options{
+                                .seed = settings_.seed,
+                                .lease = settings_.claim_lease,
+                                .loss_percent = settings_.claim_loss_percent,
+                                .late_percent = settings_.claim_loss_percent});
+    return ledger_->attach(options);
 }
 
 std::vector<whole_fleet_schedule::fault> whole_fleet_schedule::faults()
@@ -157,6 +167,7 @@
         jobs_.push_back(job({.submission = name(n),
                              .customer = customer_id("c"),
                              .created = fleet_.wall(),
+                             .dated = !settings_.lists_entries,
                              .time_limit = seconds(3) + draw_ms(6000),
                              .idempotent = draw(8) > 0,
                              .tasks = std::vector<task>(1 + draw(12))}));
@@ -251,12 +262,21 @@
 
 void whole_fleet_schedule::part_entry()
 {
-    fleet_.part_entry(any_entry(), draw(2) == 0);
+    const auto n = any_entry();
+    const bool apart = draw(2) == 0;
+    if (!ledger_)
+        return fleet_.part_entry(n, apart);
+    if (draw(2) == 0)
+        ledger_->cut_off(n, apart);
+    else
+        ledger_->part(n, any_entry(), apart);
 }
 
 void whole_fleet_schedule::end_faults()
 {
     workers_.end_faults();
+    if (ledger_)
+        ledger_->join_all();
     for (std::size_t n = 0; n < settings_.entries; ++n)
     {
         if (!fleet_.entry_alive(n))
--- a/process/entry/tests/whole_fleet_schedule.hpp
+++ b/process/entry/tests/whole_fleet_schedule.hpp
@@ -4,8 +4,10 @@
 
 #include "fake_fleet.hpp"
 #include "leased_workers.hpp"
+#include "listed_ledger.hpp"
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -22,6 +24,8 @@
     std::uint64_t seed = 1;
     std::size_t entries = 5;
     std::size_t agents = 4;
+    bool lists_entries = false; //!< and has jobs without a creation time
+    std::size_t late_entries = 0;
     duration claim_lease{};
     duration claim_margin{};
     duration max_work{};
@@ -74,6 +78,7 @@
     const whole_fleet_settings settings_;
     std::vector<job> jobs_;
     std::uint64_t calls_ = 0;
+    std::optional<listed_ledger> ledger_;
     leased_workers workers_;
     fake_fleet fleet_;
     const std::vector<fault> faults_;
