Let runs of the whole fleet's schedule last, and split its checks

Cause: the fake worker listed every run with 0 percent, so its agent stopped each after 400 ms as one without progress; no run outlasted the 2 s of reconnect_timeout or the 3 s of adoption_timeout.

Overlaps and the other promises are two tests. Two tests of a path whose loss the agent hears of later than the entry.

--- a/process/agent/tests/fake_lease_worker.hpp
+++ b/process/agent/tests/fake_lease_worker.hpp
@@ -47,6 +47,7 @@
 
     //! Called for each run that begins.
     std::function<void(const task_run&)> on_begin;
+    bool reports_progress = false; //!< in percent of the work; else always 0
     //! Called for each run that ends; without a way to end at a restart.
     std::function<void(const task_run&, std::optional<run_end>)> on_end;
 
@@ -56,7 +57,9 @@
     {
         bool stopping = false;
         instant began{};
+        duration work{};
     };
+    std::uint32_t percent_of(const run_state& it) const;
     struct waiting_answer
     {
         std::uint64_t number = 0;
--- a/process/entry/tests/leased_workers.cpp
+++ b/process/entry/tests/leased_workers.cpp
@@ -83,6 +83,7 @@
         constexpr int slowest_clock_percent = 98;
         slot->worker = std::make_unique<fake_lease_worker>(
             fleet_.time(), slowest_clock_percent + static_cast<int>(draw(3)));
+        slot->worker->reports_progress = true;
         slot->worker->on_begin = [this, agent](const task_run& it)
         {
             note_begin(agent, it);
--- a/process/entry/tests/leased_workers_test.cpp
+++ b/process/entry/tests/leased_workers_test.cpp
@@ -1,3 +1,4 @@
+#include "lagoonquay/connection/message_link.hpp"
 #include "lagoonquay/process/log.hpp"
 #include "leased_workers.hpp"
 
@@ -89,6 +90,85 @@
     EXPECT_EQ(workers.overlaps(), std::vector<std::string>());
 }
 
+//! The durations of the product, two agents, and a run that lasts.
+class lost_path : public testing::Test
+{
+protected:
+    static void SetUpTestSuite()
+    {
+        open_log({.level = log_level::error});
+    }
+
+    static fake_fleet_options with_workers(leased_workers& workers)
+    {
+        const entry_options usual;
+        fake_fleet_options options;
+        options.agents = 2;
+        options.lease = usual.claim_lease;
+        options.link_silence = message_link_options().silence;
+        options.hooks.adjust_entry = [usual](entry_options& it)
+        {
+            it.claim_margin = usual.claim_margin;
+            it.reconnect_timeout = usual.reconnect_timeout;
+            it.adoption_timeout = usual.adoption_timeout;
+        };
+        workers.attach(options.hooks);
+        return options;
+    }
+
+    //! Loses the path to the agent that runs the task; its worker gets no
+    //! order from just before the agent stops the run.
+    void lose_path_and_worker(duration agent_hears_later)
+    {
+        workers.work_time = [](const task_run&)
+        {
+            return seconds(4);
+        };
+        fleet.submit(0, job({.submission = submission_id("job"),
+                             .customer = customer_id("c"),
+                             .created = fleet.wall(),
+                             .time_limit = seconds(12),
+                             .idempotent = true,
+                             .tasks = std::vector<task>(1)}));
+        fleet.run_for(milliseconds(200));
+        const std::size_t agent = workers.worker(0).runs().empty() ? 1 : 0;
+        fleet.lose_path(0, agent, duration(0), agent_hears_later);
+        fleet.separate(0, agent, true);
+        fleet.run_for(agent_hears_later + agent_options().orphan_grace -
+                      milliseconds(20));
+        workers.on_order = [agent](std::size_t at, order_kind,
+                                   const task_run&) -> std::optional<order_fate>
+        {
+            if (at != agent)
+                return std::nullopt;
+            return order_fate{.delay = std::chrono::hours(1),
+                              .answer_lost = true};
+        };
+        fleet.run_for(seconds(10));
+    }
+
+    leased_workers workers{fleet, {}};
+    fake_fleet fleet{with_workers(workers)};
+};
+
+// A path that is gone both ways at once: the agent may have heard a message
+// for half of the silence longer than the entry.
+TEST_F(lost_path, no_second_run_if_the_agent_hears_half_a_silence_later)
+{
+    lose_path_and_worker(message_link_options().silence / 2);
+    EXPECT_EQ(workers.began(), 2U);
+    EXPECT_EQ(workers.overlaps(), std::vector<std::string>());
+}
+
+// A path that is gone from the agent first, and to it just as the entry closes:
+// the run lapses after `reconnect_timeout`, beside the next one.
+TEST_F(lost_path, no_second_run_if_the_agent_hears_a_whole_silence_later)
+{
+    lose_path_and_worker(message_link_options().silence);
+    EXPECT_EQ(workers.began(), 2U);
+    EXPECT_EQ(workers.overlaps(), std::vector<std::string>());
+}
+
 } // namespace
 
 } // namespace lagoonquay
--- a/process/entry/tests/whole_fleet_schedule.hpp
+++ b/process/entry/tests/whole_fleet_schedule.hpp
@@ -45,7 +45,8 @@
     void run();
     fake_fleet& fleet() noexcept;
     const leased_workers& workers() const noexcept;
-    //! @return the violations, and the calls that got no answer.
+    //! @return the violations apart from overlaps, and the calls that got no
+    //! answer.
     std::vector<std::string> failures() const;
 
 private:
