Cancel no task of an adopted job before each agent has answered

Callers could see "not run" of a task that ran. Cause: an adopter asks each agent of the earlier claim. An agent that had declined an attempt, or never ran it, reports that end; if the job was cancelled meanwhile, the entry recorded the task as cancelled and not run at once. The report of another agent that a later attempt ran came to a finished task and was ignored. Change: while a job is adopted such an end only makes the task wait; once the adoption has settled, waiting tasks are cancelled as before.

--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -206,7 +206,9 @@
                      hooks_.retry || it.retries < it.submitted->tasks.size();
                  retried = retry && within && !it.cancelled;
                  const bool move = may_move(result);
-                 if (move && it.cancelled)
+                 // While a job is adopted, another agent may yet tell that a
+                 // later attempt ran.
+                 if (move && it.cancelled && it.stage == job_stage::running)
                      counted = it.run.record(key, cancelled_result(key.index));
                  else if (move)
                      again = counted = it.run.requeue(key);
--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -212,7 +212,8 @@
     if (outcome == report_outcome::adopted ||
         outcome == report_outcome::confirmed)
         ++recovered_;
-    if (outcome == report_outcome::waits_again && state.cancelled)
+    if (outcome == report_outcome::waits_again && state.cancelled &&
+        state.stage == job_stage::running)
         state.run.finish_waiting(it.index, failure_reason::cancelled,
                                  "cancelled by the caller");
     return outcome;
