Let an adopter wait for the runs that an agent's earlier process left

Cause: an adoption counted an agent with another process as gone at once, and started its tasks elsewhere. The run that the earlier process had left went on until its lease ended. A task whose link is lost already waits until the agent's next process accepts tasks, since that one ends such runs first.

Change: an adoption of a job that may be repeated waits for the same, for adoption_timeout at most. Jobs that must not be repeated are not started again, and are answered as before.

Cost: such an adoption starts what is left up to about a second later.

--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -317,6 +317,8 @@
     report_outcome apply(job_state& state, const agent_run_id& agent,
                          const status_item& it);
     void record_finished(const job_pointer& state, const status_message& it);
+    std::set<agent_id> agents_that_accept_again(const job_pointer& state,
+                                                const linked_runs& links);
     void finish_adoption(const job_pointer& state);
     void check_lost(instant now);
     struct lost_attempt;
--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -219,6 +219,28 @@
     return outcome;
 }
 
+// @return the agents of the earlier reach that began anew and accept tasks:
+// they have ended the runs of their earlier processes.
+std::set<agent_id>
+entry_service::agents_that_accept_again(const job_pointer& state,
+                                        const linked_runs& links)
+{
+    std::set<agent_id> found;
+    with_job(state,
+             [&](const job_state& it)
+             {
+                 for (const auto& [agent, run] : it.awaiting_status)
+                 {
+                     const auto link = links.find(agent);
+                     if (link != links.end() && link->second != run)
+                         found.insert(agent);
+                 }
+             });
+    std::erase_if(found, [this](const agent_id& agent)
+                  { return !dispatcher_.agents().accepts(agent); });
+    return found;
+}
+
 // Tasks that no agent has started are dispatched once every agent of the
 // earlier reach has reported its status. If one can't answer any more, the
 // tasks may have run there.
@@ -226,6 +248,7 @@
 {
     const auto now = hooks_.now();
     const auto links = linked_agents();
+    const auto accepting = agents_that_accept_again(state, *links);
     bool done = false;
     bool untouched = false;
     with_job(
@@ -242,7 +265,10 @@
                                   const auto link = links->find(agent.agent);
                                   if (link == links->end())
                                       return late;
-                                  return link->second != agent.run;
+                                  if (link->second == agent.run)
+                                      return false;
+                                  return late || !it.submitted->idempotent ||
+                                         accepting.contains(agent.agent);
                               });
             it.has_lost_agents = it.has_lost_agents || gone > 0;
             if (!it.awaiting_status.empty())
--- a/process/entry/tests/whole_fleet_schedule_test.cpp
+++ b/process/entry/tests/whole_fleet_schedule_test.cpp
@@ -92,6 +92,17 @@
                   { return tested.workers().overlaps(); });
 }
 
+// Guards against a task that an adopter started while a run of it went on that
+// an earlier process of its agent had left.
+TEST(whole_fleet, an_adopter_waits_for_the_runs_of_an_agent_that_began_anew)
+{
+    constexpr std::uint64_t seed = 7376;
+    whole_fleet_schedule tested(seed);
+    tested.run();
+    for (const auto& it : tested.workers().overlaps())
+        ADD_FAILURE() << it;
+}
+
 // Also that no job is held twice and every call is answered.
 TEST(whole_fleet, breaks_no_promise_to_callers)
 {
