--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -127,8 +127,8 @@
 
 // Others change their groups once an entry was not listed for `retention_`, two
 // leases. A third of it leaves time for claims granted until then to end, and
-// for lists that come later to some. A new process of the entry is not meant:
-// it joins.
+// for lists that come later to some. The next process of the entry is served,
+// as one that joins.
 bool entry_peers::is_unlisted(const entry_id& entry, incarnation run)
 {
     const std::lock_guard lock(mutex_);
