--- a/process/ledger/src/ledger_shard.cpp
+++ b/process/ledger/src/ledger_shard.cpp
@@ -164,7 +164,7 @@
     if (request->release || now < known.lease_end)
         return claim_vote({.verdict = claim_verdict::fenced});
     records_.erase(request->submission);
-    const auto vote = add(request, now, wall);
+    auto vote = add(request, now, wall);
     const auto fresh = records_.find(request->submission);
     if (fresh != records_.end())
         fresh->second.replaces_report = request->round != claim_round();
