Log what a stop waits for, what it ends beside and what a takeover costs

Cause: no line told which requests were left when a process was killed, whether a connection was closed without an answer, or what a takeover of records took, so the hypotheses of the incident could not be told apart.

Change: stop_waits each second, stop_waits_for with stage, age and time left of each job, stop_ended, response_not_sent, records_taken and records_not_taken. The stop of an entry moves to entry_drain.cpp, with the same rules.

--- a/connection/include/lagoonquay/connection/http_server.hpp
+++ b/connection/include/lagoonquay/connection/http_server.hpp
@@ -45,6 +45,9 @@
     std::string link_path; //!< path of WebSocket upgrades; empty for none
     //! Hears of what was turned away before a handler saw it; may be empty.
     std::function<void(http_status, std::string_view detail)> on_refused = {};
+    //! Hears of a request that was read whole and whose response could not be
+    //! written; `age` counts from the end of the request. May be empty.
+    std::function<void(std::string_view path, duration age)> on_unsent = {};
 };
 
 //! Takes over a link that a peer opened. Called from any I/O thread.
@@ -80,6 +83,9 @@
     //! @return open connections, links included.
     std::size_t open_connections() const noexcept;
 
+    //! @return connections whose next request has arrived in part.
+    std::size_t requests_arriving() const;
+
     //! @return requests whose response is not written yet.
     std::size_t requests_in_progress() const noexcept;
 
--- a/connection/src/http_server.cpp
+++ b/connection/src/http_server.cpp
@@ -169,6 +169,11 @@
     return state_->open;
 }
 
+std::size_t http_server::requests_arriving() const
+{
+    return state_->arriving.size();
+}
+
 std::size_t http_server::requests_in_progress() const noexcept
 {
     return state_->in_progress;
--- a/connection/src/http_session.hpp
+++ b/connection/src/http_session.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace lagoonquay
@@ -122,6 +123,7 @@
     void post_response(http_response answer);
     void fail_request(std::string_view error);
     void respond(http_response answer);
+    void close_unsent();
     void finish_sending();
     void discard();
     void close();
@@ -145,6 +147,8 @@
     //! Rises when a request begins to arrive or a response to go out.
     std::atomic<std::uint64_t> exchanges_{0};
     std::size_t pipelined_ = 0;     //!< requests sent ahead, of late
+    std::string path_;              //!< of the request in progress
+    instant read_at_{};             //!< when it had arrived whole
     bool reading_ = false;          //!< a request has begun to arrive
     bool timed_out_ = false;        //!< it did not arrive in time
     bool awaits_response_ = false;  //!< the handler has not answered yet
--- a/connection/src/http_session_answering.cpp
+++ b/connection/src/http_session_answering.cpp
@@ -106,6 +106,8 @@
         to_request(parser_->release(), listener_->options.kept_headers);
     parser_.reset();
     held_->hold(0);
+    path_ = request.path;
+    read_at_ = steady_now();
     if (!admitted(request))
         return respond(error_response(http_status::unauthorized, "unauthorized",
                                       "a valid bearer token is needed"));
@@ -189,6 +191,13 @@
     respond(std::move(response));
 }
 
+void http_session::close_unsent()
+{
+    if (listener_->options.on_unsent && !path_.empty())
+        listener_->options.on_unsent(path_, steady_now() - read_at_);
+    close();
+}
+
 void http_session::respond(http_response answer)
 {
     response_ = {};
@@ -224,7 +233,7 @@
                           self->response_ = {};
                           self->answer_ = {};
                           if (ec)
-                              return self->close();
+                              return self->close_unsent();
                           if (!self->keep_alive_)
                               return self->finish_sending();
                           self->wait_for_request();
--- a/connection/src/waiting_connections.hpp
+++ b/connection/src/waiting_connections.hpp
@@ -3,6 +3,7 @@
 
 #include "lagoonquay/request/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -30,6 +31,9 @@
     //! @return whether a place is free by it.
     bool close_longest(duration least = duration::zero());
 
+    //! @return how many wait.
+    std::size_t size();
+
 private:
     struct waiting
     {
--- a/process/common/src/program.cpp
+++ b/process/common/src/program.cpp
@@ -1,6 +1,7 @@
 #include "lagoonquay/process/program.hpp"
 
 #include "lagoonquay/connection/intake_budget.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/settings_watch.hpp"
 
 #include <chrono>
@@ -143,6 +144,14 @@
                      {"status", static_cast<std::int64_t>(status)},
                      {"detail", detail}});
     };
+    options.on_unsent =
+        [port = listen.port](std::string_view path, duration age)
+    {
+        write_event(log_level::info, "listener", {}, "response_not_sent",
+                    {{"port", std::int64_t{port}},
+                     {"path", path},
+                     {"age_ms", milliseconds_of(age)}});
+    };
     return options;
 }
 
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -22,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lagoonquay
@@ -134,6 +135,22 @@
     friend bool operator==(const entry_counts&, const entry_counts&) = default;
 };
 
+//! A job that has no answer yet, for the log of a stop.
+struct unanswered_job
+{
+    submission_id submission;
+    std::string_view stage; //!< stable name in lower case
+    duration age{};         //!< since it was accepted
+    //! Time from the stop signal to its acceptance; negative before the signal.
+    duration accepted_after_stop{};
+    duration time_left{};       //!< of its time limit
+    std::size_t dispatched = 0; //!< tasks that an agent may have
+    std::size_t waiters = 0;    //!< requests that wait for the answer
+
+    friend bool operator==(const unanswered_job&,
+                           const unanswered_job&) = default;
+};
+
 //! Progress of a job.
 struct job_progress
 {
@@ -204,6 +221,9 @@
     //! @return the time until the last of these jobs is over at the latest.
     duration longest_time_left();
 
+    //! @return some jobs without an answer, `most` at most.
+    std::vector<unanswered_job> unanswered_jobs(std::size_t most);
+
     agent_table& agents() noexcept;
     fleet_view view() const;
     entry_counts counts() const noexcept;
@@ -254,6 +274,7 @@
     //! @return whether no stop signal keeps the entry from taking the job.
     bool stop_allows(const job& submitted) const;
     bool is_stopping() const;
+    std::optional<instant> stop_signal_at() const;
     std::optional<job_answer> refuse_early(const job& submitted) const;
     bool join(const job& submitted, content_digest digest, answer_hook& done);
     job_pointer add(const job& submitted, content_digest digest,
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -18,6 +18,9 @@
     forwarded, //!< sent to the entry that holds the claim
 };
 
+//! @return the stable name of a stage, as logs have it.
+std::string_view to_text(job_stage stage) noexcept;
+
 //! Logs the refusal of a job with its reason.
 void log_refusal(const job_answer& refused);
 
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "lagoonquay/process/entry_node.hpp"
 
+#include "entry_drain.hpp"
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/connection/message_link.hpp"
 #include "lagoonquay/process/decision_log.hpp"
@@ -344,42 +345,11 @@
 void entry_node::drain(http_server& callers)
 {
     auto& node = *parts_;
-    write_log(log_level::info, part, "Stopping: no longer ready.");
-    const stop_plan plan{.notice = node.settings.drain_notice,
-                         .job_end = node.settings.drain_job_end};
-    const auto idle = [&]
-    {
-        return node.service.unanswered() == 0 &&
-               callers.requests_in_progress() == 0 &&
-               node.peer_listener->requests_in_progress() == 0;
-    };
-    const auto signal_at = steady_now();
-    const auto passed = [&](duration span)
-    {
-        return steady_now() - signal_at >= span;
-    };
-    node.service.mark_not_ready(plan);
-    callers.close_after_responses();
-    wait_until([&] { return passed(plan.notice); });
-    if (plan.job_end > plan.notice)
-        write_log(log_level::info, part,
-                  "Stopping: only jobs that end by drain_job_end.");
-    wait_until([&] { return passed(plan.job_end) || idle(); });
-    write_log(log_level::info, part, "Stopping: no new jobs.");
-    node.service.drain();
-    if (!idle())
-        write_event(
-            log_level::info, part, {}, "stop_waits",
-            {{"jobs", static_cast<std::int64_t>(node.service.unanswered())},
-             {"longest_left_ms",
-              milliseconds_of(node.service.longest_time_left())},
-             {"caller_requests",
-              static_cast<std::int64_t>(callers.requests_in_progress())},
-             {"peer_requests",
-              static_cast<std::int64_t>(
-                  node.peer_listener->requests_in_progress())}});
-    wait_until(idle);
-    write_log(log_level::info, part, "Stopped.");
+    drain_entry({.service = node.service,
+                 .callers = callers,
+                 .peers = *node.peer_listener},
+                {.notice = node.settings.drain_notice,
+                 .job_end = node.settings.drain_job_end});
 }
 
 } // namespace lagoonquay
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -157,9 +157,14 @@
 }
 
 bool entry_service::is_stopping() const
+{
+    return stop_signal_at().has_value();
+}
+
+std::optional<instant> entry_service::stop_signal_at() const
 {
     const std::lock_guard lock(stop_mutex_);
-    return stop_signal_at_.has_value();
+    return stop_signal_at_;
 }
 
 bool entry_service::stop_allows(const job& submitted) const
--- a/process/entry/src/entry_stops.cpp
+++ b/process/entry/src/entry_stops.cpp
@@ -13,6 +13,47 @@
 
 } // namespace
 
+std::string_view to_text(job_stage stage) noexcept
+{
+    switch (stage)
+    {
+    case job_stage::claiming:
+        return "claiming";
+    case job_stage::adopting:
+        return "adopting";
+    case job_stage::running:
+        return "running";
+    case job_stage::forwarded:
+        return "forwarded";
+    }
+    return "unknown";
+}
+
+std::vector<unanswered_job> entry_service::unanswered_jobs(std::size_t most)
+{
+    const auto now = hooks_.now();
+    const auto stop_at = stop_signal_at();
+    std::vector<unanswered_job> found;
+    for (const auto& state : open_jobs())
+    {
+        if (found.size() >= most)
+            break;
+        with_job(state,
+                 [&](const job_state& it)
+                 {
+                     found.push_back({.submission = it.id,
+                                      .stage = to_text(it.stage),
+                                      .age = now - it.accepted,
+                                      .accepted_after_stop =
+                                          it.accepted - stop_at.value_or(now),
+                                      .time_left = it.deadline - now,
+                                      .dispatched = it.run.dispatched().size(),
+                                      .waiters = it.waiters.size()});
+                 });
+    }
+    return found;
+}
+
 // The runs of a task that must not be repeated go on: no other entry starts it
 // again.
 std::vector<attempt_key> entry_service::stoppable_runs(const job_state& state)
--- a/process/entry/src/ledger_records_http.cpp
+++ b/process/entry/src/ledger_records_http.cpp
@@ -1,8 +1,10 @@
 #include "lagoonquay/process/ledger_records_http.hpp"
 
 #include "lagoonquay/connection/http_client.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
+#include "lagoonquay/process/log.hpp"
 
 #include <charconv>
 #include <iterator>
@@ -14,6 +16,7 @@
 namespace
 {
 
+constexpr std::string_view part = "ledger";
 constexpr duration page_timeout = std::chrono::milliseconds(500);
 
 //! One takeover. Owned by its request in flight.
@@ -47,15 +50,17 @@
             refusal_proves_end_())
             return done_(peer_records{.gone = true});
         if (!answer)
-            return done_(std::nullopt);
+            return fail(first_shard, "not answered");
         // An older version doesn't know the path.
         if (answer.value().status == http_status::not_found)
             return done_(peer_records());
         if (answer.value().status != http_status::ok)
-            return done_(std::nullopt);
+            return fail(first_shard, "refused");
+        ++pages_;
+        bytes_ += answer.value().body.size();
         auto page = decode_ledger_records(answer.value().body);
         if (!page)
-            return done_(std::nullopt);
+            return fail(first_shard, "malformed");
         take(first_shard, std::move(page).value());
     }
 
@@ -66,14 +71,41 @@
                              std::make_move_iterator(page.records.begin()),
                              std::make_move_iterator(page.records.end()));
         if (!page.next || *page.next <= first_shard)
+        {
+            log_taken();
             return done_(told_);
+        }
         ask(*page.next);
     }
 
+    void fail(std::uint64_t shard, std::string_view reason)
+    {
+        write_event(log_level::info, part, {}, "records_not_taken",
+                    {{"peer", to_text(peer_)},
+                     {"shard", static_cast<std::int64_t>(shard)},
+                     {"reason", reason},
+                     {"after_ms", milliseconds_of(steady_now() - began_)}});
+        done_(std::nullopt);
+    }
+
+    void log_taken() const
+    {
+        write_event(
+            log_level::info, part, {}, "records_taken",
+            {{"peer", to_text(peer_)},
+             {"records", static_cast<std::int64_t>(told_.records.size())},
+             {"pages", pages_},
+             {"bytes", static_cast<std::int64_t>(bytes_)},
+             {"after_ms", milliseconds_of(steady_now() - began_)}});
+    }
+
     http_client& client_;
     const endpoint peer_;
     const refusal_proof_hook refusal_proves_end_;
     const peer_records_hook done_;
+    const instant began_ = steady_now();
+    std::int64_t pages_ = 0;
+    std::size_t bytes_ = 0; //!< of the pages' bodies
     peer_records told_;
 };
 
