Show over links with a rate what a takeover of records costs

Cause: the fleets of the tests have links without a rate, so no test saw what a young replica's takeover does to a link of 25 Mbit/s.

Change: rated_links, a fake whose nodes have one link each way; a young replica takes the records of 11 peers that have served 470 jobs a second over it, beside claims.

Bounds: the 1 s between two restarts in turn, and the 60 ms after which a claim asks another replica.

--- a/connection/include/lagoonquay/connection/http_client.hpp
+++ b/connection/include/lagoonquay/connection/http_client.hpp
@@ -31,6 +31,11 @@
 //! Called once, from any I/O thread.
 using http_callback = std::function<void(connection_result<http_response>)>;
 
+//! Sends a request as http_client::send() does.
+using http_send_hook =
+    std::function<void(const endpoint& target, const http_request& request,
+                       duration timeout, http_callback done)>;
+
 //! Sends requests. Never resends one. Thread-safe.
 class http_client
 {
@@ -45,6 +50,9 @@
     void send(const endpoint& target, const http_request& request,
               duration timeout, http_callback done);
 
+    //! @return send() of this client, which must outlive the hook.
+    http_send_hook send_hook();
+
     //! @return what was exchanged, by path. Links that are given it add to it.
     const std::shared_ptr<traffic_meter>& traffic() const noexcept;
 
--- a/connection/src/http_client.cpp
+++ b/connection/src/http_client.cpp
@@ -261,6 +261,15 @@
 
 http_client::~http_client() = default;
 
+http_send_hook http_client::send_hook()
+{
+    return [this](const endpoint& target, const http_request& request,
+                  duration timeout, http_callback done)
+    {
+        send(target, request, timeout, std::move(done));
+    };
+}
+
 const std::shared_ptr<traffic_meter>& http_client::traffic() const noexcept
 {
     return state_->traffic;
--- a/process/entry/include/lagoonquay/process/ledger_records_http.hpp
+++ b/process/entry/include/lagoonquay/process/ledger_records_http.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "lagoonquay/connection/endpoint.hpp"
+#include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/connection/http_message.hpp"
 #include "lagoonquay/process/ledger_recovery.hpp"
 #include "lagoonquay/process/refused_connection.hpp"
@@ -12,7 +13,6 @@
 namespace lagoonquay
 {
 
-class http_client;
 class ledger_replica;
 
 //! Records after which a page ends with its shard; each takes about 0.3 kB,
@@ -28,8 +28,8 @@
 //! Requests all records of another entry's replica, page by page. Reports a
 //! peer that refuses the connection as gone if `refusal_proves_end`, one that
 //! doesn't know the request as without records, and nothing after another
-//! error or a timeout. The client must outlive the call of `done`.
-void request_ledger_records(http_client& client, const endpoint& peer,
+//! error or a timeout.
+void request_ledger_records(const http_send_hook& send, const endpoint& peer,
                             const refusal_proof_hook& refusal_proves_end,
                             const peer_records_hook& done);
 
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -167,8 +167,10 @@
             .restore_claim = [this](const claim_request& claim)
             { ledger.restore_claim(claim); },
             .ask_for_records =
-                [this](const endpoint& peer, const peer_records_hook& done)
-            { request_ledger_records(client, peer, refusal_proof(), done); },
+                [this](const endpoint& peer, const peer_records_hook& done) {
+                    request_ledger_records(client.send_hook(), peer,
+                                           refusal_proof(), done);
+                },
             .restore_record = [this](const ledger_record& told)
             { ledger.restore_record(told); },
             .no_stray_runs = [this]
--- a/process/entry/src/ledger_records_http.cpp
+++ b/process/entry/src/ledger_records_http.cpp
@@ -1,6 +1,5 @@
 #include "lagoonquay/process/ledger_records_http.hpp"
 
-#include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
@@ -23,10 +22,10 @@
 class records_request : public std::enable_shared_from_this<records_request>
 {
 public:
-    records_request(http_client& client, endpoint peer,
+    records_request(http_send_hook send, endpoint peer,
                     refusal_proof_hook refusal_proves_end,
                     peer_records_hook done)
-        : client_(client), peer_(std::move(peer)),
+        : send_(std::move(send)), peer_(std::move(peer)),
           refusal_proves_end_(std::move(refusal_proves_end)),
           done_(std::move(done))
     {
@@ -36,10 +35,10 @@
     {
         http_request request;
         request.path = "/v1/ledger/records/" + std::to_string(first_shard);
-        client_.send(peer_, request, page_timeout,
-                     [self = shared_from_this(), first_shard](
-                         const connection_result<http_response>& answer)
-                     { self->on_answer(first_shard, answer); });
+        send_(peer_, request, page_timeout,
+              [self = shared_from_this(),
+               first_shard](const connection_result<http_response>& answer)
+              { self->on_answer(first_shard, answer); });
     }
 
 private:
@@ -99,7 +98,7 @@
              {"after_ms", milliseconds_of(steady_now() - began_)}});
     }
 
-    http_client& client_;
+    const http_send_hook send_;
     const endpoint peer_;
     const refusal_proof_hook refusal_proves_end_;
     const peer_records_hook done_;
@@ -125,11 +124,11 @@
                 ledger.recent_records(first, max_records))};
 }
 
-void request_ledger_records(http_client& client, const endpoint& peer,
+void request_ledger_records(const http_send_hook& send, const endpoint& peer,
                             const refusal_proof_hook& refusal_proves_end,
                             const peer_records_hook& done)
 {
-    std::make_shared<records_request>(client, peer, refusal_proves_end, done)
+    std::make_shared<records_request>(send, peer, refusal_proves_end, done)
         ->ask(0);
 }
 
--- a/process/entry/tests/ledger_records_http_test.cpp
+++ b/process/entry/tests/ledger_records_http_test.cpp
@@ -43,7 +43,7 @@
     {
         std::promise<std::optional<peer_records>> taken;
         request_ledger_records(
-            client_, peer, [proves_end] { return proves_end; },
+            client_.send_hook(), peer, [proves_end] { return proves_end; },
             [&taken](const std::optional<peer_records>& it)
             { taken.set_value(it); });
         return taken.get_future().get();
--- /dev/null
+++ b/process/entry/tests/records_over_links_test.cpp
@@ -0,0 +1,262 @@
+// A young replica takes records over links with a rate, beside claims.
+#include "rated_links.hpp"
+
+#include "lagoonquay/process/entry_http.hpp"
+#include "lagoonquay/process/ledger_codec.hpp"
+#include "lagoonquay/process/ledger_records_http.hpp"
+#include "lagoonquay/process/ledger_recovery.hpp"
+#include "lagoonquay/process/ledger_replica.hpp"
+#include "lagoonquay/process/replica_group.hpp"
+
+#include <gtest/gtest.h>
+#include <iostream>
+#include <optional>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration lease = milliseconds(1500);
+constexpr duration recovery_period = milliseconds(20);
+constexpr duration claim_period = milliseconds(10);
+constexpr duration claim_timeout = seconds(10);
+
+struct old_fleet_options
+{
+    std::size_t entries = 12;
+    std::size_t agents = 68;
+    std::size_t jobs_per_second = 470; //!< of the whole fleet
+    rated_links_options links;
+};
+
+endpoint address_of(std::size_t entry)
+{
+    return {"10.0.0." + std::to_string(entry + 1), 7000};
+}
+
+//! Entries that have served for a while, one of which begins anew.
+class old_fleet
+{
+public:
+    explicit old_fleet(const old_fleet_options& options)
+        : options_(options), links_(time_, options.links),
+          reaches_(options.entries, reach())
+    {
+        for (std::size_t n = 0; n < options_.entries; ++n)
+        {
+            replicas_.push_back(std::make_unique<ledger_replica>(
+                ledger_options{.complete = n != 0},
+                [this] { return time_.now(); }, wall_now));
+            links_.serve(address_of(n), [this, n](const http_request& it)
+                         { return answer(n, it); });
+        }
+        claim_jobs();
+    }
+
+    //! Lets entry 0 begin anew and claim jobs at the others meanwhile.
+    void begin_anew(duration patience)
+    {
+        started_ = time_.now();
+        recovery_.emplace(ledger_recovery_options{}, hooks());
+        tick();
+        claim(0);
+        time_.run_until(started_ + patience);
+    }
+
+    //! @return time from the start to its end, if it has ended.
+    std::optional<duration> complete_after() const
+    {
+        return complete_after_;
+    }
+    duration longest_claim() const
+    {
+        return longest_claim_;
+    }
+    std::size_t unanswered_claims() const
+    {
+        return claims_sent_ - claims_answered_;
+    }
+    std::size_t received_bytes() const
+    {
+        return links_.received(address_of(0));
+    }
+
+private:
+    agent_reach reach() const
+    {
+        agent_reach::list agents;
+        for (std::uint64_t n = 0; n < options_.agents; ++n)
+            agents.push_back({agent_id("side-long-an-" + std::to_string(n)),
+                              incarnation(8'000'000'000'000'000'000 + n)});
+        return agent_reach(agents);
+    }
+
+    claim_request claim_of(std::size_t job) const
+    {
+        const auto holder = 1 + job % (options_.entries - 1);
+        return claim_request(
+            {.submission = submission_id("684685a3b2af" + std::to_string(job)),
+             .digest = content_digest(8'000'000'000'000'000'000 + job),
+             .dated = false,
+             .holder = entry_id("frontend-long-an-" + std::to_string(holder)),
+             .holder_run = incarnation(8'000'000'000'000'000'000 + holder),
+             .holder_address = to_text(address_of(holder)),
+             .ask = claim_sequence(job),
+             .lease = lease,
+             .reach = reaches_[holder]});
+    }
+
+    // What a fleet claims until a record needn't be told any more, each job at
+    // the first three of its group.
+    void claim_jobs()
+    {
+        const std::chrono::duration<double> kept =
+            lease + ledger_options().max_undated_resubmission_delay;
+        const auto jobs = static_cast<std::size_t>(
+            static_cast<double>(options_.jobs_per_second) * kept.count());
+        std::vector<ledger_peer> peers;
+        for (std::size_t n = 1; n < options_.entries; ++n)
+            peers.push_back(peer(n));
+        for (std::size_t job = 0; job < jobs; ++job)
+        {
+            const auto asked = claim_of(job);
+            const auto groups =
+                choose_replica_groups(asked->submission, peer(0), peers);
+            for (std::size_t n = 0;
+                 n < std::min<std::size_t>(3, groups[0].others.size()); ++n)
+                replicas_[number_of(groups[0].others[n])]->claim(asked);
+        }
+    }
+
+    static ledger_peer peer(std::size_t entry)
+    {
+        return {.address = address_of(entry),
+                .domain = domain_id("d" + std::to_string(entry % 3))};
+    }
+
+    std::size_t number_of(const endpoint& address) const
+    {
+        for (std::size_t n = 0; n < options_.entries; ++n)
+        {
+            if (address_of(n) == address)
+                return n;
+        }
+        return 0;
+    }
+
+    http_response answer(std::size_t entry, const http_request& it)
+    {
+        const std::string records = "/v1/ledger/records/";
+        if (it.path == "/v1/ledger/claim")
+            return claim_response(*replicas_[entry], it.body, {});
+        return ledger_records_response(*replicas_[entry],
+                                       it.path.substr(records.size()));
+    }
+
+    ledger_recovery_hooks hooks()
+    {
+        return {.now = [this] { return time_.now(); },
+                .peers =
+                    [this]
+                {
+                    std::vector<endpoint> peers;
+                    for (std::size_t n = 1; n < options_.entries; ++n)
+                        peers.push_back(address_of(n));
+                    return peers;
+                },
+                .ask = [](const endpoint&, const held_claims_hook& done)
+                { done(held_claims{.settled = true}); },
+                .restore_claim = [this](const claim_request& it)
+                { replicas_[0]->restore_claim(it); },
+                .ask_for_records =
+                    [this](const endpoint& it, const peer_records_hook& done)
+                {
+                    request_ledger_records(
+                        links_.sender(address_of(0)), it, [] { return true; },
+                        done);
+                },
+                .restore_record = [this](const ledger_record& it)
+                { replicas_[0]->restore_record(it); },
+                .no_stray_runs = [] { return true; },
+                .done =
+                    [this](const ledger_completion& it)
+                {
+                    complete_after_ = it.after;
+                }};
+    }
+
+    void tick()
+    {
+        recovery_->tick();
+        time_.after(recovery_period, [this] { tick(); });
+    }
+
+    void claim(std::size_t number)
+    {
+        const auto sent = time_.now();
+        ++claims_sent_;
+        links_.sender(address_of(0))(
+            address_of(1 + number % (options_.entries - 1)),
+            {.method = http_method::post,
+             .path = "/v1/ledger/claim",
+             .query = {},
+             .body = encode_claim_request(claim_of(1'000'000 + number)),
+             .bearer = {}},
+            claim_timeout,
+            [this, sent](const connection_result<http_response>&)
+            {
+                ++claims_answered_;
+                longest_claim_ = std::max(longest_claim_, time_.now() - sent);
+            });
+        time_.after(claim_period, [this, number] { claim(number + 1); });
+    }
+
+    const old_fleet_options options_;
+    virtual_time time_;
+    rated_links links_;
+    std::vector<agent_reach> reaches_;
+    std::vector<std::unique_ptr<ledger_replica>> replicas_;
+    std::optional<ledger_recovery> recovery_;
+    instant started_{};
+    std::optional<duration> complete_after_;
+    duration longest_claim_{};
+    std::size_t claims_sent_ = 0;
+    std::size_t claims_answered_ = 0;
+};
+
+double in_ms(duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+// Guards against restarts in turn that take service to nothing.
+TEST(records_over_links, come_before_the_next_entry_is_restarted)
+{
+    constexpr duration restart_gap = seconds(1);
+    old_fleet fleet({});
+    fleet.begin_anew(seconds(6));
+    ASSERT_TRUE(fleet.complete_after())
+        << fleet.received_bytes() << " bytes came";
+    EXPECT_LT(in_ms(*fleet.complete_after()), in_ms(restart_gap))
+        << fleet.received_bytes() << " bytes came";
+}
+
+// Guards against claims that go unanswered beside a takeover.
+TEST(records_over_links, keep_no_claim_waiting)
+{
+    // The least time after which a claim asks another replica.
+    constexpr duration patience = milliseconds(60);
+    old_fleet fleet({});
+    fleet.begin_anew(seconds(2));
+    EXPECT_LT(in_ms(fleet.longest_claim()), in_ms(patience))
+        << fleet.unanswered_claims() << " without an answer";
+}
+
+} // namespace
+
+} // namespace lagoonquay
