Take records over page by page, few at a time, and go on where it was

What callers saw: entries restarted in turn took service to nothing.

Cause: a young replica asked all peers at once for all records, in pages of up to 2,000 with 500 ms each. On a link of 25 Mbit/s none ended in time, nothing of what came was kept, and all was asked again for as long as the process lived, beside claims on the same links. Class: a retry that adds to the load that made it fail; bulk without a bound beside messages that must be quick.

Ruled out: a longer timeout, which only moves the size at which it breaks.

Change: records_takeover asks for pages of 50 records, two in flight over all peers; a place in flight rests for as long as its page took; what came is kept and a transfer goes on at its page; a page that did not come is asked for again after 100 ms, doubled up to 1 s. After 5 s, from when the replica votes by its age, records are no longer asked for.

Two tests of ledger_recovery run what waits for a delay before a tick; they expect the same.

--- a/process/entry/include/lagoonquay/process/ledger_records_http.hpp
+++ b/process/entry/include/lagoonquay/process/ledger_records_http.hpp
@@ -8,6 +8,7 @@
 #include "lagoonquay/process/refused_connection.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace lagoonquay
@@ -15,9 +16,9 @@
 
 class ledger_replica;
 
-//! Records after which a page ends with its shard; each takes about 0.3 kB,
+//! Records after which a page ends with its shard; each takes about 0.2 kB,
 //! beside its reach.
-constexpr std::size_t max_page_records = 2000;
+constexpr std::size_t max_page_records = 50;
 
 //! @param first_shard  number of the first shard to tell, as text.
 //! @return the records of some shards, or 400 if `first_shard` is no number.
@@ -25,11 +26,12 @@
 ledger_records_response(ledger_replica& ledger, std::string_view first_shard,
                         std::size_t max_records = max_page_records);
 
-//! Requests all records of another entry's replica, page by page. Reports a
-//! peer that refuses the connection as gone if `refusal_proves_end`, one that
+//! Requests a page of another entry's records, from a shard on. Reports a peer
+//! that refuses the connection as gone if `refusal_proves_end`, one that
 //! doesn't know the request as without records, and nothing after another
 //! error or a timeout.
 void request_ledger_records(const http_send_hook& send, const endpoint& peer,
+                            std::uint64_t first_shard,
                             const refusal_proof_hook& refusal_proves_end,
                             const peer_records_hook& done);
 
--- a/process/entry/include/lagoonquay/process/ledger_recovery.hpp
+++ b/process/entry/include/lagoonquay/process/ledger_recovery.hpp
@@ -4,7 +4,7 @@
 
 #include "lagoonquay/connection/endpoint.hpp"
 #include "lagoonquay/process/held_claims.hpp"
-#include "lagoonquay/process/ledger_record_page.hpp"
+#include "lagoonquay/process/records_takeover.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -24,6 +24,10 @@
     //! Time after the start by which control has listed every live entry and
     //! agent.
     duration member_list_delay = std::chrono::milliseconds(700);
+    //! Time after the start from which the replica votes without records.
+    duration records_needed_for =
+        ledger_options().max_undated_resubmission_delay;
+    records_takeover_options records;
 
     friend bool operator==(const ledger_recovery_options&,
                            const ledger_recovery_options&) = default;
@@ -32,10 +36,6 @@
 //! Receives a peer's claims, or nothing if it did not answer. Called once.
 using held_claims_hook = std::function<void(const std::optional<held_claims>&)>;
 
-//! Receives a peer's records, or nothing if it did not answer. Called once.
-using peer_records_hook =
-    std::function<void(const std::optional<peer_records>&)>;
-
 //! What proved that the replica lacks no claim in force.
 enum class ledger_proof
 {
@@ -66,8 +66,12 @@
     std::function<std::optional<std::vector<endpoint>>()> peers;
     std::function<void(const endpoint&, held_claims_hook)> ask;
     std::function<void(const claim_request&)> restore_claim;
-    std::function<void(const endpoint&, peer_records_hook)> ask_for_records;
+    //! Asks a peer for the page of records that begins with a shard.
+    std::function<void(const endpoint&, std::uint64_t first_shard,
+                       peer_records_hook)>
+        ask_for_records;
     std::function<void(const ledger_record&)> restore_record;
+    std::function<void(duration, std::function<void()>)> after;
     //! @return whether every agent reports that it has no run left of an entry
     //! that is gone.
     std::function<bool()> no_stray_runs;
@@ -75,8 +79,8 @@
     std::function<void(const ledger_completion&)> done;
 };
 
-//! Queries each peer for its claims until all have answered, and then for its
-//! records once. Thread-safe.
+//! Queries each peer for its claims until all have answered, and then takes
+//! over its records once. Thread-safe.
 class ledger_recovery
 {
 public:
@@ -89,10 +93,10 @@
 private:
     void on_answer(const endpoint& peer,
                    const std::optional<held_claims>& answer);
-    std::vector<endpoint> peers_to_ask_for_records();
-    void ask_for_records(const std::vector<endpoint>& peers);
-    void on_records(const endpoint& peer, std::uint64_t dead_peers,
-                    const std::optional<peer_records>& answer);
+    records_takeover_hooks records_hooks();
+    bool have_all_answered() const;
+    void note_end(const endpoint& peer);
+    bool has_all_records(const std::vector<endpoint>& peers) const;
     std::optional<ledger_completion>
     completion(const std::vector<endpoint>& peers, bool stray_runs,
                instant now) const;
@@ -109,12 +113,8 @@
     std::set<endpoint> answered_peers_;
     //! Subset of answered_peers_ whose old runs have ended.
     std::set<endpoint> peers_without_old_runs_;
-    std::uint64_t dead_peers_ = 0; //!< that were gone when asked first
-    std::set<endpoint> queried_for_records_; //!< queries in flight
-    //! Peers that told their records after the last of dead_peers_ was found,
-    //! or that are gone.
-    std::set<endpoint> peers_without_more_records_;
     bool done_ = false;
+    records_takeover records_;
 };
 
 } // namespace lagoonquay
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -167,12 +167,16 @@
             .restore_claim = [this](const claim_request& claim)
             { ledger.restore_claim(claim); },
             .ask_for_records =
-                [this](const endpoint& peer, const peer_records_hook& done) {
-                    request_ledger_records(client.send_hook(), peer,
-                                           refusal_proof(), done);
-                },
+                [this](const endpoint& peer, std::uint64_t first_shard,
+                       const peer_records_hook& done)
+            {
+                request_ledger_records(client.send_hook(), peer, first_shard,
+                                       refusal_proof(), done);
+            },
             .restore_record = [this](const ledger_record& told)
             { ledger.restore_record(told); },
+            .after = [this](duration delay, std::function<void()> work)
+            { io.after(delay, std::move(work)); },
             .no_stray_runs = [this]
             { return service.agents().no_stray_runs(); },
             .done =
--- a/process/entry/src/ledger_records_http.cpp
+++ b/process/entry/src/ledger_records_http.cpp
@@ -6,8 +6,6 @@
 #include "lagoonquay/process/log.hpp"
 
 #include <charconv>
-#include <iterator>
-#include <memory>
 
 namespace lagoonquay
 {
@@ -18,95 +16,57 @@
 constexpr std::string_view part = "ledger";
 constexpr duration page_timeout = std::chrono::milliseconds(500);
 
-//! One takeover. Owned by its request in flight.
-class records_request : public std::enable_shared_from_this<records_request>
+//! A question for one page.
+struct page_question
 {
-public:
-    records_request(http_send_hook send, endpoint peer,
-                    refusal_proof_hook refusal_proves_end,
-                    peer_records_hook done)
-        : send_(std::move(send)), peer_(std::move(peer)),
-          refusal_proves_end_(std::move(refusal_proves_end)),
-          done_(std::move(done))
-    {
-    }
-
-    void ask(std::uint64_t first_shard)
-    {
-        http_request request;
-        request.path = "/v1/ledger/records/" + std::to_string(first_shard);
-        send_(peer_, request, page_timeout,
-              [self = shared_from_this(),
-               first_shard](const connection_result<http_response>& answer)
-              { self->on_answer(first_shard, answer); });
-    }
-
-private:
-    void on_answer(std::uint64_t first_shard,
-                   const connection_result<http_response>& answer)
-    {
-        if (!answer && answer.error().code == connection_errc::refused &&
-            refusal_proves_end_())
-            return done_(peer_records{.gone = true});
-        if (!answer)
-            return fail(first_shard, "not answered");
-        // An older version doesn't know the path.
-        if (answer.value().status == http_status::not_found)
-            return done_(peer_records());
-        if (answer.value().status != http_status::ok)
-            return fail(first_shard, "refused");
-        ++pages_;
-        bytes_ += answer.value().body.size();
-        auto page = decode_ledger_records(answer.value().body);
-        if (!page)
-            return fail(first_shard, "malformed");
-        take(first_shard, std::move(page).value());
-    }
-
-    // Pages that don't advance would never end.
-    void take(std::uint64_t first_shard, ledger_record_page page)
-    {
-        told_.records.insert(told_.records.end(),
-                             std::make_move_iterator(page.records.begin()),
-                             std::make_move_iterator(page.records.end()));
-        if (!page.next || *page.next <= first_shard)
-        {
-            log_taken();
-            return done_(told_);
-        }
-        ask(*page.next);
-    }
+    endpoint peer;
+    std::uint64_t first_shard = 0;
+    instant asked_at{};
+};
 
-    void fail(std::uint64_t shard, std::string_view reason)
-    {
-        write_event(log_level::info, part, {}, "records_not_taken",
-                    {{"peer", to_text(peer_)},
-                     {"shard", static_cast<std::int64_t>(shard)},
-                     {"reason", reason},
-                     {"after_ms", milliseconds_of(steady_now() - began_)}});
-        done_(std::nullopt);
-    }
+void log_taken(const page_question& it, const ledger_record_page& page,
+               std::size_t bytes)
+{
+    write_event(log_level::info, part, {}, "records_taken",
+                {{"peer", to_text(it.peer)},
+                 {"shard", static_cast<std::int64_t>(it.first_shard)},
+                 {"records", static_cast<std::int64_t>(page.records.size())},
+                 {"bytes", static_cast<std::int64_t>(bytes)},
+                 {"after_ms", milliseconds_of(steady_now() - it.asked_at)}});
+}
 
-    void log_taken() const
-    {
-        write_event(
-            log_level::info, part, {}, "records_taken",
-            {{"peer", to_text(peer_)},
-             {"records", static_cast<std::int64_t>(told_.records.size())},
-             {"pages", pages_},
-             {"bytes", static_cast<std::int64_t>(bytes_)},
-             {"after_ms", milliseconds_of(steady_now() - began_)}});
-    }
+std::optional<peer_records> without(const page_question& it,
+                                    std::string_view reason)
+{
+    write_event(log_level::info, part, {}, "records_not_taken",
+                {{"peer", to_text(it.peer)},
+                 {"shard", static_cast<std::int64_t>(it.first_shard)},
+                 {"reason", reason},
+                 {"after_ms", milliseconds_of(steady_now() - it.asked_at)}});
+    return std::nullopt;
+}
 
-    const http_send_hook send_;
-    const endpoint peer_;
-    const refusal_proof_hook refusal_proves_end_;
-    const peer_records_hook done_;
-    const instant began_ = steady_now();
-    std::int64_t pages_ = 0;
-    std::size_t bytes_ = 0; //!< of the pages' bodies
-    peer_records told_;
-};
+std::optional<peer_records>
+to_page(const page_question& it, const connection_result<http_response>& answer,
+        const refusal_proof_hook& refusal_proves_end)
+{
+    if (!answer && answer.error().code == connection_errc::refused &&
+        refusal_proves_end())
+        return peer_records{.gone = true};
+    if (!answer)
+        return without(it, "not answered");
+    // An older version doesn't know the path.
+    if (answer.value().status == http_status::not_found)
+        return peer_records();
+    if (answer.value().status != http_status::ok)
+        return without(it, "refused");
+    auto page = decode_ledger_records(answer.value().body);
+    if (!page)
+        return without(it, "malformed");
+    log_taken(it, page.value(), answer.value().body.size());
+    return peer_records{.records = std::move(page.value().records),
+                        .next = page.value().next};
+}
 
 } // namespace
 
@@ -125,11 +85,17 @@
 }
 
 void request_ledger_records(const http_send_hook& send, const endpoint& peer,
+                            std::uint64_t first_shard,
                             const refusal_proof_hook& refusal_proves_end,
                             const peer_records_hook& done)
 {
-    std::make_shared<records_request>(send, peer, refusal_proves_end, done)
-        ->ask(0);
+    http_request request;
+    request.path = "/v1/ledger/records/" + std::to_string(first_shard);
+    send(peer, request, page_timeout,
+         [it = page_question{peer, first_shard, steady_now()},
+          refusal_proves_end,
+          done](const connection_result<http_response>& answer)
+         { done(to_page(it, answer, refusal_proves_end)); });
 }
 
 } // namespace lagoonquay
--- a/process/entry/src/ledger_recovery.cpp
+++ b/process/entry/src/ledger_recovery.cpp
@@ -8,10 +8,25 @@
 ledger_recovery::ledger_recovery(ledger_recovery_options options,
                                  ledger_recovery_hooks hooks)
     : options_(options), hooks_(std::move(hooks)), started_at_(hooks_.now()),
-      last_peer_end_(started_at_)
+      last_peer_end_(started_at_), records_(options_.records, records_hooks())
 {
 }
 
+records_takeover_hooks ledger_recovery::records_hooks()
+{
+    return {.now = hooks_.now,
+            .after = hooks_.after,
+            .ask_for_page = hooks_.ask_for_records,
+            .restore = hooks_.restore_record};
+}
+
+// The records are asked for after every peer has reported or was found gone: a
+// claim that needs a vote of this replica's earlier life was asked for before
+// this process began. Its holder, if it lives, reports it as held or in flight.
+// If it is dead, the other votes were given before its end. Once is enough: a
+// claim that is asked for later has a majority without this replica, or a vote
+// of its own.
+//
 // A live entry reports the claims that it holds, even if every other replica
 // has lost them. The runs of a dead entry end by themselves.
 void ledger_recovery::tick()
@@ -28,7 +43,7 @@
         return;
     const bool stray_runs = !hooks_.no_stray_runs();
     std::vector<endpoint> to_ask;
-    std::vector<endpoint> for_records;
+    bool takes_records = false;
     std::optional<ledger_completion> finished;
     {
         const std::lock_guard lock(mutex_);
@@ -43,15 +58,18 @@
         }
         finished = completion(*peers, stray_runs, now);
         done_ = finished.has_value();
-        if (!done_)
-            for_records = peers_to_ask_for_records();
+        takes_records = !done_ && have_all_answered();
     }
     if (finished)
+    {
+        records_.end();
         return hooks_.done(*finished);
+    }
     for (const auto& it : to_ask)
         hooks_.ask(it, [this, it](const std::optional<held_claims>& answer)
                    { on_answer(it, answer); });
-    ask_for_records(for_records);
+    if (takes_records)
+        records_.take_from(*peers);
 }
 
 void ledger_recovery::on_answer(const endpoint& peer,
@@ -68,73 +86,43 @@
         queried_peers_.erase(peer);
         if (!answer)
             return;
-        if (answer->gone && !answered_peers_.contains(peer))
-        {
-            last_peer_end_ = hooks_.now();
-            ++dead_peers_;
-            peers_without_more_records_.clear();
-        }
         if (answer->gone)
-            peers_without_more_records_.insert(peer);
+            note_end(peer);
         answered_peers_.insert(peer);
         if (answer->settled)
             peers_without_old_runs_.insert(peer);
-        for_records = peers_to_ask_for_records();
+        if (!done_ && have_all_answered())
+            for_records = peers_;
     }
-    ask_for_records(for_records);
+    if (!for_records.empty())
+        records_.take_from(for_records);
 }
 
-// A claim that needs a vote of this replica's earlier life was asked for before
-// this process began. Its holder, if it lives, reports it as held or in flight.
-// If it is dead, the other votes were given before its end. So the records of
-// each peer are asked for after every peer has reported or was found gone, and
-// once is enough: a claim that is asked for later has a majority without this
-// replica, or a vote of its own.
-std::vector<endpoint> ledger_recovery::peers_to_ask_for_records()
+//! Requires the lock.
+bool ledger_recovery::have_all_answered() const
 {
-    std::vector<endpoint> to_ask;
-    for (const auto& it : peers_)
-    {
-        if (!answered_peers_.contains(it))
-            return {};
-    }
-    for (const auto& it : peers_)
-    {
-        if (!peers_without_more_records_.contains(it) &&
-            queried_for_records_.insert(it).second)
-            to_ask.push_back(it);
-    }
-    return to_ask;
+    return !peers_.empty() &&
+           std::all_of(peers_.begin(), peers_.end(),
+                       [this](const endpoint& it)
+                       { return answered_peers_.contains(it); });
 }
 
-void ledger_recovery::ask_for_records(const std::vector<endpoint>& peers)
+// What others told before this peer was found gone may lack its last claims.
+// Requires the lock.
+void ledger_recovery::note_end(const endpoint& peer)
 {
-    for (const auto& it : peers)
-    {
-        std::uint64_t dead_peers = 0;
-        {
-            const std::lock_guard lock(mutex_);
-            dead_peers = dead_peers_;
-        }
-        hooks_.ask_for_records(
-            it, [this, it, dead_peers](const std::optional<peer_records>& told)
-            { on_records(it, dead_peers, told); });
-    }
+    records_.skip(peer);
+    if (answered_peers_.contains(peer))
+        return;
+    last_peer_end_ = hooks_.now();
+    records_.restart();
 }
 
-//! @param dead_peers  that had been found when the peer was asked.
-void ledger_recovery::on_records(const endpoint& peer, std::uint64_t dead_peers,
-                                 const std::optional<peer_records>& answer)
+bool ledger_recovery::has_all_records(const std::vector<endpoint>& peers) const
 {
-    if (answer)
-    {
-        for (const auto& it : answer->records)
-            hooks_.restore_record(it);
-    }
-    const std::lock_guard lock(mutex_);
-    queried_for_records_.erase(peer);
-    if (answer && (answer->gone || dead_peers == dead_peers_))
-        peers_without_more_records_.insert(peer);
+    return std::all_of(peers.begin(), peers.end(),
+                       [this](const endpoint& it)
+                       { return records_.has_all(it); });
 }
 
 // A peer that is gone may have runs whose agents have not noticed its loss yet.
@@ -143,13 +131,10 @@
 ledger_recovery::completion(const std::vector<endpoint>& peers, bool stray_runs,
                             instant now) const
 {
-    for (const auto& it : peers)
-    {
-        if (!peers_without_more_records_.contains(it))
-            return std::nullopt;
-    }
     ledger_completion found;
     found.after = now - started_at_;
+    if (found.after <= options_.records_needed_for && !has_all_records(peers))
+        return std::nullopt;
     found.peers = peers.size();
     found.with_old_runs = static_cast<std::size_t>(
         std::count_if(peers.begin(), peers.end(),
--- a/process/entry/tests/ledger_records_http_test.cpp
+++ b/process/entry/tests/ledger_records_http_test.cpp
@@ -39,16 +39,35 @@
         listener_.emplace(std::move(listening).value());
     }
 
-    std::optional<peer_records> take(const endpoint& peer, bool proves_end)
+    std::optional<peer_records>
+    take_page(const endpoint& peer, std::uint64_t first_shard, bool proves_end)
     {
         std::promise<std::optional<peer_records>> taken;
         request_ledger_records(
-            client_.send_hook(), peer, [proves_end] { return proves_end; },
+            client_.send_hook(), peer, first_shard,
+            [proves_end] { return proves_end; },
             [&taken](const std::optional<peer_records>& it)
             { taken.set_value(it); });
         return taken.get_future().get();
     }
 
+    //! @return what all pages tell together.
+    std::optional<peer_records> take(const endpoint& peer, bool proves_end)
+    {
+        peer_records told;
+        for (std::optional<std::uint64_t> next = 0; next;)
+        {
+            auto page = take_page(peer, *next, proves_end);
+            if (!page)
+                return std::nullopt;
+            told.gone = page->gone;
+            told.records.insert(told.records.end(), page->records.begin(),
+                                page->records.end());
+            next = page->next;
+        }
+        return told;
+    }
+
     std::optional<held_claims> ask_for_established(const endpoint& peer)
     {
         std::promise<std::optional<held_claims>> told;
--- a/process/entry/tests/ledger_recovery_test.cpp
+++ b/process/entry/tests/ledger_recovery_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 #include <map>
+#include <utility>
 
 namespace lagoonquay
 {
@@ -29,7 +30,8 @@
                 .restore_claim = [this](const claim_request& it)
                 { remembered.push_back(it); },
                 .ask_for_records =
-                    [this](const endpoint& it, peer_records_hook answer)
+                    [this](const endpoint& it, std::uint64_t,
+                           peer_records_hook answer)
                 {
                     if (tells_at_once)
                         return answer(peer_records());
@@ -37,6 +39,8 @@
                 },
                 .restore_record = [this](const ledger_record& it)
                 { records.push_back(it); },
+                .after = [this](duration, std::function<void()> work)
+                { waiting.push_back(std::move(work)); },
                 .no_stray_runs = [this] { return no_stray_runs; },
                 .done =
                     [this](const ledger_completion& it)
@@ -46,7 +50,16 @@
                 }};
     }
 
+    //! Runs what waits for a delay, then ticks.
+    void tick()
+    {
+        for (const auto& it : std::exchange(waiting, {}))
+            it();
+        recovery.tick();
+    }
+
     instant now{};
+    std::vector<std::function<void()>> waiting;
     std::optional<std::vector<endpoint>> peers;
     std::map<endpoint, held_claims_hook> asked;
     std::vector<claim_request> remembered;
@@ -207,7 +220,7 @@
     tells_at_once = false;
     no_stray_runs = true;
     peers = {first_peer, second_peer};
-    recovery.tick();
+    tick();
     for (const auto& it : *peers)
         asked[it](held_claims{.settled = true});
     const ledger_record record({.highest_round = claim_round(1)});
@@ -215,13 +228,13 @@
     asked_for_records[second_peer](std::nullopt);
     asked_for_records.clear();
     now += seconds(2);
-    recovery.tick();
+    tick();
     EXPECT_EQ(done, 0);
     EXPECT_EQ(records, std::vector{record});
     ASSERT_EQ(asked_for_records.size(), 1U) << "only the one that was silent";
     asked_for_records[second_peer](peer_records{.gone = true});
     asked_for_records.clear();
-    recovery.tick();
+    tick();
     EXPECT_EQ(done, 1);
     EXPECT_TRUE(asked_for_records.empty());
 }
@@ -232,20 +245,20 @@
 {
     tells_at_once = false;
     peers = {first_peer};
-    recovery.tick();
+    tick();
     asked[first_peer](held_claims{.settled = true});
     peers = {first_peer, second_peer};
-    recovery.tick();
+    tick();
     asked[second_peer](held_claims{.gone = true});
     asked_for_records[first_peer](peer_records());
     asked_for_records.clear();
-    recovery.tick();
+    tick();
     EXPECT_EQ(asked_for_records.size(), 1U);
     now += seconds(2);
-    recovery.tick();
+    tick();
     EXPECT_EQ(done, 0);
     asked_for_records[first_peer](peer_records());
-    recovery.tick();
+    tick();
     EXPECT_EQ(done, 1);
 }
 
--- a/process/entry/tests/listed_ledger.cpp
+++ b/process/entry/tests/listed_ledger.cpp
@@ -2,7 +2,6 @@
 #include "listed_ledger_parts.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace lagoonquay
 {
@@ -151,14 +150,22 @@
                 self.lock()->replica->restore_claim(it);
             },
             .ask_for_records = [this, self](const endpoint& peer,
+                                            std::uint64_t first_shard,
                                             const peer_records_hook& done)
-            { ask_for_records(self.lock(), peer, done); },
+            { ask_for_records(self.lock(), peer, first_shard, done); },
             .restore_record =
                 [self](const ledger_record& it)
             {
                 log_record(it);
                 self.lock()->replica->restore_record(it);
             },
+            .after =
+                [this, self](duration delay, std::function<void()> work)
+            {
+                fleet_.time().after(delay,
+                                    [at = self.lock(), work = std::move(work)]
+                                    { work(); });
+            },
             .no_stray_runs = [this, entry]
             { return fleet_.entry(entry).agents().no_stray_runs(); },
             .done =
@@ -404,20 +411,23 @@
               .random = &random_of_questions_});
 }
 
-// As the route /v1/ledger/records/ and the entry node's question to it, in one
-// page.
+// As the route /v1/ledger/records/ and the entry node's question to it, with
+// pages of a few records.
 void listed_ledger::ask_for_records(const host_pointer& from,
                                     const endpoint& peer,
+                                    std::uint64_t first_shard,
                                     const peer_records_hook& done)
 {
+    constexpr std::size_t page_records = 5;
     send(from, entry_number(peer),
-         {.serve = [done](host& at) -> virtual_time::event
+         {.serve = [done, first_shard](host& at) -> virtual_time::event
           {
-              const auto page = at.replica->recent_records(
-                  0, std::numeric_limits<std::size_t>::max());
+              const auto page =
+                  at.replica->recent_records(first_shard, page_records);
               return [done, page]
               {
-                  done(peer_records{.records = page.records});
+                  done(
+                      peer_records{.records = page.records, .next = page.next});
               };
           },
           .fail =
--- a/process/entry/tests/listed_ledger.hpp
+++ b/process/entry/tests/listed_ledger.hpp
@@ -100,6 +100,7 @@
                         const held_claims_hook& done);
     void ask_for_established(const host_pointer& from);
     void ask_for_records(const host_pointer& from, const endpoint& peer,
+                         std::uint64_t first_shard,
                          const peer_records_hook& done);
     bool is_apart(std::size_t a, std::size_t b) const;
     bool is_lost(std::mt19937_64& random) const;
--- a/process/entry/tests/records_over_links_test.cpp
+++ b/process/entry/tests/records_over_links_test.cpp
@@ -174,14 +174,17 @@
                 .restore_claim = [this](const claim_request& it)
                 { replicas_[0]->restore_claim(it); },
                 .ask_for_records =
-                    [this](const endpoint& it, const peer_records_hook& done)
+                    [this](const endpoint& it, std::uint64_t first_shard,
+                           const peer_records_hook& done)
                 {
                     request_ledger_records(
-                        links_.sender(address_of(0)), it, [] { return true; },
-                        done);
+                        links_.sender(address_of(0)), it, first_shard,
+                        [] { return true; }, done);
                 },
                 .restore_record = [this](const ledger_record& it)
                 { replicas_[0]->restore_record(it); },
+                .after = [this](duration delay, std::function<void()> work)
+                { time_.after(delay, std::move(work)); },
                 .no_stray_runs = [] { return true; },
                 .done =
                     [this](const ledger_completion& it)
--- a/process/entry/tests/young_replica_test.cpp
+++ b/process/entry/tests/young_replica_test.cpp
@@ -46,11 +46,13 @@
                 },
                 .restore_claim = [this](const claim_request& it)
                 { ledger.restore_claim(it); },
-                .ask_for_records =
-                    [](const endpoint&, const peer_records_hook& done)
+                .ask_for_records = [](const endpoint&, std::uint64_t,
+                                      const peer_records_hook& done)
                 { done(peer_records()); },
                 .restore_record = [this](const ledger_record& it)
                 { ledger.restore_record(it); },
+                .after = [](duration, const std::function<void()>& work)
+                { work(); },
                 .no_stray_runs = [] { return true; },
                 .done =
                     [this](const ledger_completion&)
--- a/process/ledger/include/lagoonquay/process/ledger_record_page.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_record_page.hpp
@@ -21,12 +21,14 @@
                            const ledger_record_page&) = default;
 };
 
-//! All records of a peer, as a younger replica receives them.
+//! A page of a peer's records, as a younger replica receives it.
 struct peer_records
 {
     //! The peer's process has ended, and its records with it.
     bool gone = false;
     std::vector<ledger_record> records;
+    //! First shard of the next page; nothing after the last one.
+    std::optional<std::uint64_t> next = std::nullopt;
 
     friend bool operator==(const peer_records&, const peer_records&) = default;
 };
