Answer every job before a stopping entry is killed

What callers saw: requests cut without an answer around planned stops.

Cause: a stop waited for each job up to its own time limit, however long after the kill that was, and also for requests of peers: entries without a job and without a caller's request were killed while 2 to 11 peers had not taken their records. Class: a wait without an end where somebody else sets one.

Ruled out: to refuse jobs with a long limit during the notice; nearly all end long before it.

Requests of peers are waited for only for the 300 ms that writing may take.

--- a/process/common/include/lagoonquay/process/process_settings.hpp
+++ b/process/common/include/lagoonquay/process/process_settings.hpp
@@ -61,6 +61,9 @@
     duration drain_notice{};
     //! Time after a stop signal by which jobs taken after the notice end.
     duration drain_job_end{};
+    //! Time after a stop signal by which every job has an answer; zero for
+    //! none.
+    duration drain_end{};
     endpoint peers;                     //!< listener for other entries
     std::vector<endpoint> ledger_peers; //!< the other ledger replicas
     job_limits jobs;
--- a/process/common/src/process_settings.cpp
+++ b/process/common/src/process_settings.cpp
@@ -227,6 +227,13 @@
         "callers", "drain_notice", settings.drain_notice, duration(), minute);
     settings.drain_job_end = file.duration_or(
         "callers", "drain_job_end", settings.drain_job_end, duration(), minute);
+    settings.drain_end = file.duration_or(
+        "callers", "drain_end", settings.drain_end, duration(), minute);
+    if (settings.drain_end != duration() &&
+        settings.drain_end <
+            std::max(settings.drain_notice, settings.drain_job_end))
+        file.reject("callers", "drain_end",
+                    "is before drain_notice or drain_job_end");
     settings.peers = read_endpoint(file, "peers", "listen");
     settings.jobs = read_job_limits(file);
     settings.answer_retention = file.duration_or(
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -208,6 +208,11 @@
     //! Refuses new jobs from now on; accepted ones continue.
     void drain();
 
+    //! Answers every job that has no answer yet, truly: as a refusal if nothing
+    //! of it was sent to an agent, else as of unknown effect. Runs that may be
+    //! repeated elsewhere are stopped. Call after drain().
+    void answer_rest();
+
     //! @return whether callers should send jobs here.
     bool ready() const;
 
@@ -367,6 +372,8 @@
     void give_up_runs(const job_pointer& state,
                       const std::vector<attempt_key>& runs);
     void stop_lapsed(instant now);
+    void hand_back(const job_pointer& state);
+    void give_up(const job_pointer& state);
 
     // entry_answers.cpp: answers and deadlines
     void finish_if_complete(const job_pointer& state);
--- a/process/entry/include/lagoonquay/process/stop_plan.hpp
+++ b/process/entry/include/lagoonquay/process/stop_plan.hpp
@@ -14,6 +14,9 @@
     //! must end by its own time limit; no such job is taken if it is not longer
     //! than the notice.
     duration job_end{};
+    //! Time after the stop signal by which every job has an answer; zero for
+    //! none: each is waited for until its own time limit.
+    duration end{};
 
     friend bool operator==(const stop_plan&, const stop_plan&) = default;
 };
--- a/process/entry/src/entry_answers.cpp
+++ b/process/entry/src/entry_answers.cpp
@@ -24,6 +24,8 @@
                                              answer->failures.end(), not_run);
 }
 
+} // namespace
+
 // Downgrades "not run" to "unknown". Without a record in the ledger, an entry
 // that adopts the job may still run these tasks.
 job_answer with_unknown_effects(const job_answer& answer)
@@ -35,14 +37,12 @@
             for (auto& failure : it.failures)
             {
                 failure = failure.with(
-                    [](task_result_options& task)
-                    { task.ran = std::max(task.ran, effect::unknown); });
+                    [](task_result_options& of)
+                    { of.ran = std::max(of.ran, effect::unknown); });
             }
         });
 }
 
-} // namespace
-
 // A waiting task has not run under this claim, and the adoption has proved that
 // it did not run under an earlier one. Once the claim has expired, another
 // entry may have started it.
--- a/process/entry/src/entry_drain.cpp
+++ b/process/entry/src/entry_drain.cpp
@@ -16,16 +16,25 @@
 //! Between two reports of what a stop waits for.
 constexpr duration report_period = std::chrono::seconds(1);
 constexpr std::size_t max_reported_jobs = 10;
+//! For responses that are ready, once nothing else is left.
+constexpr duration max_write_time = std::chrono::milliseconds(300);
 
 std::int64_t count(std::size_t number) noexcept
 {
     return static_cast<std::int64_t>(number);
 }
 
+// What a peer waits for here is a job, or is answered at once: of the latter
+// only the writing may be left, which depends on the peer alone.
 bool is_idle(const stopping_entry& it)
 {
     return it.service.unanswered() == 0 &&
-           it.callers.requests_in_progress() == 0 &&
+           it.callers.requests_in_progress() == 0;
+}
+
+bool is_written(const stopping_entry& it)
+{
+    return it.callers.requests_in_progress() == 0 &&
            it.peers.requests_in_progress() == 0;
 }
 
@@ -53,15 +62,16 @@
         log_job_in_work(job);
 }
 
-void wait_until_idle(const stopping_entry& it)
+//! @param end  when to give up, if ever.
+void wait_until_idle(const stopping_entry& it, std::optional<instant> end)
 {
     std::optional<instant> reported;
     wait_until(
         [&]
         {
-            if (is_idle(it))
-                return true;
             const auto now = steady_now();
+            if (is_idle(it) || (end && now >= *end))
+                return true;
             if (!reported || now - *reported >= report_period)
             {
                 reported = now;
@@ -71,6 +81,12 @@
         });
 }
 
+void wait_until_written(const stopping_entry& it)
+{
+    const auto end = steady_now() + max_write_time;
+    wait_until([&] { return is_written(it) || steady_now() >= end; });
+}
+
 void log_end(const stopping_entry& it)
 {
     write_event(log_level::info, part, {}, "stop_ended",
@@ -99,7 +115,14 @@
     wait_until([&] { return passed(plan.job_end) || is_idle(entry); });
     write_log(log_level::info, part, "Stopping: no new jobs.");
     entry.service.drain();
-    wait_until_idle(entry);
+    if (plan.end == duration())
+        wait_until_idle(entry, std::nullopt);
+    else
+    {
+        wait_until_idle(entry, signal_at + plan.end);
+        entry.service.answer_rest();
+    }
+    wait_until_written(entry);
     log_end(entry);
     write_log(log_level::info, part, "Stopped.");
 }
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -24,6 +24,9 @@
 //! Logs the refusal of a job with its reason.
 void log_refusal(const job_answer& refused);
 
+//! @return the answer with "not run" downgraded to "unknown".
+job_answer with_unknown_effects(const job_answer& answer);
+
 //! Number of attempt numbers that belong to one claim round.
 constexpr std::uint64_t attempts_per_round = 1ULL << 16U;
 
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -355,7 +355,8 @@
                  .callers = callers,
                  .peers = *node.peer_listener},
                 {.notice = node.settings.drain_notice,
-                 .job_end = node.settings.drain_job_end});
+                 .job_end = node.settings.drain_job_end,
+                 .end = node.settings.drain_end});
 }
 
 } // namespace lagoonquay
--- a/process/entry/src/entry_stops.cpp
+++ b/process/entry/src/entry_stops.cpp
@@ -99,4 +99,61 @@
     }
 }
 
+void entry_service::answer_rest()
+{
+    for (const auto& state : open_jobs())
+    {
+        bool untouched = false;
+        with_job(state,
+                 [&](const job_state& it)
+                 {
+                     const bool unclaimed = it.stage == job_stage::claiming ||
+                                            it.stage == job_stage::forwarded;
+                     untouched = unclaimed || (it.stage == job_stage::running &&
+                                               it.earlier_agents.empty() &&
+                                               it.run.untouched());
+                 });
+        if (untouched)
+            hand_back(state);
+        else
+            give_up(state);
+    }
+}
+
+// The next entry need not wait for the lease.
+void entry_service::hand_back(const job_pointer& state)
+{
+    release_claim(state);
+    refuse(state, refusal(state->id, failure_reason::draining, effect::unknown,
+                          "this entry stops; nothing of the job was started "
+                          "here"));
+}
+
+// Not recorded as closed: the caller may send the job again, and the entry that
+// adopts it asks the agents. A run that went on would then run beside the one
+// started there.
+void entry_service::give_up(const job_pointer& state)
+{
+    std::vector<attempt_key> runs;
+    with_job(state,
+             [&](job_state& it)
+             {
+                 if (it.answer || it.closing)
+                     return;
+                 runs = stoppable_runs(it);
+                 it.run.abandon(failure_reason::draining, "this entry stops",
+                                effect::unknown);
+             });
+    give_up_runs(state, runs);
+    std::optional<job_answer> answer;
+    with_job(state,
+             [&](const job_state& it)
+             {
+                 if (it.run.finished())
+                     answer = it.run.answer();
+             });
+    if (answer)
+        publish(state, with_unknown_effects(*answer));
+}
+
 } // namespace lagoonquay
--- /dev/null
+++ b/process/entry/tests/stop_end_test.cpp
@@ -0,0 +1,173 @@
+// Every caller of an entry that stops has an answer before the process is
+// killed.
+#include "entry_drain.hpp"
+#include "fake_fleet.hpp"
+
+#include "lagoonquay/connection/http_client.hpp"
+#include "lagoonquay/connection/http_server.hpp"
+#include "lagoonquay/process/io_threads.hpp"
+
+#include <future>
+#include <gtest/gtest.h>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr stop_plan plan{.notice = milliseconds(2500),
+                         .job_end = seconds(5),
+                         .end = milliseconds(5400)};
+
+//! An entry with jobs, one slot for them, and an upstream that takes long.
+class stop_end : public testing::Test
+{
+protected:
+    stop_end()
+    {
+        fleet.run_time = [this](const upstream_call&)
+        {
+            return run_time;
+        };
+    }
+
+    job work(const std::string& id) const
+    {
+        return job({.submission = submission_id(id),
+                    .customer = customer_id("c"),
+                    .created = created,
+                    .time_limit = seconds(30),
+                    .idempotent = true,
+                    .tasks = std::vector<task>(1)});
+    }
+
+    //! Sends the jobs to entry 0, one after the other, and stops it.
+    void stop_beside(const std::vector<std::string>& ids)
+    {
+        for (const auto& it : ids)
+        {
+            fleet.submit(0, work(it));
+            fleet.run_for(milliseconds(20));
+        }
+        auto& entry = fleet.entry(0);
+        entry.mark_not_ready(plan);
+        fleet.run_for(plan.end);
+        entry.drain();
+        entry.answer_rest();
+        fleet.run_for(milliseconds(20));
+    }
+
+    const std::vector<job_answer>& answers() const
+    {
+        return fleet.record().answers;
+    }
+
+    fake_fleet fleet{{.agents = 1, .slots = 1, .upstreams_can_stop = true}};
+    wall_time created = fleet.wall();
+    duration run_time = seconds(20);
+};
+
+TEST_F(stop_end, answers_a_job_that_runs_for_longer)
+{
+    stop_beside({"runs"});
+    EXPECT_EQ(fleet.entry(0).unanswered(), 0U);
+    ASSERT_EQ(answers().size(), 1U);
+    EXPECT_EQ(answers()[0]->reason, failure_reason::draining);
+    EXPECT_EQ(answers()[0]->ran, effect::unknown);
+}
+
+// Guards against a run that goes on beside the one of a resubmission.
+TEST_F(stop_end, lets_a_job_that_ran_be_sent_to_another_entry)
+{
+    stop_beside({"runs"});
+    fleet.kill_entry(0);
+    run_time = milliseconds(50);
+    fleet.submit(1, work("runs"));
+    fleet.run_for(seconds(6));
+    ASSERT_EQ(answers().size(), 2U);
+    EXPECT_TRUE(succeeded(answers()[1]));
+    EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
+}
+
+TEST_F(stop_end, hands_back_a_job_that_waits_for_room_without_its_claim)
+{
+    stop_beside({"runs", "waits"});
+    EXPECT_EQ(fleet.entry(0).unanswered(), 0U);
+    ASSERT_EQ(answers().size(), 2U);
+    const auto& refused = answers()[0]->submission == submission_id("waits")
+                              ? answers()[0]
+                              : answers()[1];
+    EXPECT_EQ(refused->reason, failure_reason::draining);
+    EXPECT_TRUE(refused->failures.empty());
+    run_time = milliseconds(50);
+    fleet.submit(1, work("waits"));
+    fleet.run_for(milliseconds(300));
+    ASSERT_EQ(answers().size(), 3U) << "the lease is still waited for";
+    EXPECT_TRUE(succeeded(answers()[2]));
+}
+
+TEST_F(stop_end, answers_a_job_without_a_quorum)
+{
+    fleet.part_entry(0, true);
+    stop_beside({"claims"});
+    EXPECT_EQ(fleet.entry(0).unanswered(), 0U);
+    ASSERT_EQ(answers().size(), 1U);
+    EXPECT_FALSE(succeeded(answers()[0]));
+}
+
+TEST_F(stop_end, answers_a_job_that_another_entry_holds)
+{
+    fleet.submit(1, work("theirs"));
+    fleet.run_for(milliseconds(100));
+    stop_beside({"theirs"});
+    EXPECT_EQ(fleet.entry(0).unanswered(), 0U);
+    ASSERT_EQ(answers().size(), 1U);
+    EXPECT_EQ(answers()[0]->reason, failure_reason::draining);
+}
+
+// Guards against a process that waits for a peer until it is killed.
+TEST(stop_ends, beside_a_request_of_a_peer_that_nobody_answers)
+{
+    fake_fleet fleet({});
+    io_threads io(2);
+    http_responder never;
+    auto callers =
+        http_server::listen(io.context(), {.listen = {"127.0.0.1", 0}},
+                            [](const http_request&,
+                               const http_responder& respond) { respond({}); });
+    std::promise<void> asked;
+    auto peers = http_server::listen(
+        io.context(), {.listen = {"127.0.0.1", 0}},
+        [&](const http_request&, const http_responder& respond)
+        {
+            never = respond;
+            asked.set_value();
+        });
+    ASSERT_TRUE(callers);
+    ASSERT_TRUE(peers);
+    http_client client(io.context(), {});
+    client.send({"127.0.0.1", peers.value().port()}, {.path = "/"},
+                std::chrono::minutes(1),
+                [](const connection_result<http_response>&) {});
+    asked.get_future().wait();
+    auto stopped = std::async(std::launch::async,
+                              [&]
+                              {
+                                  drain_entry({.service = fleet.entry(0),
+                                               .callers = callers.value(),
+                                               .peers = peers.value()},
+                                              {});
+                              });
+    EXPECT_EQ(stopped.wait_for(seconds(5)), std::future_status::ready);
+    never({});
+    stopped.wait();
+    io.stop();
+}
+
+} // namespace
+
+} // namespace lagoonquay
