Take over only the records that a replica may vote on

Cause: a young replica asked each peer for all of its records, so that a takeover grew with the fleet: 9.2 MB and 5 s with 100 entries. It votes on a submission only if it is in its group, 5 of all.

Change: the replica sends the entries that it knows, the same list to each peer; peers tell the records of submissions whose first seven entries (two more than a group) contain it. While it is young it votes on no submission outside that scope, so what was not asked for is never taken for new, whatever view of the fleet a claim comes from. All of a fleet of seven is in scope.

--- a/process/entry/include/lagoonquay/process/ledger_records_http.hpp
+++ b/process/entry/include/lagoonquay/process/ledger_records_http.hpp
@@ -31,6 +31,7 @@
 //! doesn't know the request as without records, and nothing after another
 //! error or a timeout.
 void request_ledger_records(const http_send_hook& send, const endpoint& peer,
+                            const record_scope& scope,
                             std::uint64_t first_shard,
                             const refusal_proof_hook& refusal_proves_end,
                             const peer_records_hook& done);
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -148,6 +148,18 @@
             });
     }
 
+    // The same for all questions: a record that one peer was not asked for may
+    // be known to another.
+    record_scope scope_of_records()
+    {
+        const std::lock_guard lock(scope_mutex);
+        if (!scope)
+            scope = make_record_scope(
+                {settings.peers, domain_id(settings.process.domain)},
+                peers.replicas());
+        return *scope;
+    }
+
     void ask_for_established()
     {
         for (const auto& it : peers.to_ask_for_established())
@@ -170,7 +182,8 @@
                 [this](const endpoint& peer, std::uint64_t first_shard,
                        const peer_records_hook& done)
             {
-                request_ledger_records(client.send_hook(), peer, first_shard,
+                request_ledger_records(client.send_hook(), peer,
+                                       scope_of_records(), first_shard,
                                        refusal_proof(), done);
             },
             .restore_record = [this](const ledger_record& told)
@@ -183,7 +196,7 @@
                 [this](const ledger_completion& it)
             {
                 log_completion(it);
-                ledger.set_complete();
+                ledger.set_complete(scope_of_records());
             }};
     }
 
@@ -283,6 +296,8 @@
     http_client client;
     ledger_replica ledger;
     entry_peers peers;
+    std::mutex scope_mutex;
+    std::optional<record_scope> scope; //!< of the records that are taken over
     latency_statistics answers;
     entry_service service;
     permit_client permits;
--- a/process/entry/src/ledger_records_http.cpp
+++ b/process/entry/src/ledger_records_http.cpp
@@ -84,12 +84,19 @@
     if (ec != std::errc() || rest != end)
         return error_response(http_status::bad_request, "malformed",
                               "no number of a shard");
-    const auto page = ledger.recent_records(first, max_records);
-    return {.body = request.query == short_form ? encode_record_page(page)
-                                                : encode_ledger_records(page)};
+    if (request.query != short_form)
+        return {.body = encode_ledger_records(
+                    ledger.recent_records(first, max_records))};
+    const auto scope = decode_record_scope(request.body);
+    if (!scope)
+        return error_response(http_status::bad_request, "malformed",
+                              scope.error().detail);
+    return {.body = encode_record_page(
+                ledger.recent_records(first, max_records, scope.value()))};
 }
 
 void request_ledger_records(const http_send_hook& send, const endpoint& peer,
+                            const record_scope& scope,
                             std::uint64_t first_shard,
                             const refusal_proof_hook& refusal_proves_end,
                             const peer_records_hook& done)
@@ -97,6 +104,7 @@
     http_request request;
     request.path = "/v1/ledger/records/" + std::to_string(first_shard);
     request.query = short_form;
+    request.body = encode_record_scope(scope);
     send(peer, request, page_timeout,
          [it = page_question{peer, first_shard, steady_now()},
           refusal_proves_end,
--- a/process/entry/tests/ledger_records_http_test.cpp
+++ b/process/entry/tests/ledger_records_http_test.cpp
@@ -47,7 +47,8 @@
     {
         std::promise<std::optional<peer_records>> taken;
         request_ledger_records(
-            client_.send_hook(), peer, first_shard,
+            client_.send_hook(), peer,
+            make_record_scope({peer, domain_id("d")}, {}), first_shard,
             [proves_end] { return proves_end; },
             [&taken](const std::optional<peer_records>& it)
             { taken.set_value(it); });
--- a/process/entry/tests/listed_ledger.cpp
+++ b/process/entry/tests/listed_ledger.cpp
@@ -169,12 +169,13 @@
             .no_stray_runs = [this, entry]
             { return fleet_.entry(entry).agents().no_stray_runs(); },
             .done =
-                [self](const ledger_completion& it)
+                [this, self](const ledger_completion& it)
             {
                 write_event(log_level::info, "ledger", {}, "ledger_complete",
                             {{"by", to_text(it.by)},
                              {"peers", static_cast<std::int64_t>(it.peers)}});
-                self.lock()->replica->set_complete();
+                const auto at = self.lock();
+                at->replica->set_complete(scope_of(*at));
             }});
     const auto& earlier = hosts_[entry];
     fresh->began_anew =
@@ -411,6 +412,14 @@
               .random = &random_of_questions_});
 }
 
+// As entry_node::parts::scope_of_records().
+const record_scope& listed_ledger::scope_of(host& at) const
+{
+    if (!at.scope)
+        at.scope = make_record_scope(as_peer(at), at.peers->replicas());
+    return *at.scope;
+}
+
 // As the route /v1/ledger/records/ and the entry node's question to it, with
 // pages of a few records.
 void listed_ledger::ask_for_records(const host_pointer& from,
@@ -420,10 +429,11 @@
 {
     constexpr std::size_t page_records = 5;
     send(from, entry_number(peer),
-         {.serve = [done, first_shard](host& at) -> virtual_time::event
+         {.serve = [done, first_shard,
+                    scope = scope_of(*from)](host& at) -> virtual_time::event
           {
               const auto page =
-                  at.replica->recent_records(first_shard, page_records);
+                  at.replica->recent_records(first_shard, page_records, scope);
               return [done, page]
               {
                   done(
--- a/process/entry/tests/listed_ledger.hpp
+++ b/process/entry/tests/listed_ledger.hpp
@@ -99,6 +99,8 @@
     void ask_for_claims(const host_pointer& from, const endpoint& peer,
                         const held_claims_hook& done);
     void ask_for_established(const host_pointer& from);
+    ledger_peer as_peer(const host& at) const;
+    const record_scope& scope_of(host& at) const;
     void ask_for_records(const host_pointer& from, const endpoint& peer,
                          std::uint64_t first_shard,
                          const peer_records_hook& done);
--- a/process/entry/tests/listed_ledger_claims.cpp
+++ b/process/entry/tests/listed_ledger_claims.cpp
@@ -81,10 +81,8 @@
     {
         if (submission.empty())
             return {all_replicas_group(submission, at.peers->current())};
-        const auto domain = at.number % ledger.options_.domains;
-        const ledger_peer self{entry_address(at.number),
-                               domain_id("d" + std::to_string(domain))};
-        return choose_replica_groups(submission, self, at.peers->replicas());
+        return choose_replica_groups(submission, ledger.as_peer(at),
+                                     at.peers->replicas());
     }
 
     //! The replica's side, with the product's codec.
@@ -152,6 +150,12 @@
     const claim_callback done;
 };
 
+ledger_peer listed_ledger::as_peer(const host& at) const
+{
+    const auto domain = at.number % options_.domains;
+    return {entry_address(at.number), domain_id("d" + std::to_string(domain))};
+}
+
 void listed_ledger::claim(std::size_t from, const claim_request& asked,
                           claim_callback done)
 {
--- a/process/entry/tests/listed_ledger_parts.hpp
+++ b/process/entry/tests/listed_ledger_parts.hpp
@@ -37,6 +37,7 @@
     instant expired_at{};
     std::unique_ptr<ledger_replica> replica;
     std::unique_ptr<entry_peers> peers;
+    std::optional<record_scope> scope; //!< of the records that it takes over
     std::unique_ptr<ledger_recovery> recovery;
     delivered_reaches reaches;
     unresponsive_replicas unresponsive;
--- a/process/entry/tests/records_over_links_test.cpp
+++ b/process/entry/tests/records_over_links_test.cpp
@@ -153,6 +153,14 @@
         return 0;
     }
 
+    record_scope scope() const
+    {
+        std::vector<ledger_peer> peers;
+        for (std::size_t n = 1; n < options_.entries; ++n)
+            peers.push_back(peer(n));
+        return make_record_scope(peer(0), peers);
+    }
+
     http_response answer(std::size_t entry, const http_request& it)
     {
         const std::string records = "/v1/ledger/records/";
@@ -182,7 +190,7 @@
                            const peer_records_hook& done)
                 {
                     request_ledger_records(
-                        links_.sender(address_of(0)), it, first_shard,
+                        links_.sender(address_of(0)), it, scope(), first_shard,
                         [] { return true; }, done);
                 },
                 .restore_record = [this](const ledger_record& it)
--- a/process/ledger/include/lagoonquay/process/ledger_record_codec.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_record_codec.hpp
@@ -19,4 +19,8 @@
 //! @return the page, or malformed / out_of_range.
 request_result<ledger_record_page> decode_record_page(std::string_view text);
 
+std::string encode_record_scope(const record_scope& scope);
+//! @return the scope, or malformed.
+request_result<record_scope> decode_record_scope(std::string_view text);
+
 } // namespace lagoonquay
--- a/process/ledger/include/lagoonquay/process/ledger_replica.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_replica.hpp
@@ -36,11 +36,14 @@
     void restore_record(const ledger_record& told);
     //! @return the records that a replica which began anew may need, of whole
     //! shards from `first_shard` on until there are `max_records`.
+    //! @param scope  of that replica.
     ledger_record_page recent_records(std::uint64_t first_shard,
-                                      std::size_t max_records);
-    //! Notes that every claim in force has a record here, so that the replica
-    //! also votes on submissions without a creation time.
-    void set_complete();
+                                      std::size_t max_records,
+                                      const record_scope& scope = {});
+    //! Notes that every claim in force that the scope covers has a record here,
+    //! so that the replica also votes on these submissions without a creation
+    //! time.
+    void set_complete(const record_scope& scope = {});
 
     //! @return whether set_complete() was called.
     bool complete() const noexcept;
@@ -62,6 +65,7 @@
     };
 
     guarded_shard& shard_of(const submission_id& submission);
+    std::vector<ledger_record> recent_records_of(std::size_t shard);
 
     const ledger_options options_;
     reach_cache reaches_;
--- a/process/ledger/include/lagoonquay/process/ledger_shard.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_shard.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "lagoonquay/process/agent_reach.hpp"
+#include "lagoonquay/process/record_scope.hpp"
 #include "lagoonquay/request/ids.hpp"
 #include "lagoonquay/request/immutable.hpp"
 #include "lagoonquay/request/time.hpp"
@@ -158,9 +159,10 @@
     //! jobs without a creation time that can still be submitted again.
     std::vector<ledger_record> recent_records(instant now) const;
 
-    //! Notes that every claim in force has a record here, so that the shard
-    //! votes on submissions without a creation time from now on.
-    void set_complete() noexcept;
+    //! Notes that every claim in force that the scope covers has a record here,
+    //! so that the shard votes on these submissions from now on, without a
+    //! creation time.
+    void set_complete(const record_scope& scope = {});
 
     //! Drops records past the retention.
     void expire(instant now);
@@ -201,8 +203,10 @@
 
     static claim_vote repeat_claim(record& held, const claim_request& request,
                                    instant now);
+    bool is_past_undated_fence_of(const submission_id& submission,
+                                  instant now) const;
     bool can_vote(const claim_request& request, instant now,
-                  wall_time wall) const noexcept;
+                  wall_time wall) const;
     claim_vote add(const claim_request& request, instant now, wall_time wall);
     static claim_vote look_up(const record& held, instant now);
     static claim_vote release(record& held, const claim_request& request,
@@ -216,7 +220,7 @@
     record& record_claim(const claim_request& request, instant now);
     static bool is_in_flight(const record& known) noexcept;
     bool must_wait(const record& known, const claim_request& request,
-                   instant now) const noexcept;
+                   instant now) const;
     claim_vote renew_beside_told(const record& held,
                                  const claim_request& request, instant now);
     claim_vote replace_report(const record& known, const claim_request& request,
@@ -235,6 +239,7 @@
                                           const record& known, instant now);
 
     ledger_options options_;
+    record_scope scope_; //!< of its records, if it is complete by these
     std::unordered_map<submission_id, record> records_;
 };
 
--- a/process/ledger/include/lagoonquay/process/replica_group.hpp
+++ b/process/ledger/include/lagoonquay/process/replica_group.hpp
@@ -42,6 +42,11 @@
 //! Five replicas keep a majority when two of them are lost at once.
 constexpr std::size_t max_group_size = 5;
 
+//! @return the entries' positions in the order in which they come into the
+//! group of a submission.
+std::vector<std::size_t> replica_order(const submission_id& submission,
+                                       const std::vector<ledger_peer>& entries);
+
 //! @return a group of this entry and all others. The order depends on the
 //! submission and is the same on every entry.
 replica_group all_replicas_group(const submission_id& submission,
--- a/process/ledger/src/ledger_record_codec.cpp
+++ b/process/ledger/src/ledger_record_codec.cpp
@@ -317,4 +317,45 @@
     return page;
 }
 
+std::string encode_record_scope(const record_scope& scope)
+{
+    json::array entries;
+    for (const auto& it : scope->entries)
+        entries.push_back(json::array{to_text(it.address), it.domain.text()});
+    return json::serialize(json::object{{"self", to_text(scope->self)},
+                                        {"entries", std::move(entries)}});
+}
+
+request_result<record_scope> decode_record_scope(std::string_view text)
+{
+    constexpr std::size_t max_address = 256;
+    BOOST_OUTCOME_TRY(const auto document, parse_json(text));
+    json_fields fields(document, "");
+    const auto read_address = [&](const std::string& written)
+    {
+        auto address = parse_endpoint(written);
+        if (address)
+            return std::move(address).value();
+        fields.reject(request_errc::malformed, "no address and port");
+        return endpoint();
+    };
+    record_scope_options scope;
+    scope.self = read_address(fields.text("self", max_address));
+    const auto* source = fields.array("entries");
+    if (source != nullptr)
+    {
+        for (const auto& it : *source)
+        {
+            item_reader items(it, fields);
+            auto address = read_address(items.text());
+            scope.entries.push_back(
+                {std::move(address), domain_id(items.text())});
+            items.expect_end();
+        }
+    }
+    if (fields.failed())
+        return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
+    return record_scope(std::move(scope));
+}
+
 } // namespace lagoonquay
--- a/process/ledger/src/ledger_replica.cpp
+++ b/process/ledger/src/ledger_replica.cpp
@@ -1,6 +1,6 @@
 #include "lagoonquay/process/ledger_replica.hpp"
 
-#include <iterator>
+#include <utility>
 
 namespace lagoonquay
 {
@@ -52,8 +52,16 @@
     target.shard.restore_record(told, now_());
 }
 
+std::vector<ledger_record> ledger_replica::recent_records_of(std::size_t shard)
+{
+    auto& source = *shards_[shard];
+    const std::lock_guard lock(source.mutex);
+    return source.shard.recent_records(now_());
+}
+
 ledger_record_page ledger_replica::recent_records(std::uint64_t first_shard,
-                                                  std::size_t max_records)
+                                                  std::size_t max_records,
+                                                  const record_scope& scope)
 {
     ledger_record_page page;
     for (auto n = first_shard; n < shards_.size(); ++n)
@@ -63,22 +71,21 @@
             page.next = n;
             break;
         }
-        auto& source = *shards_[n];
-        const std::lock_guard lock(source.mutex);
-        auto more = source.shard.recent_records(now_());
-        page.records.insert(page.records.end(),
-                            std::make_move_iterator(more.begin()),
-                            std::make_move_iterator(more.end()));
+        for (auto& it : recent_records_of(n))
+        {
+            if (covers(scope, it->claim->submission))
+                page.records.push_back(std::move(it));
+        }
     }
     return page;
 }
 
-void ledger_replica::set_complete()
+void ledger_replica::set_complete(const record_scope& scope)
 {
     for (auto& it : shards_)
     {
         const std::lock_guard lock(it->mutex);
-        it->shard.set_complete();
+        it->shard.set_complete(scope);
     }
     complete_ = true;
 }
--- a/process/ledger/src/ledger_shard.cpp
+++ b/process/ledger/src/ledger_shard.cpp
@@ -80,10 +80,10 @@
 // Another replica may know a higher round that this replica's earlier life
 // granted.
 bool ledger_shard::must_wait(const record& known, const claim_request& request,
-                             instant now) const noexcept
+                             instant now) const
 {
     return known.source != record_source::vote && !request->dated &&
-           !is_past_undated_fence(options_, now);
+           !is_past_undated_fence_of(request->submission, now);
 }
 
 void ledger_shard::expire(instant now)
@@ -102,10 +102,10 @@
 // therefore created before the fence that the restart sets, and is fenced. It
 // does not vote on submissions so old that their record may have expired.
 bool ledger_shard::can_vote(const claim_request& request, instant now,
-                            wall_time wall) const noexcept
+                            wall_time wall) const
 {
     if (!request->dated)
-        return is_past_undated_fence(options_, now);
+        return is_past_undated_fence_of(request->submission, now);
     const auto created = request->created;
     return is_past_fence(options_, created) &&
            created <= wall + options_.clock_skew &&
@@ -169,9 +169,20 @@
     return vote;
 }
 
-void ledger_shard::set_complete() noexcept
+void ledger_shard::set_complete(const record_scope& scope)
 {
     options_.complete = true;
+    scope_ = scope;
+}
+
+// What the scope leaves out was not asked for, and others may know of it.
+bool ledger_shard::is_past_undated_fence_of(const submission_id& submission,
+                                            instant now) const
+{
+    auto by_age = options_;
+    by_age.complete = false;
+    return is_past_undated_fence(by_age, now) ||
+           (options_.complete && covers(scope_, submission));
 }
 
 // A holder that makes a new claim has lost the state of its earlier one. It
--- a/process/ledger/src/replica_group.cpp
+++ b/process/ledger/src/replica_group.cpp
@@ -26,14 +26,10 @@
                            const endpoint& self,
                            const std::vector<ledger_peer>& entries)
 {
-    std::vector<spread_candidate> candidates;
-    candidates.reserve(entries.size());
-    for (const auto& it : entries)
-        candidates.push_back({it.domain, score(submission, it.address)});
     replica_group group;
     group.local = false;
     group.includes_all_entries = entries.size() <= max_group_size;
-    auto order = spread_over_domains(candidates);
+    auto order = replica_order(submission, entries);
     order.resize(std::min(order.size(), max_group_size));
     for (const auto it : order)
     {
@@ -63,6 +59,16 @@
 
 } // namespace
 
+std::vector<std::size_t> replica_order(const submission_id& submission,
+                                       const std::vector<ledger_peer>& entries)
+{
+    std::vector<spread_candidate> candidates;
+    candidates.reserve(entries.size());
+    for (const auto& it : entries)
+        candidates.push_back({it.domain, score(submission, it.address)});
+    return spread_over_domains(candidates);
+}
+
 replica_group all_replicas_group(const submission_id& submission,
                                  const std::vector<endpoint>& others)
 {
