Close an entry's listeners in order before its process ends

Cause: a stop ended at the first look that found no request in progress, while the listener still accepted, and a request counts as in progress from its last byte. What was arriving, or read between that look and the end of the threads, had no answer; 12 to 46 connections were open at that moment (stop_ended). Class: a check of what is there, followed by an end that lets more come.

Change: the listeners for callers and peers stop accepting, so that a new connection is refused; connections without a request are closed; a request that is arriving is read and answered, for 300 ms at most.

Measured: stop_ends.after_a_request_that_was_arriving does not end without the change (ended by us after 10 s: the idle connection sees no end) and passes with it. 15 tests of stops, 44 of connections and 9 with real processes pass.

--- a/connection/include/lagoonquay/connection/http_server.hpp
+++ b/connection/include/lagoonquay/connection/http_server.hpp
@@ -80,6 +80,10 @@
     //! From now on each connection is closed after its next response.
     void close_after_responses() noexcept;
 
+    //! Closes the connections on which nothing of a request has arrived. One
+    //! whose request arrives at the same moment is served.
+    void close_idle();
+
     //! @return open connections, links included.
     std::size_t open_connections() const noexcept;
 
--- a/connection/src/http_server.cpp
+++ b/connection/src/http_server.cpp
@@ -164,6 +164,13 @@
     state_->closing = true;
 }
 
+void http_server::close_idle()
+{
+    while (state_->idle.close_longest())
+    {
+    }
+}
+
 std::size_t http_server::open_connections() const noexcept
 {
     return state_->open;
--- a/process/entry/src/entry_drain.cpp
+++ b/process/entry/src/entry_drain.cpp
@@ -16,8 +16,9 @@
 //! Between two reports of what a stop waits for.
 constexpr duration report_period = std::chrono::seconds(1);
 constexpr std::size_t max_reported_jobs = 10;
-//! For responses that are ready, once nothing else is left.
-constexpr duration max_write_time = std::chrono::milliseconds(300);
+//! For requests that have begun to arrive and responses that are ready, once
+//! nothing else is left.
+constexpr duration max_close_time = std::chrono::milliseconds(300);
 
 std::int64_t count(std::size_t number) noexcept
 {
@@ -32,12 +33,6 @@
            it.callers.requests_in_progress() == 0;
 }
 
-bool is_written(const stopping_entry& it)
-{
-    return it.callers.requests_in_progress() == 0 &&
-           it.peers.requests_in_progress() == 0;
-}
-
 void log_job_in_work(const unanswered_job& it)
 {
     write_event(
@@ -81,10 +76,29 @@
         });
 }
 
-void wait_until_written(const stopping_entry& it)
+bool is_closed(const stopping_entry& it)
+{
+    return it.callers.open_connections() == 0 &&
+           it.peers.open_connections() == 0;
+}
+
+// A request that is arriving is read and answered, and a new connection is
+// refused, so that its sender knows that nothing was read.
+void close_listeners(const stopping_entry& it)
 {
-    const auto end = steady_now() + max_write_time;
-    wait_until([&] { return is_written(it) || steady_now() >= end; });
+    const auto end = steady_now() + max_close_time;
+    for (auto* const listener : {&it.callers, &it.peers})
+    {
+        listener->close_after_responses();
+        listener->stop_accepting();
+    }
+    wait_until(
+        [&]
+        {
+            it.callers.close_idle();
+            it.peers.close_idle();
+            return is_closed(it) || steady_now() >= end;
+        });
 }
 
 void log_end(const stopping_entry& it)
@@ -122,7 +136,7 @@
         wait_until_idle(entry, signal_at + plan.end);
         entry.service.answer_rest();
     }
-    wait_until_written(entry);
+    close_listeners(entry);
     log_end(entry);
     write_log(log_level::info, part, "Stopped.");
 }
--- a/process/entry/tests/stop_end_test.cpp
+++ b/process/entry/tests/stop_end_test.cpp
@@ -2,6 +2,7 @@
 // killed.
 #include "entry_drain.hpp"
 #include "fake_fleet.hpp"
+#include "raw_connection.hpp"
 
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/connection/http_server.hpp"
@@ -9,6 +10,7 @@
 
 #include <future>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace lagoonquay
 {
@@ -129,6 +131,48 @@
     EXPECT_EQ(answers()[0]->reason, failure_reason::draining);
 }
 
+// Guards against a process that ends beside a request that it has begun to
+// read.
+TEST(stop_ends, after_a_request_that_was_arriving)
+{
+    fake_fleet fleet({});
+    io_threads io(2);
+    const auto listen = [&io]
+    {
+        return http_server::listen(
+            io.context(), {.listen = {"127.0.0.1", 0}},
+            [](const http_request&, const http_responder& respond)
+            { respond({.body = "answer"}); });
+    };
+    auto callers = listen();
+    auto peers = listen();
+    ASSERT_TRUE(callers);
+    ASSERT_TRUE(peers);
+    const raw_connection idle(callers.value().port());
+    const raw_connection client(callers.value().port());
+    client.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+    while (callers.value().requests_arriving() == 0)
+        std::this_thread::yield();
+    std::promise<void> ended;
+    std::thread stop(
+        [&]
+        {
+            drain_entry({.service = fleet.entry(0),
+                         .callers = callers.value(),
+                         .peers = peers.value()},
+                        {});
+            io.stop();
+            ended.set_value();
+        });
+    EXPECT_EQ(idle.read_to_end(), "");
+    EXPECT_FALSE(raw_connection(callers.value().port()).open());
+    client.send("cd");
+    EXPECT_NE(client.read_to_end().find("answer"), std::string::npos);
+    EXPECT_EQ(ended.get_future().wait_for(seconds(5)),
+              std::future_status::ready);
+    stop.join();
+}
+
 // Guards against a process that waits for a peer until it is killed.
 TEST(stop_ends, beside_a_request_of_a_peer_that_nobody_answers)
 {
