Let a record that is told on keep its age

Cause: a record whose lease had ended was told with a lease of zero, so the replica that took it over told it on for five more seconds. Class: a copy that is taken for new.

Change: a record tells for how long its lease has been over; the taker counts from there. are_told_while_the_submission_may_come_again expects that time too.

--- a/process/ledger/include/lagoonquay/process/ledger_shard.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_shard.hpp
@@ -70,6 +70,8 @@
     claim_request claim;
     //! Highest round of the submission that the replica knows.
     claim_round highest_round;
+    //! Time since the lease ended, if it has.
+    duration lapsed_for{};
 
     friend bool operator==(const ledger_record_options&,
                            const ledger_record_options&) = default;
@@ -227,8 +229,7 @@
                               instant now, wall_time wall);
 
     // ledger_shard_restore.cpp
-    void restore(const claim_request& claim, claim_round highest,
-                 record_source source, instant now);
+    void restore(const ledger_record& told, record_source source, instant now);
     static void join_report(record& known, const claim_request& other,
                             instant now);
     static void join_proof(record& known, const claim_request& held);
--- a/process/ledger/src/ledger_record_codec.cpp
+++ b/process/ledger/src/ledger_record_codec.cpp
@@ -186,7 +186,8 @@
             reach,
             it->highest_round.number(),
             claim->close ? 1 : 0,
-            claim->dated ? claim->created.time_since_epoch().count() + 1 : 0};
+            claim->dated ? claim->created.time_since_epoch().count() + 1 : 0,
+            it->lapsed_for.count()};
 }
 
 ledger_record record_from_json(const json::value& source,
@@ -212,9 +213,12 @@
     claim.dated = created != 0;
     if (claim.dated)
         claim.created = wall_time(std::chrono::milliseconds(created - 1));
+    const duration lapsed_for(items.number());
     items.expect_end();
-    return ledger_record(ledger_record_options{
-        .claim = claim_request(std::move(claim)), .highest_round = highest});
+    return ledger_record(
+        ledger_record_options{.claim = claim_request(std::move(claim)),
+                              .highest_round = highest,
+                              .lapsed_for = lapsed_for});
 }
 
 std::vector<agent_run_id> agents_from_json(json_fields& fields)
--- a/process/ledger/src/ledger_shard_restore.cpp
+++ b/process/ledger/src/ledger_shard_restore.cpp
@@ -16,26 +16,33 @@
         source = record_source::in_flight;
     else if (held->lapsed)
         source = record_source::told;
-    restore(held, held->round, source, now);
+    restore(ledger_record({.claim = held, .highest_round = held->round}),
+            source, now);
 }
 
 void ledger_shard::restore_record(const ledger_record& told, instant now)
 {
-    restore(told->claim, std::max(told->highest_round, told->claim->round),
-            record_source::told, now);
+    restore(told, record_source::told, now);
 }
 
 // What is told of a submission beside a vote or a proof never replaces its
 // holder: it raises the round that the next holder gets, and adds agents that
 // an adopter asks.
-void ledger_shard::restore(const claim_request& claim, claim_round highest,
-                           record_source source, instant now)
+//
+// A record that is told on keeps its age, or it would never grow too old where
+// replicas begin anew one after the other.
+void ledger_shard::restore(const ledger_record& told, record_source source,
+                           instant now)
 {
+    const auto& claim = told->claim;
+    const auto highest = std::max(told->highest_round, claim->round);
+    const auto lease_end = now + claim->lease - told->lapsed_for;
     const auto found = records_.find(claim->submission);
     if (found == records_.end())
     {
         auto& fresh = record_claim(claim, now);
         fresh.source = source;
+        fresh.lease_end = lease_end;
         fresh.highest_round = std::max(fresh.highest_round, highest);
         return;
     }
@@ -52,7 +59,7 @@
     known.closed = known.closed || claim->close;
     known.reach = known.reach.joined(claim->reach);
     if (known.source != record_source::vote)
-        known.lease_end = std::max(known.lease_end, now + claim->lease);
+        known.lease_end = std::max(known.lease_end, lease_end);
 }
 
 // Either of two claims in flight may come to be held. Without a holder, neither
@@ -149,8 +156,10 @@
     claim.close = known.closed;
     claim.lease = std::max(known.lease_end - now, duration::zero());
     claim.reach = known.reach;
-    return ledger_record({.claim = claim_request(std::move(claim)),
-                          .highest_round = known.highest_round});
+    return ledger_record(
+        {.claim = claim_request(std::move(claim)),
+         .highest_round = known.highest_round,
+         .lapsed_for = std::max(now - known.lease_end, duration::zero())});
 }
 
 } // namespace lagoonquay
--- a/process/ledger/tests/restored_records_test.cpp
+++ b/process/ledger/tests/restored_records_test.cpp
@@ -260,12 +260,30 @@
     ASSERT_EQ(told.size(), 1U);
     EXPECT_EQ(told.front(), record_of("a", 1, milliseconds(500)));
     EXPECT_EQ(shard.recent_records(start + milliseconds(6499)),
-              std::vector{record_of("a", 1, duration::zero())});
+              std::vector{record_of("a", 1, duration::zero())
+                              .with([](ledger_record_options& it)
+                                    { it.lapsed_for = milliseconds(4999); })});
     EXPECT_TRUE(shard.recent_records(start + milliseconds(6500)).empty());
 }
 
 // Guards against a takeover of a whole ledger that does not fit in an answer,
 // and agents that are listed anew for each record.
+// Guards against a takeover that grows with each entry that begins anew.
+TEST_F(restored_records, grow_too_old_although_they_are_told_on)
+{
+    auto now = start;
+    ledger_shard first({.complete = true});
+    first.claim(claim_by("e1"), now, wall);
+    now += lease + seconds(4);
+    ledger_shard second({.started_at = now});
+    ASSERT_EQ(first.recent_records(now).size(), 1U);
+    second.restore_record(first.recent_records(now)[0], now);
+    EXPECT_EQ(second.recent_records(now).size(), 1U);
+    now += seconds(1);
+    EXPECT_TRUE(first.recent_records(now).empty());
+    EXPECT_TRUE(second.recent_records(now).empty());
+}
+
 TEST_F(restored_records, are_the_same_in_either_encoding)
 {
     auto later = record_of("e2", 3);
