--- a/connection/src/http_server.cpp
+++ b/connection/src/http_server.cpp
@@ -17,6 +17,7 @@
     tcp::acceptor acceptor;
     net::io_context& context;
     std::uint16_t port = 0;
+    std::atomic<bool> accepts{true};
 };
 
 namespace
@@ -156,6 +157,7 @@
               {
                   error_code ec;
                   shared->acceptor.close(ec);
+                  shared->accepts = false;
               });
 }
 
@@ -166,6 +168,7 @@
 
 void http_server::close_idle()
 {
+    state_->ending = true;
     while (state_->idle.close_longest())
     {
     }
@@ -181,6 +184,12 @@
     return state_->arriving.size();
 }
 
+bool http_server::is_quiet() const
+{
+    return !state_->accepts && state_->idle.size() == 0 &&
+           state_->arriving.size() == 0 && state_->in_progress == 0;
+}
+
 std::size_t http_server::requests_in_progress() const noexcept
 {
     return state_->in_progress;
--- a/connection/src/http_session.cpp
+++ b/connection/src/http_session.cpp
@@ -86,6 +86,7 @@
     idle_ = listener_->idle.add(close_hook());
     start_limit(listener_->options.idle_timeout,
                 [](http_session& it) { it.stream_.close(); });
+    awaits_first_bytes_ = true;
     stream_.async_read_some(
         buffer_.prepare(idle_buffer_bytes),
         [self = shared_from_this()](error_code ec, std::size_t n)
@@ -111,8 +112,11 @@
     listener_->idle.remove(idle_);
     ++waits_;
     end_limit();
+    awaits_first_bytes_ = false;
     if (ec || closed_for_place_)
         return close();
+    if (listener_->ending)
+        place_->retake();
     buffer_.commit(size);
     read();
 }
@@ -122,6 +126,9 @@
 {
     if (wait != waits_)
         return place_->retake();
+    // At the listener's end, what has been read by now is served.
+    if (awaits_first_bytes_ && listener_->ending)
+        return stream_.cancel();
     closed_for_place_ = true;
     close();
 }
--- a/connection/src/http_session.hpp
+++ b/connection/src/http_session.hpp
@@ -39,6 +39,7 @@
     std::atomic<std::size_t> open{0};
     std::atomic<std::size_t> in_progress{0};
     std::atomic<bool> closing{false};
+    std::atomic<bool> ending{false}; //!< idle connections are being closed
     waiting_connections idle;
     waiting_connections arriving; //!< a request has begun to arrive
     const std::shared_ptr<deadlines> limits;
@@ -146,9 +147,10 @@
     std::uint64_t waits_ = 0;
     //! Rises when a request begins to arrive or a response to go out.
     std::atomic<std::uint64_t> exchanges_{0};
-    std::size_t pipelined_ = 0;     //!< requests sent ahead, of late
-    std::string path_;              //!< of the request in progress
-    instant read_at_{};             //!< when it had arrived whole
+    std::size_t pipelined_ = 0; //!< requests sent ahead, of late
+    std::string path_;          //!< of the request in progress
+    instant read_at_{};         //!< when it had arrived whole
+    bool awaits_first_bytes_ = false;
     bool reading_ = false;          //!< a request has begun to arrive
     bool timed_out_ = false;        //!< it did not arrive in time
     bool awaits_response_ = false;  //!< the handler has not answered yet
--- a/connection/src/waiting_connections.cpp
+++ b/connection/src/waiting_connections.cpp
@@ -41,7 +41,7 @@
     return give_way;
 }
 
-std::size_t waiting_connections::size()
+std::size_t waiting_connections::size() const
 {
     const std::lock_guard lock(mutex_);
     return waiting_.size();
--- a/connection/src/waiting_connections.hpp
+++ b/connection/src/waiting_connections.hpp
@@ -32,7 +32,7 @@
     bool close_longest(duration least = duration::zero());
 
     //! @return how many wait.
-    std::size_t size();
+    std::size_t size() const;
 
 private:
     struct waiting
@@ -43,7 +43,7 @@
 
     std::function<bool()> take_longest(duration least);
 
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::map<number, waiting> waiting_;
     number next_ = 1;
 };
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -315,6 +315,7 @@
                                                effect ran);
     void on_not_held(const job_pointer& state, const claim_outcome& outcome);
     void release_claim(const job_pointer& state);
+    claim_request release_request(const job_state& state) const;
     void forward(const job_pointer& state, const std::string& address);
     void on_forwarded(const job_pointer& state,
                       const std::optional<job_answer>& answer);
@@ -372,7 +373,8 @@
     void give_up_runs(const job_pointer& state,
                       const std::vector<attempt_key>& runs);
     void stop_lapsed(instant now);
-    void hand_back(const job_pointer& state);
+    static bool is_untouched(const job_state& it);
+    bool hand_back(const job_pointer& state);
     void give_up(const job_pointer& state);
 
     // entry_answers.cpp: answers and deadlines
--- a/process/entry/include/lagoonquay/process/ledger_recovery.hpp
+++ b/process/entry/include/lagoonquay/process/ledger_recovery.hpp
@@ -95,6 +95,7 @@
                    const std::optional<held_claims>& answer);
     records_takeover_hooks records_hooks();
     bool have_all_answered() const;
+    bool needs_records(instant now) const;
     void note_end(const endpoint& peer);
     bool has_all_records(const std::vector<endpoint>& peers) const;
     std::optional<ledger_completion>
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -279,17 +279,20 @@
 {
     std::optional<claim_request> request;
     with_job(state,
-             [&](const job_state& it)
-             {
-                 auto options = request_for(it);
-                 options.release = true;
-                 options.reach = {};
-                 request = claim_request(std::move(options));
-             });
+             [&](const job_state& it) { request = release_request(it); });
     if (request)
         hooks_.claim(*request, [](const claim_outcome&) {});
 }
 
+// Requires the lock of the job's shard.
+claim_request entry_service::release_request(const job_state& state) const
+{
+    auto options = request_for(state);
+    options.release = true;
+    options.reach = {};
+    return claim_request(std::move(options));
+}
+
 void entry_service::forward(const job_pointer& state,
                             const std::string& address)
 {
--- a/process/entry/src/entry_drain.cpp
+++ b/process/entry/src/entry_drain.cpp
@@ -6,6 +6,8 @@
 #include "lagoonquay/process/log.hpp"
 #include "lagoonquay/process/program.hpp"
 
+#include <utility>
+
 namespace lagoonquay
 {
 
@@ -76,28 +78,34 @@
         });
 }
 
-bool is_closed(const stopping_entry& it)
+// The peers' listener accepts to the end: a refused connection proves that a
+// replica has ended.
+bool is_quiet(const stopping_entry& it)
 {
-    return it.callers.open_connections() == 0 &&
-           it.peers.open_connections() == 0;
+    return it.service.unanswered() == 0 && it.callers.is_quiet() &&
+           it.peers.requests_in_progress() == 0;
 }
 
 // A request that is arriving is read and answered, and a new connection is
-// refused, so that its sender knows that nothing was read.
-void close_listeners(const stopping_entry& it)
+// refused, so that its sender knows that nothing was read. A connection may
+// pass from one state to the next beside a look, so two looks have to agree. A
+// job may have been taken beside the last answers.
+void close_callers(const stopping_entry& it, const stop_plan& plan)
 {
+    const bool bounded = plan.end != duration();
     const auto end = steady_now() + max_close_time;
-    for (auto* const listener : {&it.callers, &it.peers})
-    {
-        listener->close_after_responses();
-        listener->stop_accepting();
-    }
+    bool was_quiet = false;
+    it.callers.stop_accepting();
     wait_until(
         [&]
         {
+            if (bounded && it.service.unanswered() > 0)
+                it.service.answer_rest();
             it.callers.close_idle();
-            it.peers.close_idle();
-            return is_closed(it) || steady_now() >= end;
+            const bool quiet = is_quiet(it);
+            const bool over = steady_now() >= end &&
+                              (bounded || it.service.unanswered() == 0);
+            return (std::exchange(was_quiet, quiet) && quiet) || over;
         });
 }
 
@@ -136,7 +144,7 @@
         wait_until_idle(entry, signal_at + plan.end);
         entry.service.answer_rest();
     }
-    close_listeners(entry);
+    close_callers(entry, plan);
     log_end(entry);
     write_log(log_level::info, part, "Stopped.");
 }
--- a/process/entry/src/entry_stops.cpp
+++ b/process/entry/src/entry_stops.cpp
@@ -103,30 +103,52 @@
 {
     for (const auto& state : open_jobs())
     {
-        bool untouched = false;
-        with_job(state,
-                 [&](const job_state& it)
-                 {
-                     const bool unclaimed = it.stage == job_stage::claiming ||
-                                            it.stage == job_stage::forwarded;
-                     untouched = unclaimed || (it.stage == job_stage::running &&
-                                               it.earlier_agents.empty() &&
-                                               it.run.untouched());
-                 });
-        if (untouched)
-            hand_back(state);
-        else
+        if (!hand_back(state))
             give_up(state);
     }
 }
 
-// The next entry need not wait for the lease.
-void entry_service::hand_back(const job_pointer& state)
+// A job that another entry holds, or held, may run or have run there.
+// Requires the lock of the job's shard.
+bool entry_service::is_untouched(const job_state& it)
+{
+    const bool new_here =
+        it.stage == job_stage::claiming || it.stage == job_stage::running;
+    return new_here && !it.needs_adoption && it.holder_address.empty() &&
+           it.earlier_agents.empty() && it.run.untouched();
+}
+
+// Removes the job in the same step, so that nothing of it is dispatched. The
+// next entry need not wait for the lease.
+//! @return whether nothing of the job was sent to an agent.
+bool entry_service::hand_back(const job_pointer& state)
 {
-    release_claim(state);
-    refuse(state, refusal(state->id, failure_reason::draining, effect::unknown,
-                          "this entry stops; nothing of the job was started "
-                          "here"));
+    const auto answer = refusal(state->id, failure_reason::draining,
+                                effect::unknown, "this entry stops");
+    std::vector<answer_hook> waiters;
+    std::optional<claim_request> release;
+    jobs_.with_shard(state->id,
+                     [&](auto& values)
+                     {
+                         const auto it = values.find(state->id);
+                         if (it == values.end() || it->second != state ||
+                             state->answer || !is_untouched(*state))
+                             return;
+                         release = release_request(*state);
+                         state->answer = answer;
+                         waiters = std::move(state->waiters);
+                         values.erase(it);
+                     });
+    if (!release)
+        return false;
+    hooks_.claim(*release, [](const claim_outcome&) {});
+    log_refusal(answer);
+    remove_open(state);
+    ++failed_;
+    answers_by_reason_.add(answer->reason);
+    for (const auto& it : waiters)
+        it(answer);
+    return true;
 }
 
 // Not recorded as closed: the caller may send the job again, and the entry that
--- a/process/entry/src/ledger_recovery.cpp
+++ b/process/entry/src/ledger_recovery.cpp
@@ -58,7 +58,7 @@
         }
         finished = completion(*peers, stray_runs, now);
         done_ = finished.has_value();
-        takes_records = !done_ && have_all_answered();
+        takes_records = !done_ && needs_records(now) && have_all_answered();
     }
     if (finished)
     {
@@ -70,6 +70,14 @@
                    { on_answer(it, answer); });
     if (takes_records)
         records_.take_from(*peers);
+    else if (!needs_records(now))
+        records_.end();
+}
+
+// Later it votes by its age.
+bool ledger_recovery::needs_records(instant now) const
+{
+    return now - started_at_ <= options_.records_needed_for;
 }
 
 void ledger_recovery::on_answer(const endpoint& peer,
@@ -91,7 +99,7 @@
         answered_peers_.insert(peer);
         if (answer->settled)
             peers_without_old_runs_.insert(peer);
-        if (!done_ && have_all_answered())
+        if (!done_ && needs_records(hooks_.now()) && have_all_answered())
             for_records = peers_;
     }
     if (!for_records.empty())
@@ -133,7 +141,7 @@
 {
     ledger_completion found;
     found.after = now - started_at_;
-    if (found.after <= options_.records_needed_for && !has_all_records(peers))
+    if (needs_records(now) && !has_all_records(peers))
         return std::nullopt;
     found.peers = peers.size();
     found.with_old_runs = static_cast<std::size_t>(
--- a/process/entry/tests/ledger_recovery_test.cpp
+++ b/process/entry/tests/ledger_recovery_test.cpp
@@ -262,6 +262,25 @@
     EXPECT_EQ(done, 1);
 }
 
+// Guards against a takeover that goes on for as long as the process lives.
+TEST_F(ledger_recovery_test, asks_for_no_records_once_it_votes_by_its_age)
+{
+    tells_at_once = false;
+    no_stray_runs = true;
+    peers = {first_peer};
+    tick();
+    asked[first_peer](held_claims{});
+    ASSERT_EQ(asked_for_records.size(), 1U);
+    now += seconds(5) + milliseconds(1);
+    tick();
+    asked_for_records[first_peer](std::nullopt);
+    asked_for_records.clear();
+    now += seconds(2);
+    tick();
+    EXPECT_TRUE(asked_for_records.empty());
+    EXPECT_EQ(done, 1);
+}
+
 member entry_at(const std::string& address)
 {
     return member(
