Keep the end of a link's hooks inside its test

Cause: the test's second link closes when its connection does, at the end of the test. Its hook held a reference to a promise on the test's stack, and the I/O thread called it after the promise had gone. Product code has no part in it: hooks of a link may be called until the link has closed.

Evidence: 1500 repeats under the address sanitizer report a use after free in the hook; another trace of the same kind is the neighbour's promise, which may still be inside set_value when its test goes on.

Change: both tests share a note with their hooks, which the first close sets. What they check is as before.

--- a/connection/tests/http_link_test.cpp
+++ b/connection/tests/http_link_test.cpp
@@ -6,6 +6,7 @@
 #include <future>
 #include <gtest/gtest.h>
 #include <memory>
+#include <mutex>
 #include <stdexcept>
 #include <thread>
 
@@ -27,22 +28,41 @@
     "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
     "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n";
 
+//! Tells a test that a link closed. Shared with the hooks, since links still
+//! close while and after a test ends.
+class close_note
+{
+public:
+    void set()
+    {
+        std::call_once(once_, [this] { closed_.set_value(); });
+    }
+    void wait()
+    {
+        closed_.get_future().wait();
+    }
+
+private:
+    std::once_flag once_;
+    std::promise<void> closed_;
+};
+
 // Which messages took effect is unknown, so the link does not go on.
 TEST_F(http_server_test, an_error_in_a_hook_of_a_link_closes_it)
 {
-    std::promise<void> closed;
+    const auto closed = std::make_shared<close_note>();
     auto options = limited([](auto& to) { to.link_path = "/v1/link"; });
     options.listen = {"127.0.0.1", 0};
     const auto server = http_server::listen(
         thread_.io(), options, echo_routes(),
-        [&](const std::shared_ptr<message_link>& link)
+        [closed](const std::shared_ptr<message_link>& link)
         {
             link->start({.on_messages = [](const auto&)
                          { throw std::runtime_error("unexpected"); },
                          .on_close =
-                             [&]
+                             [closed]
                          {
-                             closed.set_value();
+                             closed->set();
                          }});
         });
     ASSERT_TRUE(server);
@@ -50,7 +70,7 @@
     peer.send(open_link_request);
     EXPECT_TRUE(has_status(peer.read_until("\r\n\r\n"), "101"));
     peer.send(frame(encode_frame({return_message{}})));
-    closed.get_future().wait();
+    closed->wait();
     const raw_connection next(server.value().port());
     next.send(open_link_request);
     EXPECT_TRUE(has_status(next.read_until("\r\n\r\n"), "101"));
@@ -67,17 +87,17 @@
         std::string("\xff\x80\0\0\0\0", 6)};
     for (const auto& it : bad)
     {
-        std::promise<void> closed;
+        const auto closed = std::make_shared<close_note>();
         auto options = limited([](auto& to) { to.link_path = "/v1/link"; });
         options.listen = {"127.0.0.1", 0};
         const auto server =
             http_server::listen(thread_.io(), options, echo_routes(),
-                                [&](const std::shared_ptr<message_link>& link)
+                                [closed](const auto& link)
                                 {
                                     link->start({.on_messages = {},
-                                                 .on_close = [&]
+                                                 .on_close = [closed]
                                                  {
-                                                     closed.set_value();
+                                                     closed->set();
                                                  }});
                                 });
         ASSERT_TRUE(server);
@@ -85,7 +105,7 @@
         peer.send(open_link_request);
         EXPECT_TRUE(has_status(peer.read_until("\r\n\r\n"), "101"));
         peer.send(it);
-        closed.get_future().wait();
+        closed->wait();
     }
 }
 
