Test what a stop tells jobs that are claimed, sent out, adopted or not repeatable

Cause: `drain_end` had tests for jobs that run, wait or are forwarded, and none for its settings.

Change: tests for a claim and a dispatch in flight, a job under adoption, one that must not be repeated, and for the ranges of `drain_end`.

--- a/process/common/tests/process_settings_test.cpp
+++ b/process/common/tests/process_settings_test.cpp
@@ -56,6 +56,7 @@
     EXPECT_EQ(plain.value().process.limits, listener_limits{});
     EXPECT_EQ(plain.value().jobs, job_limits{});
     EXPECT_EQ(plain.value().drain_job_end, duration::zero());
+    EXPECT_EQ(plain.value().drain_end, duration::zero());
     const auto set =
         load(common + listeners +
              "[limits]\nidle_timeout = 2s\n[log]\nformat = json\n"
@@ -69,6 +70,40 @@
     EXPECT_EQ(set.value().jobs.tasks, 230U);
 }
 
+TEST(process_settings, reads_the_end_of_a_stop)
+{
+    const auto set = load(common + "[callers]\nlisten = 127.0.0.1:3\n"
+                                   "drain_notice = 2500ms\n"
+                                   "drain_job_end = 5s\ndrain_end = 5400ms\n"
+                                   "[peers]\nlisten = 127.0.0.1:4\n");
+    ASSERT_TRUE(set) << set.error().detail;
+    EXPECT_EQ(set.value().drain_end, std::chrono::milliseconds(5400));
+}
+
+// Guards against callers that are closed while jobs are still taken.
+TEST(process_settings, refuses_an_end_of_a_stop_before_that_of_its_jobs)
+{
+    const std::string peers = "[peers]\nlisten = 127.0.0.1:4\n";
+    for (const std::string it :
+         {"drain_notice = 2s\ndrain_end = 1999ms\n",
+          "drain_job_end = 2s\ndrain_end = 1999ms\n",
+          "drain_notice = 1s\ndrain_job_end = 2s\ndrain_end = 1500ms\n"})
+    {
+        const auto read =
+            load(common + "[callers]\nlisten = 127.0.0.1:3\n" + it + peers);
+        ASSERT_FALSE(read) << it;
+        EXPECT_EQ(read.error().code, process_errc::bad_settings);
+        EXPECT_NE(read.error().detail.find("[callers] drain_end: is before"),
+                  std::string::npos)
+            << read.error().detail;
+    }
+    EXPECT_TRUE(load(common + "[callers]\nlisten = 127.0.0.1:3\n" +
+                     "drain_job_end = 2s\ndrain_end = 2s\n" + peers));
+    // 0s: without an end, so it is before nothing.
+    EXPECT_TRUE(load(common + "[callers]\nlisten = 127.0.0.1:3\n" +
+                     "drain_job_end = 2s\ndrain_end = 0s\n" + peers));
+}
+
 //! A file that must be refused, and what the error must name.
 struct bad_settings
 {
@@ -82,6 +117,8 @@
         {"[process]\nid = e\n", "[process] domain: is missing"},
         {common + "[callers]\nlisten = 127.0.0.1:3\n",
          "[peers] listen: is missing"},
+        {common + "[callers]\nlisten = 127.0.0.1:3\ndrain_end = 61s\n",
+         "[callers] drain_end: 61s is not from"},
         {"[process]\nid = a b\ndomain = d\n", "[process] id: 'a b' is not"},
         {common + listeners + "[speed]\nmost = 1\n", "[speed] most: unknown"},
         {common + listeners + "[log]\ncolour = 1\n", "[log] colour: unknown"},
--- a/process/entry/tests/stop_end_test.cpp
+++ b/process/entry/tests/stop_end_test.cpp
@@ -43,7 +43,7 @@
                     .customer = customer_id("c"),
                     .created = created,
                     .time_limit = seconds(30),
-                    .idempotent = true,
+                    .idempotent = idempotent,
                     .tasks = std::vector<task>(1)});
     }
 
@@ -55,14 +55,50 @@
             fleet.submit(0, work(it));
             fleet.run_for(milliseconds(20));
         }
-        auto& entry = fleet.entry(0);
-        entry.mark_not_ready(plan);
+        fleet.entry(0).mark_not_ready(plan);
         fleet.run_for(plan.end);
-        entry.drain();
-        entry.answer_rest();
+        fleet.entry(0).drain();
+        fleet.entry(0).answer_rest();
         fleet.run_for(milliseconds(20));
     }
 
+    //! As a stop whose end comes with its signal.
+    void stop_at_once()
+    {
+        fleet.entry(0).mark_not_ready(plan);
+        fleet.entry(0).drain();
+        fleet.entry(0).answer_rest();
+    }
+
+    //! Runs in steps shorter than a message takes, until the only job of entry
+    //! 0 is as asked.
+    template <typename Reached>
+    void run_until(Reached reached)
+    {
+        for (int n = 0; n < 100000; ++n)
+        {
+            const auto open = fleet.entry(0).unanswered_jobs(1);
+            if (!open.empty() && reached(open.front()))
+                return;
+            fleet.run_for(std::chrono::microseconds(100));
+        }
+        FAIL() << "the job did not come that far";
+    }
+
+    void run_to_stage(std::string_view stage)
+    {
+        run_until([&](const unanswered_job& it) { return it.stage == stage; });
+    }
+
+    //! @return how often tasks were started, whatever their job.
+    std::uint64_t starts() const
+    {
+        std::uint64_t n = 0;
+        for (const auto& it : fleet.record().starts)
+            n += it.second;
+        return n;
+    }
+
     const std::vector<job_answer>& answers() const
     {
         return fleet.record().answers;
@@ -71,6 +107,7 @@
     fake_fleet fleet{{.agents = 1, .slots = 1, .upstreams_can_stop = true}};
     wall_time created = fleet.wall();
     duration run_time = seconds(20);
+    bool idempotent = true;
 };
 
 TEST_F(stop_end, answers_a_job_that_runs_for_longer)
@@ -131,6 +168,80 @@
     EXPECT_EQ(answers()[0]->reason, failure_reason::draining);
 }
 
+// Its tasks go on, since nobody may start them again.
+TEST_F(stop_end, answers_a_job_that_must_not_be_repeated_as_of_unknown_effect)
+{
+    idempotent = false;
+    stop_beside({"once"});
+    EXPECT_EQ(fleet.entry(0).unanswered(), 0U);
+    ASSERT_EQ(answers().size(), 1U);
+    EXPECT_EQ(answers()[0]->reason, failure_reason::draining);
+    EXPECT_EQ(answers()[0]->ran, effect::unknown);
+    fleet.kill_entry(0);
+    fleet.submit(1, work("once"));
+    fleet.run_for(seconds(40));
+    EXPECT_EQ(starts(), 1U);
+    EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
+}
+
+TEST_F(stop_end, hands_back_a_job_whose_claim_is_in_flight)
+{
+    fleet.submit(0, work("claims"));
+    run_to_stage("claiming");
+    stop_at_once();
+    EXPECT_EQ(fleet.entry(0).unanswered(), 0U);
+    fleet.run_for(milliseconds(20));
+    ASSERT_EQ(answers().size(), 1U);
+    EXPECT_EQ(answers()[0]->reason, failure_reason::draining);
+    run_time = milliseconds(50);
+    fleet.submit(1, work("claims"));
+    fleet.run_for(milliseconds(300));
+    ASSERT_EQ(answers().size(), 2U) << "the lease is still waited for";
+    EXPECT_TRUE(succeeded(answers()[1]));
+}
+
+// Guards against a task that starts after callers were told to send its job to
+// another entry.
+TEST_F(stop_end, stops_a_dispatch_in_flight)
+{
+    fleet.submit(0, work("sent"));
+    run_until([](const unanswered_job& it) { return it.dispatched > 0; });
+    EXPECT_EQ(starts(), 0U);
+    stop_at_once();
+    EXPECT_EQ(fleet.entry(0).unanswered(), 0U);
+    ASSERT_EQ(answers().size(), 1U);
+    EXPECT_EQ(answers()[0]->reason, failure_reason::draining);
+    EXPECT_EQ(answers()[0]->ran, effect::unknown);
+    fleet.run_for(milliseconds(20));
+    run_time = milliseconds(50);
+    fleet.submit(1, work("sent"));
+    fleet.run_for(seconds(6));
+    ASSERT_EQ(answers().size(), 2U) << "the run goes on";
+    EXPECT_TRUE(succeeded(answers()[1]));
+    EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
+}
+
+// The tasks ran under a holder that died; whether they ran is unknown here.
+TEST_F(stop_end, answers_a_job_that_is_being_adopted)
+{
+    fleet.submit(1, work("adopted"));
+    fleet.run_for(milliseconds(100));
+    fleet.kill_entry(1);
+    fleet.separate(0, 0, true);
+    fleet.submit(0, work("adopted"));
+    run_to_stage("adopting");
+    stop_at_once();
+    EXPECT_EQ(fleet.entry(0).unanswered(), 0U);
+    ASSERT_EQ(answers().size(), 1U);
+    EXPECT_EQ(answers()[0]->reason, failure_reason::draining);
+    EXPECT_EQ(answers()[0]->ran, effect::unknown);
+    fleet.separate(0, 0, false);
+    fleet.kill_entry(0);
+    fleet.submit(2, work("adopted"));
+    fleet.run_for(seconds(30));
+    EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
+}
+
 // Guards against a process that ends beside a request that it has begun to
 // read.
 TEST(stop_ends, after_a_request_that_was_arriving)
