--- a/process/entry/tests/ledger_records_http_test.cpp
+++ b/process/entry/tests/ledger_records_http_test.cpp
@@ -5,6 +5,7 @@
 #include "lagoonquay/process/entry_http.hpp"
 #include "lagoonquay/process/io_threads.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
+#include "lagoonquay/process/ledger_record_codec.hpp"
 #include "lagoonquay/process/ledger_records_http.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
 
@@ -168,6 +169,27 @@
         ledger_records_response(ledger_, {}, "18446744073709551615").body);
 }
 
+TEST_F(ledger_records_http, rejects_what_is_no_scope)
+{
+    http_request request;
+    request.query = "form=short";
+    for (const std::string it :
+         {"", "x", "{}", "[", "[]", "null", "{\"self\":1}",
+          "{\"self\":\"127.0.0.1:1\",\"entries\":[1]}"})
+    {
+        request.body = it;
+        const auto response = ledger_records_response(ledger_, request, "0");
+        EXPECT_EQ(response.status, http_status::bad_request) << it;
+        EXPECT_EQ(response.body.find("records"), std::string::npos) << it;
+    }
+    ledger_peer self;
+    self.address = {"127.0.0.1", 1};
+    self.domain = domain_id("d");
+    request.body = encode_record_scope(make_record_scope(self, {}));
+    EXPECT_EQ(ledger_records_response(ledger_, request, "0").status,
+              http_status::ok);
+}
+
 TEST_F(ledger_records_http, learns_nothing_of_established_ones_if_unknown)
 {
     listen("/v1/other");
