Tell a replica that begins anew only the held claims it may vote on

With 100 a restart took longer than the gap of one second between restarts, and claims beside it waited for half a second.

A young replica asks all peers at once for the claims that they hold, and each tells all of them, of which it votes on few while it is young. Its test answered the question without a link.

Change: the question goes over the links in records_over_links. It carries the scope of the records, and a peer leaves out claims outside of it.

--- a/process/entry/tests/records_over_links_test.cpp
+++ b/process/entry/tests/records_over_links_test.cpp
@@ -3,6 +3,7 @@
 
 #include "lagoonquay/process/entry_http.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
+#include "lagoonquay/process/ledger_record_codec.hpp"
 #include "lagoonquay/process/ledger_records_http.hpp"
 #include "lagoonquay/process/ledger_recovery.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
@@ -27,14 +28,24 @@
 constexpr duration claim_timeout = seconds(10);
 
 constexpr std::size_t jobs_per_entry = 40; //!< a second
+//! Of each entry, for a lease after they were claimed.
+constexpr std::size_t held_jobs =
+    jobs_per_entry * static_cast<std::size_t>(lease / milliseconds(1)) / 1000;
+//! As a replica that takes records over.
+constexpr duration young_time = milliseconds(700);
 
 constexpr duration restart_gap = seconds(1);
 
+const std::string held_path = "/v1/ledger/held";
+
 struct old_fleet_options
 {
     std::size_t entries = 12;
     std::size_t agents = 68;
     std::size_t jobs_per_second = 12 * jobs_per_entry; //!< of the whole fleet
+    //! Of the other entries, began anew as well: they are asked again and
+    //! again for the claims that they hold.
+    std::size_t young = 0;
     rated_links_options links;
 };
 
@@ -49,7 +60,7 @@
 public:
     explicit old_fleet(const old_fleet_options& options)
         : options_(options), links_(time_, options.links),
-          reaches_(options.entries, reach())
+          reaches_(options.entries, reach()), held_(options.entries)
     {
         for (std::size_t n = 0; n < options_.entries; ++n)
         {
@@ -85,6 +96,12 @@
     {
         return claims_sent_ - claims_answered_;
     }
+    //! @return bytes of claims that the others hold; received_bytes() has them
+    //! too.
+    std::size_t held_bytes() const
+    {
+        return held_bytes_;
+    }
     std::size_t received_bytes() const
     {
         return links_.received(address_of(0));
@@ -129,6 +146,9 @@
         for (std::size_t job = 0; job < jobs; ++job)
         {
             const auto asked = claim_of(job);
+            auto& held = held_[1 + job % (options_.entries - 1)];
+            if (held.size() < held_jobs)
+                held.push_back(asked);
             const auto groups =
                 choose_replica_groups(asked->submission, peer(0), peers);
             for (std::size_t n = 0;
@@ -166,10 +186,27 @@
         const std::string records = "/v1/ledger/records/";
         if (it.path == "/v1/ledger/claim")
             return claim_response(*replicas_[entry], it.body, {});
+        if (it.path == held_path)
+            return held_claims_of(entry, it);
         return ledger_records_response(*replicas_[entry], it,
                                        it.path.substr(records.size()));
     }
 
+    http_response held_claims_of(std::size_t entry, const http_request& it)
+    {
+        const auto scope = decode_record_scope(it.body);
+        held_claims held{.settled = entry > options_.young ||
+                                    time_.now() >= started_ + young_time};
+        for (const auto& claim : held_[entry])
+        {
+            if (covers(scope.value(), claim->submission))
+                held.claims.push_back(claim);
+        }
+        http_response told{.body = encode_held_claims(held)};
+        held_bytes_ += told.body.size();
+        return told;
+    }
+
     ledger_recovery_hooks hooks()
     {
         return {.now = [this] { return time_.now(); },
@@ -181,8 +218,13 @@
                         peers.push_back(address_of(n));
                     return peers;
                 },
-                .ask = [](const endpoint&, const held_claims_hook& done)
-                { done(held_claims{.settled = true}); },
+                .ask =
+                    [this](const endpoint& it, const held_claims_hook& done)
+                {
+                    request_held_claims(
+                        links_.sender(address_of(0)), it, scope(),
+                        [] { return true; }, done);
+                },
                 .restore_claim = [this](const claim_request& it)
                 { replicas_[0]->restore_claim(it); },
                 .ask_for_records =
@@ -235,6 +277,8 @@
     virtual_time time_;
     rated_links links_;
     std::vector<agent_reach> reaches_;
+    std::vector<std::vector<claim_request>> held_; //!< by each entry
+    std::size_t held_bytes_ = 0;
     std::vector<std::unique_ptr<ledger_replica>> replicas_;
     std::optional<ledger_recovery> recovery_;
     instant started_{};
@@ -260,6 +304,20 @@
         << fleet.received_bytes() << " bytes came";
 }
 
+// Guards against the same where entries that began just before are asked for
+// their claims over and over.
+TEST(records_over_links, come_in_time_beside_others_that_began_anew)
+{
+    old_fleet fleet({.young = 3});
+    fleet.begin_anew(seconds(6));
+    ASSERT_TRUE(fleet.complete_after())
+        << fleet.received_bytes() << " bytes came";
+    std::cout << fleet.held_bytes() << " bytes of claims that others hold\n";
+    EXPECT_LT(in_ms(*fleet.complete_after()), in_ms(young_time + restart_gap));
+    // The least time after which a claim asks another replica.
+    EXPECT_LT(in_ms(fleet.longest_claim()), 60);
+}
+
 // Prints what docs/CAPACITY.md states.
 TEST(records_over_links, come_in_time_at_any_size)
 {
@@ -269,7 +327,8 @@
             {.entries = entries, .jobs_per_second = entries * jobs_per_entry});
         fleet.begin_anew(seconds(6));
         std::cout << entries << " entries: " << fleet.received_bytes()
-                  << " bytes, complete after "
+                  << " bytes, " << fleet.held_bytes()
+                  << " of held claims, complete after "
                   << in_ms(fleet.complete_after().value_or(seconds(6)))
                   << " ms, longest claim " << in_ms(fleet.longest_claim())
                   << " ms\n";
