--- a/process/entry/include/lagoonquay/process/entry_http.hpp
+++ b/process/entry/include/lagoonquay/process/entry_http.hpp
@@ -1,7 +1,6 @@
 //! HTTP routes of an entry: callers, other entries and operators.
 #pragma once
 
-#include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/connection/http_message.hpp"
 #include "lagoonquay/process/entry_service.hpp"
 #include "lagoonquay/process/ledger_recovery.hpp"
@@ -41,17 +40,15 @@
                                    const latency_statistics& answers,
                                    traffic_meter& traffic);
 
-//! Requests the claims in the scope that another entry holds; one of an earlier
-//! version tells all. Reports a peer that refuses the connection as gone if
-//! `refusal_proves_end`, and nothing after another error or a timeout.
-void request_held_claims(const http_send_hook& send, const endpoint& peer,
-                         const record_scope& scope,
+//! Requests the claims that another entry holds. Reports a peer that refuses
+//! the connection as gone if `refusal_proves_end`, and nothing after another
+//! error or a timeout. The client must outlive the call of `done`.
+void request_held_claims(http_client& client, const endpoint& peer,
                          const refusal_proof_hook& refusal_proves_end,
                          const held_claims_hook& done);
 
 //! Requests only which entries another one knows as established, as above. One
-//! of an earlier version doesn't know the request: nothing is reported. The
-//! client must outlive the call of `done`.
+//! of an earlier version doesn't know the request: nothing is reported.
 void request_established(http_client& client, const endpoint& peer,
                          const refusal_proof_hook& refusal_proves_end,
                          const held_claims_hook& done);
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -7,7 +7,6 @@
 #include "lagoonquay/process/job_admission.hpp"
 #include "lagoonquay/process/live_settings.hpp"
 #include "lagoonquay/process/reason_counts.hpp"
-#include "lagoonquay/process/record_scope.hpp"
 #include "lagoonquay/process/sharded_map.hpp"
 #include "lagoonquay/process/stop_plan.hpp"
 #include "lagoonquay/request/answer.hpp"
@@ -217,10 +216,9 @@
     //! @return whether callers should send jobs here.
     bool ready() const;
 
-    //! @return the claims in the scope that this entry holds, each with its
-    //! remaining lease, and those in flight, with a whole one.
-    std::vector<claim_request>
-    held_claims(const record_scope& scope = record_scope());
+    //! @return the claims that this entry holds, each with its remaining lease,
+    //! and those in flight, with a whole one.
+    std::vector<claim_request> held_claims();
 
     //! @return the number of jobs without an answer.
     std::size_t unanswered();
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -343,14 +343,12 @@
 // replica started again, for a whole lease from now at the longest. One that
 // has lapsed keeps nobody out, but who claims the job next has to adopt it: its
 // runs may go on.
-std::vector<claim_request> entry_service::held_claims(const record_scope& scope)
+std::vector<claim_request> entry_service::held_claims()
 {
     const auto now = hooks_.now();
     std::vector<claim_request> held;
     for (const auto& state : open_jobs())
     {
-        if (!covers(scope, state->id))
-            continue;
         with_job(state,
                  [&](job_state& it)
                  {
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -5,7 +5,6 @@
 #include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/entry_peers.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
-#include "lagoonquay/process/ledger_record_codec.hpp"
 #include "lagoonquay/process/ledger_records_http.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
 #include "lagoonquay/process/load_report.hpp"
@@ -285,33 +284,28 @@
     return metrics;
 }
 
-void request_from_peer(const http_send_hook& send, const endpoint& peer,
-                       const http_request& request,
+void request_from_peer(http_client& client, const endpoint& peer,
+                       std::string path,
                        const refusal_proof_hook& refusal_proves_end,
                        const held_claims_hook& done)
 {
-    send(peer, request, held_claims_timeout,
-         [refusal_proves_end,
-          done](const connection_result<http_response>& answer)
-         {
-             if (!answer && answer.error().code == connection_errc::refused &&
-                 refusal_proves_end())
-                 return done(held_claims{.gone = true});
-             if (!answer || answer.value().status != http_status::ok)
-                 return done(std::nullopt);
-             auto claims = decode_held_claims(answer.value().body);
-             if (!claims)
-                 return done(std::nullopt);
-             done(std::move(claims).value());
-         });
-}
-
-// An earlier version asks without a scope, for all.
-request_result<record_scope> scope_of(const http_request& request)
-{
-    if (request.body.empty())
-        return record_scope();
-    return decode_record_scope(request.body);
+    http_request request;
+    request.path = std::move(path);
+    client.send(peer, request, held_claims_timeout,
+                [refusal_proves_end,
+                 done](const connection_result<http_response>& answer)
+                {
+                    if (!answer &&
+                        answer.error().code == connection_errc::refused &&
+                        refusal_proves_end())
+                        return done(held_claims{.gone = true});
+                    if (!answer || answer.value().status != http_status::ok)
+                        return done(std::nullopt);
+                    auto claims = decode_held_claims(answer.value().body);
+                    if (!claims)
+                        return done(std::nullopt);
+                    done(std::move(claims).value());
+                });
 }
 
 } // namespace
@@ -363,21 +357,14 @@
     {
         respond(claim_response(ledger, request.body, is_unlisted));
     };
-    const auto held = [&service, &ledger, &peers](const http_request& request,
-                                                  std::string_view,
-                                                  const http_responder& respond)
+    const auto held = [&service, &ledger, &peers]() -> http_response
     {
-        const auto scope = scope_of(request);
-        if (!scope)
-            return respond(error_response(http_status::bad_request, "malformed",
-                                          scope.error().detail));
-        const bool settled =
-            ledger.complete() || service.agents().no_stray_runs();
-        respond({.body = encode_held_claims(
-                     {.settled = settled,
-                      .claims = service.held_claims(scope.value()),
-                      .established = peers.established(),
-                      .listed_for = peers.listed_for()})});
+        return {.body = encode_held_claims(
+                    {.settled =
+                         ledger.complete() || service.agents().no_stray_runs(),
+                     .claims = service.held_claims(),
+                     .established = peers.established(),
+                     .listed_for = peers.listed_for()})};
     };
     const auto established = [&peers]() -> http_response
     {
@@ -392,7 +379,7 @@
     };
     return route_requests(
         {{http_method::post, "/v1/ledger/claim", claim},
-         {http_method::get, "/v1/ledger/held", held},
+         {http_method::get, "/v1/ledger/held", answer_with(held)},
          {http_method::get, "/v1/ledger/established", answer_with(established)},
          {http_method::get, "/v1/ledger/records/", records},
          {http_method::post, std::string(jobs_path),
@@ -414,25 +401,20 @@
                          }}));
 }
 
-void request_held_claims(const http_send_hook& send, const endpoint& peer,
-                         const record_scope& scope,
+void request_held_claims(http_client& client, const endpoint& peer,
                          const refusal_proof_hook& refusal_proves_end,
                          const held_claims_hook& done)
 {
-    http_request request;
-    request.path = "/v1/ledger/held";
-    request.body = encode_record_scope(scope);
-    request_from_peer(send, peer, request, refusal_proves_end, done);
+    request_from_peer(client, peer, "/v1/ledger/held", refusal_proves_end,
+                      done);
 }
 
 void request_established(http_client& client, const endpoint& peer,
                          const refusal_proof_hook& refusal_proves_end,
                          const held_claims_hook& done)
 {
-    http_request request;
-    request.path = "/v1/ledger/established";
-    request_from_peer(client.send_hook(), peer, request, refusal_proves_end,
-                      done);
+    request_from_peer(client, peer, "/v1/ledger/established",
+                      refusal_proves_end, done);
 }
 
 cancel_hook cancel_over_http(http_client& client)
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -140,7 +140,7 @@
     void ask_for_claims(const endpoint& peer, const held_claims_hook& done)
     {
         request_held_claims(
-            client.send_hook(), peer, scope_of_records(), refusal_proof(),
+            client, peer, refusal_proof(),
             [this, peer, done](const std::optional<held_claims>& answer)
             {
                 peers.take_answer(peer, answer);
--- a/process/entry/tests/listed_ledger.cpp
+++ b/process/entry/tests/listed_ledger.cpp
@@ -358,14 +358,13 @@
         done(it);
     };
     send(from, entry_number(peer),
-         {.serve = [this, note,
-                    scope = scope_of(*from)](host& at) -> virtual_time::event
+         {.serve = [this, note](host& at) -> virtual_time::event
           {
               auto& service = fleet_.entry(at.number);
               const held_claims told{.settled =
                                          at.replica->complete() ||
                                          service.agents().no_stray_runs(),
-                                     .claims = service.held_claims(scope),
+                                     .claims = service.held_claims(),
                                      .established = at.peers->established(),
                                      .listed_for = at.peers->listed_for()};
               return [note, told]
--- a/process/entry/tests/records_over_links_test.cpp
+++ b/process/entry/tests/records_over_links_test.cpp
@@ -3,7 +3,6 @@
 
 #include "lagoonquay/process/entry_http.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
-#include "lagoonquay/process/ledger_record_codec.hpp"
 #include "lagoonquay/process/ledger_records_http.hpp"
 #include "lagoonquay/process/ledger_recovery.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
@@ -26,6 +25,8 @@
 constexpr duration recovery_period = milliseconds(20);
 constexpr duration claim_period = milliseconds(10);
 constexpr duration claim_timeout = seconds(10);
+//! The least time after which a claim asks another replica.
+constexpr duration claim_patience = milliseconds(60);
 
 constexpr std::size_t jobs_per_entry = 40; //!< a second
 //! Of each entry, for a lease after they were claimed.
@@ -37,12 +38,16 @@
 constexpr duration restart_gap = seconds(1);
 
 const std::string held_path = "/v1/ledger/held";
+constexpr duration held_timeout = milliseconds(500);
 
 struct old_fleet_options
 {
     std::size_t entries = 12;
     std::size_t agents = 68;
     std::size_t jobs_per_second = 12 * jobs_per_entry; //!< of the whole fleet
+    //! Whether the others tell over the links which claims they hold. If not,
+    //! they hold none and are heard at once.
+    bool tells_held_claims = false;
     //! Of the other entries, began anew as well: they are asked again and
     //! again for the claims that they hold.
     std::size_t young = 0;
@@ -187,26 +192,36 @@
         if (it.path == "/v1/ledger/claim")
             return claim_response(*replicas_[entry], it.body, {});
         if (it.path == held_path)
-            return held_claims_of(entry, it);
+            return held_claims_of(entry);
         return ledger_records_response(*replicas_[entry], it,
                                        it.path.substr(records.size()));
     }
 
-    http_response held_claims_of(std::size_t entry, const http_request& it)
+    http_response held_claims_of(std::size_t entry)
     {
-        const auto scope = decode_record_scope(it.body);
-        held_claims held{.settled = entry > options_.young ||
-                                    time_.now() >= started_ + young_time};
-        for (const auto& claim : held_[entry])
-        {
-            if (covers(scope.value(), claim->submission))
-                held.claims.push_back(claim);
-        }
-        http_response told{.body = encode_held_claims(held)};
+        const bool settled =
+            entry > options_.young || time_.now() >= started_ + young_time;
+        http_response told{.body = encode_held_claims(
+                               {.settled = settled, .claims = held_[entry]})};
         held_bytes_ += told.body.size();
         return told;
     }
 
+    // As request_held_claims().
+    void ask_for_held(const endpoint& peer, const held_claims_hook& done)
+    {
+        http_request request;
+        request.path = held_path;
+        links_.sender(address_of(0))(
+            peer, request, held_timeout,
+            [done](const connection_result<http_response>& answer)
+            {
+                if (!answer)
+                    return done(std::nullopt);
+                done(decode_held_claims(answer.value().body).value());
+            });
+    }
+
     ledger_recovery_hooks hooks()
     {
         return {.now = [this] { return time_.now(); },
@@ -221,9 +236,9 @@
                 .ask =
                     [this](const endpoint& it, const held_claims_hook& done)
                 {
-                    request_held_claims(
-                        links_.sender(address_of(0)), it, scope(),
-                        [] { return true; }, done);
+                    if (options_.tells_held_claims)
+                        return ask_for_held(it, done);
+                    done(held_claims{.settled = true});
                 },
                 .restore_claim = [this](const claim_request& it)
                 { replicas_[0]->restore_claim(it); },
@@ -308,14 +323,33 @@
 // their claims over and over.
 TEST(records_over_links, come_in_time_beside_others_that_began_anew)
 {
-    old_fleet fleet({.young = 3});
+    old_fleet fleet({.tells_held_claims = true, .young = 3});
     fleet.begin_anew(seconds(6));
     ASSERT_TRUE(fleet.complete_after())
         << fleet.received_bytes() << " bytes came";
     std::cout << fleet.held_bytes() << " bytes of claims that others hold\n";
     EXPECT_LT(in_ms(*fleet.complete_after()), in_ms(young_time + restart_gap));
-    // The least time after which a claim asks another replica.
-    EXPECT_LT(in_ms(fleet.longest_claim()), 60);
+    EXPECT_LT(in_ms(fleet.longest_claim()), in_ms(claim_patience));
+}
+
+// Guards against a start that fills its link with claims of others.
+TEST(records_over_links, come_in_time_with_the_claims_that_others_hold)
+{
+    for (const std::size_t entries : {12U, 30U, 100U})
+    {
+        old_fleet fleet({.entries = entries,
+                         .jobs_per_second = entries * jobs_per_entry,
+                         .tells_held_claims = true});
+        fleet.begin_anew(seconds(6));
+        const auto complete = fleet.complete_after().value_or(seconds(6));
+        std::cout << entries << " entries: " << fleet.received_bytes()
+                  << " bytes, " << fleet.held_bytes()
+                  << " of held claims, complete after " << in_ms(complete)
+                  << " ms, longest claim " << in_ms(fleet.longest_claim())
+                  << " ms\n";
+        EXPECT_LT(in_ms(complete), in_ms(restart_gap));
+        EXPECT_LT(in_ms(fleet.longest_claim()), in_ms(claim_patience));
+    }
 }
 
 // Prints what docs/CAPACITY.md states.
@@ -327,8 +361,7 @@
             {.entries = entries, .jobs_per_second = entries * jobs_per_entry});
         fleet.begin_anew(seconds(6));
         std::cout << entries << " entries: " << fleet.received_bytes()
-                  << " bytes, " << fleet.held_bytes()
-                  << " of held claims, complete after "
+                  << " bytes, complete after "
                   << in_ms(fleet.complete_after().value_or(seconds(6)))
                   << " ms, longest claim " << in_ms(fleet.longest_claim())
                   << " ms\n";
@@ -340,11 +373,9 @@
 // Guards against claims that go unanswered beside a takeover.
 TEST(records_over_links, keep_no_claim_waiting)
 {
-    // The least time after which a claim asks another replica.
-    constexpr duration patience = milliseconds(60);
     old_fleet fleet({});
     fleet.begin_anew(seconds(2));
-    EXPECT_LT(in_ms(fleet.longest_claim()), in_ms(patience))
+    EXPECT_LT(in_ms(fleet.longest_claim()), in_ms(claim_patience))
         << fleet.unanswered_claims() << " without an answer";
 }
 
