Require an answer for jobs that are sent again after a stop

Cause: two tests of stop_end sent a job again and looked at violations alone, so a caller without an answer would have passed.

Change: they require the second answer.

Measured: stop_end.* passes.

--- a/process/entry/tests/stop_end_test.cpp
+++ b/process/entry/tests/stop_end_test.cpp
@@ -181,6 +181,7 @@
     fleet.submit(1, work("once"));
     fleet.run_for(seconds(40));
     EXPECT_EQ(starts(), 1U);
+    EXPECT_EQ(answers().size(), 2U);
     EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
 }
 
@@ -239,6 +240,7 @@
     fleet.kill_entry(0);
     fleet.submit(2, work("adopted"));
     fleet.run_for(seconds(30));
+    EXPECT_EQ(answers().size(), 2U);
     EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
 }
 
