Log starts without an answer, ends that are kept back, and listed entries

Change: the lines start_unanswered, start_held, start_hold_ended, link_closed, entry_listed and entry_dropped. No decision changes.

--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -218,8 +218,8 @@
     take_superseded_links(const hello_message& hello);
     void expire_orphan_grace(const hello_message& hello);
     instant orphaned_since(const message_link& closed) const;
-    void orphan_runs(link_number link, const hello_message& owner,
-                     instant since);
+    std::size_t orphan_runs(link_number link, const hello_message& owner,
+                            instant since);
     void add_watcher(guard_shard& shard, const task_key& key, link_number link);
     std::uint32_t count_stray_runs() const;
     static task_result result_of_stopped_run(const task_result& result);
--- a/process/agent/src/agent_orphans.cpp
+++ b/process/agent/src/agent_orphans.cpp
@@ -94,9 +94,12 @@
 // An entry that lost its link soon opens a new one and queries its tasks. A
 // repeatable run that no entry queries within the grace is stopped, because its
 // caller may already have another attempt of it running.
-void agent_service::orphan_runs(link_number link, const hello_message& owner,
-                                instant since)
+//! @return the number of runs that no open link waits for any more.
+std::size_t agent_service::orphan_runs(link_number link,
+                                       const hello_message& owner,
+                                       instant since)
 {
+    std::size_t orphaned = 0;
     for (const auto& it : guards_)
     {
         const std::lock_guard lock(it->mutex);
@@ -105,12 +108,14 @@
             if (links.erase(link) == 0 || !links.empty())
                 continue;
             ++runs_without_link_;
+            ++orphaned;
             const auto found = it->repeatable.find(key);
             if (found != it->repeatable.end())
                 it->orphans.emplace(key,
                                     orphaned_run{found->second, owner, since});
         }
     }
+    return orphaned;
 }
 
 // Stray runs are those that no open link waits for. Until the worker is ready
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -276,8 +276,15 @@
                                       { return it.link == link; });
     }
     decline_tasks(waiting, failure_reason::not_startable, "the link closed");
-    orphan_runs(link, closed.peer.value_or(hello_message()),
-                orphaned_since(*closed.link));
+    const auto peer = closed.peer.value_or(hello_message());
+    const auto runs = orphan_runs(link, peer, orphaned_since(*closed.link));
+    write_event(
+        log_level::info, "agent", {}, "link_closed",
+        {{"entry", peer.entry.text()},
+         {"entry_run", std::to_string(peer.entry_run.number())},
+         {"waiting", static_cast<std::int64_t>(waiting.size())},
+         {"runs", static_cast<std::int64_t>(runs)},
+         {"silent_ms", milliseconds_of(closed.link->time_since_received())}});
     send_changed_grants();
 }
 
--- a/process/agent/src/leased_runs.cpp
+++ b/process/agent/src/leased_runs.cpp
@@ -40,6 +40,10 @@
     {
         for (const auto& it : output.given_up)
             log_event(it);
+        for (const auto& it : output.unanswered)
+            log_event(it);
+        for (const auto& it : output.held)
+            log_event(it);
         for (const auto& it : output.resurfaced)
             log_event(it);
         for (const auto& it : output.stopped)
--- a/process/agent/src/run_events.cpp
+++ b/process/agent/src/run_events.cpp
@@ -55,6 +55,25 @@
                  {"list_age_ms", milliseconds_of(it.list_age)}});
 }
 
+void log_event(const unanswered_start& it)
+{
+    write_event(log_level::info, part, it.run.submission, "start_unanswered",
+                {task_of(it.run),
+                 attempt_of(it.run),
+                 {"age_ms", milliseconds_of(it.age)},
+                 {"next_life", it.is_next_life ? "yes" : "no"}});
+}
+
+void log_event(const held_start& it)
+{
+    write_event(
+        log_level::info, part, it.run.submission,
+        it.is_over ? "start_hold_ended" : "start_held",
+        {task_of(it.run),
+         attempt_of(it.run),
+         {it.is_over ? "held_ms" : "up_to_ms", milliseconds_of(it.span)}});
+}
+
 void log_event(const resurfaced_run& it)
 {
     const auto& run = it.run.run;
--- a/process/agent/src/run_events.hpp
+++ b/process/agent/src/run_events.hpp
@@ -56,7 +56,31 @@
                            const resurfaced_run&) = default;
 };
 
+//! A start that got no answer in time; the worker may yet carry it out.
+struct unanswered_start
+{
+    task_run run;
+    duration age{};            //!< since it was ordered
+    bool is_next_life = false; //!< whether a next life has answered instead
+
+    friend bool operator==(const unanswered_start&,
+                           const unanswered_start&) = default;
+};
+
+//! A run that was given up, and whose result is kept back for as long as its
+//! start may reach a next life of the worker.
+struct held_start
+{
+    task_run run;
+    bool is_over = false; //!< whether the result has been passed on
+    duration span{};      //!< left at most; once it is over, that it took
+
+    friend bool operator==(const held_start&, const held_start&) = default;
+};
+
 void log_event(const given_up_run& it);
+void log_event(const unanswered_start& it);
+void log_event(const held_start& it);
 void log_event(const resurfaced_run& it);
 void log_event(const stopped_run& it);
 void log_event(const begun_life& it);
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -126,6 +126,8 @@
             return;
         it.current_phase = phase::unconfirmed;
         it.stale_reports_up_to = last_extension_number_;
+        output_.unanswered.push_back({order.run, now - it.ordered,
+                                      reply.result != order_result::unknown});
         return poll_if_needed(now);
     case order_result::fenced:
         raise_fence(order.fence, reply, now);
@@ -390,8 +392,9 @@
     if (!may_begin_later || now >= until)
         return;
     held_.emplace(lost.run,
-                  held_result{std::move(output_.results.back()), until});
+                  held_result{std::move(output_.results.back()), now, until});
     output_.results.pop_back();
+    output_.held.push_back({lost.run, false, until - now});
 }
 
 void run_table::release_held_results(instant now)
@@ -404,6 +407,7 @@
             continue;
         }
         output_.results.push_back(std::move(it->second.result));
+        output_.held.push_back({it->first, true, now - it->second.since});
         it = held_.erase(it);
     }
 }
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -39,10 +39,12 @@
     std::vector<stop_order> stops;
     std::vector<numbered_extension> extensions;
     std::vector<run_result> results;
-    std::vector<given_up_run> given_up;     //!< to be logged
-    std::vector<resurfaced_run> resurfaced; //!< to be logged
-    std::vector<stopped_run> stopped;       //!< to be logged
-    std::optional<begun_life> begun;        //!< to be logged
+    std::vector<given_up_run> given_up;       //!< to be logged
+    std::vector<unanswered_start> unanswered; //!< to be logged
+    std::vector<held_start> held;             //!< to be logged
+    std::vector<resurfaced_run> resurfaced;   //!< to be logged
+    std::vector<stopped_run> stopped;         //!< to be logged
+    std::optional<begun_life> begun;          //!< to be logged
     bool readiness_changed = false;
 };
 
@@ -113,6 +115,7 @@
     struct held_result
     {
         run_result result;
+        instant since{};
         instant until{};
     };
 
--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -34,6 +34,17 @@
 //! for `claim_lease`.
 duration entry_retention(duration claim_lease) noexcept;
 
+//! An entry that was listed for the first time, or is no longer counted.
+struct peer_change
+{
+    endpoint address;
+    std::string id;
+    incarnation run;
+    bool is_dropped = false;
+
+    friend bool operator==(const peer_change&, const peer_change&) = default;
+};
+
 //! Keeps entries for some time after control ceases to list them. Thread-safe.
 class entry_peers
 {
@@ -51,6 +62,9 @@
     //!                  not, entries that the list lacks are kept.
     void learn(const std::vector<member>& entries, bool in_touch);
 
+    //! @return what has changed since the last call, for the log.
+    std::vector<peer_change> take_changes();
+
     //! @return the addresses at which the other entries accept claims.
     std::vector<endpoint> current();
 
@@ -131,6 +145,7 @@
     instant last_list_time_{}; //!< of those received in touch with control
     std::map<endpoint, listed_entry> entries_;
     std::map<std::string, removed_entry> removed_; //!< no longer in entries_
+    std::vector<peer_change> changes_;             //!< not yet taken
     //! What each peer has told; empty for one that is new itself.
     std::map<endpoint, std::vector<endpoint>> established_at_;
     //! First lists of the peers that are new themselves and told when it was.
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -84,6 +84,15 @@
                  {"stray_runs", it.stray_runs ? "yes" : "no"}});
 }
 
+void log_change(const peer_change& it)
+{
+    write_event(log_level::info, part, {},
+                it.is_dropped ? "entry_dropped" : "entry_listed",
+                {{"entry", it.id},
+                 {"entry_run", std::to_string(it.run.number())},
+                 {"address", to_text(it.address)}});
+}
+
 //! @return a thread-safe source of random numbers.
 random_hook seeded_random_hook(std::uint64_t seed)
 {
@@ -258,6 +267,8 @@
                            const std::vector<member>& entries)
                 {
                     peers.learn(entries, service.is_in_touch_with_control());
+                    for (const auto& it : peers.take_changes())
+                        log_change(it);
                     service.learn(agents, peers.current().size() + 1);
                 }};
     }
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -1,6 +1,7 @@
 #include "lagoonquay/process/entry_peers.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace lagoonquay
 {
@@ -61,11 +62,12 @@
         const auto address = parse_endpoint(it->address);
         if (!address || it->address == own_)
             continue;
-        auto& known = entries_
-                          .try_emplace(address.value(),
-                                       listed_entry{it->id, it->run, it->domain,
-                                                    now, now})
-                          .first->second;
+        const auto [found, is_new] = entries_.try_emplace(
+            address.value(),
+            listed_entry{it->id, it->run, it->domain, now, now});
+        auto& known = found->second;
+        if (is_new || known.run != it->run)
+            changes_.push_back({address.value(), it->id, it->run});
         known.id = it->id;
         known.run = it->run;
         known.last_listed = now;
@@ -110,6 +112,13 @@
     return first_list_time_.has_value();
 }
 
+std::vector<peer_change> entry_peers::take_changes()
+{
+    const std::lock_guard lock(mutex_);
+    remove_unlisted();
+    return std::exchange(changes_, {});
+}
+
 std::vector<endpoint> entry_peers::current()
 {
     const std::lock_guard lock(mutex_);
@@ -344,17 +353,18 @@
 void entry_peers::remove_unlisted()
 {
     const auto now = now_();
-    std::erase_if(entries_,
-                  [&](const auto& it)
-                  {
-                      const auto& known = it.second;
-                      const bool gone =
-                          last_list_time_ - known.last_listed > retention_;
-                      if (gone)
-                          removed_.insert_or_assign(
-                              known.id, removed_entry{known.run, now});
-                      return gone;
-                  });
+    std::erase_if(
+        entries_,
+        [&](const auto& it)
+        {
+            const auto& known = it.second;
+            const bool gone = last_list_time_ - known.last_listed > retention_;
+            if (!gone)
+                return false;
+            removed_.insert_or_assign(known.id, removed_entry{known.run, now});
+            changes_.push_back({it.first, known.id, known.run, true});
+            return true;
+        });
 }
 
 } // namespace lagoonquay
