Ask a few peers at a time for held claims, and tell reaches once

Callers saw: beside an entry that began anew in a large fleet, claims waited, and so did jobs. Over links of 25 Mbit/s, 40 jobs a second and entry, a claim waited 144 ms with 30 entries and 510 ms with 100 (60 ms allowed), and a start lasted 1460 ms with 100 (1000 ms allowed); records_over_links.come_in_time_with_* failed with these figures.

Cause: all peers were asked for their claims at once, and each answered with 16 kB: 200 B a claim, most of it the same in all, and the 68 agents of the reach, which all peers tell alike. With 100 entries that is 0.5 s of the link, as long as the timeout, so part of it was asked for again. Pages of records told the agents again as well, a third of their bytes.

Change: 12 peers are asked at a time, the next with each answer; one that is silent frees its place after 100 ms. Held claims have a short form with tables, asked for by a query. A question, also one for records, names up to eight reaches that came before by their digest, and these are not told again. Earlier versions get and give the long form; they ignore the digests in a question for records (by reading).

The test asks and answers by the product's functions now; its bounds and sizes are as they were.

--- a/process/common/tests/decoder_fuzz_test.cpp
+++ b/process/common/tests/decoder_fuzz_test.cpp
@@ -1,5 +1,6 @@
 #include "lagoonquay/connection/upstream.hpp"
 #include "lagoonquay/process/claim.hpp"
+#include "lagoonquay/process/held_claims_codec.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_record_codec.hpp"
 #include "lagoonquay/process/operator_codec.hpp"
@@ -115,6 +116,38 @@
     }
 }
 
+reaches_by_digest known_to_reader()
+{
+    const agent_reach reach{{agent_id("a"), incarnation(3)}};
+    return {{digest_of(reach), reach}};
+}
+
+// The tables of a message may have more reaches than its claims.
+request_result<held_claims> decode_short_held(std::string_view text)
+{
+    auto told = decode_short_held_claims(text, known_to_reader());
+    if (!told)
+        return BOOST_OUTCOME_V2_NAMESPACE::failure(told.error());
+    return std::move(told.value().held);
+}
+
+request_result<ledger_record_page> decode_short_records(std::string_view text)
+{
+    auto told = decode_record_page(text, known_to_reader());
+    if (!told)
+        return BOOST_OUTCOME_V2_NAMESPACE::failure(told.error());
+    return std::move(told.value().page);
+}
+
+record_question sample_question()
+{
+    ledger_peer self;
+    self.address = {"127.0.0.1", 1};
+    self.domain = domain_id("d");
+    return {.scope = make_record_scope(self, {self}),
+            .known = digests_of(known_to_reader())};
+}
+
 job sample_job()
 {
     return job({.submission = submission_id("s"),
@@ -243,7 +276,27 @@
           decode_ledger_records, encode_ledger_records);
     check("short records",
           encode_record_page({.records = {record, record}, .next = 3}),
-          decode_record_page, encode_record_page);
+          decode_short_records,
+          [](const ledger_record_page& it) { return encode_record_page(it); });
+    check("short records with known reaches",
+          encode_record_page({.records = {record, record}, .next = 3},
+                             digests_of(known_to_reader())),
+          decode_short_records,
+          [](const ledger_record_page& it) { return encode_record_page(it); });
+    check("short held claims",
+          encode_short_held_claims({.settled = true, .claims = {claim, claim}},
+                                   {}),
+          decode_short_held,
+          [](const held_claims& it)
+          { return encode_short_held_claims(it, {}); });
+    check("short held claims with known reaches",
+          encode_short_held_claims({.settled = true, .claims = {claim, claim}},
+                                   digests_of(known_to_reader())),
+          decode_short_held,
+          [](const held_claims& it)
+          { return encode_short_held_claims(it, {}); });
+    check("question for records", encode_record_question(sample_question()),
+          decode_record_question, encode_record_question);
 }
 
 TEST(decoder_fuzz, command_and_outcome)
--- a/process/entry/include/lagoonquay/process/entry_http.hpp
+++ b/process/entry/include/lagoonquay/process/entry_http.hpp
@@ -40,19 +40,6 @@
                                    const latency_statistics& answers,
                                    traffic_meter& traffic);
 
-//! Requests the claims that another entry holds. Reports a peer that refuses
-//! the connection as gone if `refusal_proves_end`, and nothing after another
-//! error or a timeout. The client must outlive the call of `done`.
-void request_held_claims(http_client& client, const endpoint& peer,
-                         const refusal_proof_hook& refusal_proves_end,
-                         const held_claims_hook& done);
-
-//! Requests only which entries another one knows as established, as above. One
-//! of an earlier version doesn't know the request: nothing is reported.
-void request_established(http_client& client, const endpoint& peer,
-                         const refusal_proof_hook& refusal_proves_end,
-                         const held_claims_hook& done);
-
 //! @return a hook that cancels jobs at other entries over HTTP. The client must
 //! outlive the hook.
 cancel_hook cancel_over_http(http_client& client);
--- a/process/entry/include/lagoonquay/process/ledger_recovery.hpp
+++ b/process/entry/include/lagoonquay/process/ledger_recovery.hpp
@@ -6,8 +6,11 @@
 #include "lagoonquay/process/held_claims.hpp"
 #include "lagoonquay/process/records_takeover.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -27,6 +30,11 @@
     //! Time after the start from which the replica votes without records.
     duration records_needed_for =
         ledger_options().max_undated_resubmission_delay;
+    //! Peers that are asked for their claims at a time: what they tell keeps
+    //! claims waiting.
+    std::size_t max_peers_asked = 12;
+    //! Time after which a peer that is silent no longer counts as one of them.
+    duration answer_patience = std::chrono::milliseconds(100);
     records_takeover_options records;
 
     friend bool operator==(const ledger_recovery_options&,
@@ -79,8 +87,8 @@
     std::function<void(const ledger_completion&)> done;
 };
 
-//! Queries each peer for its claims until all have answered, and then takes
-//! over its records once. Thread-safe.
+//! Queries each peer for its claims until all have answered, a few at a time,
+//! and then takes over its records once. Thread-safe.
 class ledger_recovery
 {
 public:
@@ -91,6 +99,8 @@
     void tick();
 
 private:
+    void ask_next();
+    std::optional<endpoint> take_waiting();
     void on_answer(const endpoint& peer,
                    const std::optional<held_claims>& answer);
     records_takeover_hooks records_hooks();
@@ -109,8 +119,10 @@
 
     mutable std::mutex mutex_;
     instant last_peer_end_; //!< when a peer was last found gone, or the start
-    std::vector<endpoint> peers_;      //!< of the last tick
-    std::set<endpoint> queried_peers_; //!< queries in flight
+    std::vector<endpoint> peers_;             //!< of the last tick
+    std::deque<endpoint> waiting_peers_;      //!< to be asked, in this order
+    std::map<endpoint, instant> asked_peers_; //!< queries in flight
+    std::set<endpoint> queried_peers_;        //!< both of these
     std::set<endpoint> answered_peers_;
     //! Subset of answered_peers_ whose old runs have ended.
     std::set<endpoint> peers_without_old_runs_;
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -4,6 +4,7 @@
 #include "lagoonquay/connection/http_routes.hpp"
 #include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/entry_peers.hpp"
+#include "lagoonquay/process/held_claims_http.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_records_http.hpp"
 #include "lagoonquay/process/ledger_replica.hpp"
@@ -26,7 +27,6 @@
 constexpr std::string_view part = "caller";
 constexpr std::string_view jobs_path = "/v1/jobs";
 constexpr std::uint32_t retry_after_s = 1;
-constexpr duration held_claims_timeout = std::chrono::milliseconds(500);
 constexpr duration cancel_timeout = std::chrono::seconds(1);
 
 http_response not_found()
@@ -284,30 +284,6 @@
     return metrics;
 }
 
-void request_from_peer(http_client& client, const endpoint& peer,
-                       std::string path,
-                       const refusal_proof_hook& refusal_proves_end,
-                       const held_claims_hook& done)
-{
-    http_request request;
-    request.path = std::move(path);
-    client.send(peer, request, held_claims_timeout,
-                [refusal_proves_end,
-                 done](const connection_result<http_response>& answer)
-                {
-                    if (!answer &&
-                        answer.error().code == connection_errc::refused &&
-                        refusal_proves_end())
-                        return done(held_claims{.gone = true});
-                    if (!answer || answer.value().status != http_status::ok)
-                        return done(std::nullopt);
-                    auto claims = decode_held_claims(answer.value().body);
-                    if (!claims)
-                        return done(std::nullopt);
-                    done(std::move(claims).value());
-                });
-}
-
 } // namespace
 
 // An entry that goes on by an old view of the fleet asks another group than the
@@ -357,14 +333,16 @@
     {
         respond(claim_response(ledger, request.body, is_unlisted));
     };
-    const auto held = [&service, &ledger, &peers]() -> http_response
+    const auto held = [&service, &ledger, &peers](const http_request& request,
+                                                  std::string_view,
+                                                  const http_responder& respond)
     {
-        return {.body = encode_held_claims(
-                    {.settled =
-                         ledger.complete() || service.agents().no_stray_runs(),
-                     .claims = service.held_claims(),
-                     .established = peers.established(),
-                     .listed_for = peers.listed_for()})};
+        respond(held_claims_response(
+            request,
+            {.settled = ledger.complete() || service.agents().no_stray_runs(),
+             .claims = service.held_claims(),
+             .established = peers.established(),
+             .listed_for = peers.listed_for()}));
     };
     const auto established = [&peers]() -> http_response
     {
@@ -379,7 +357,7 @@
     };
     return route_requests(
         {{http_method::post, "/v1/ledger/claim", claim},
-         {http_method::get, "/v1/ledger/held", answer_with(held)},
+         {http_method::get, "/v1/ledger/held", held},
          {http_method::get, "/v1/ledger/established", answer_with(established)},
          {http_method::get, "/v1/ledger/records/", records},
          {http_method::post, std::string(jobs_path),
@@ -401,22 +379,6 @@
                          }}));
 }
 
-void request_held_claims(http_client& client, const endpoint& peer,
-                         const refusal_proof_hook& refusal_proves_end,
-                         const held_claims_hook& done)
-{
-    request_from_peer(client, peer, "/v1/ledger/held", refusal_proves_end,
-                      done);
-}
-
-void request_established(http_client& client, const endpoint& peer,
-                         const refusal_proof_hook& refusal_proves_end,
-                         const held_claims_hook& done)
-{
-    request_from_peer(client, peer, "/v1/ledger/established",
-                      refusal_proves_end, done);
-}
-
 cancel_hook cancel_over_http(http_client& client)
 {
     return [&client](const std::string& address, const submission_id& id,
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -6,6 +6,7 @@
 #include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/entry_http.hpp"
 #include "lagoonquay/process/entry_peers.hpp"
+#include "lagoonquay/process/held_claims_http.hpp"
 #include "lagoonquay/process/io_threads.hpp"
 #include "lagoonquay/process/latency_statistics.hpp"
 #include "lagoonquay/process/ledger_client.hpp"
@@ -149,7 +150,7 @@
     void ask_for_claims(const endpoint& peer, const held_claims_hook& done)
     {
         request_held_claims(
-            client, peer, refusal_proof(),
+            client.send_hook(), peer, reaches_of_peers, refusal_proof(),
             [this, peer, done](const std::optional<held_claims>& answer)
             {
                 peers.take_answer(peer, answer);
@@ -193,7 +194,7 @@
             {
                 request_ledger_records(client.send_hook(), peer,
                                        scope_of_records(), first_shard,
-                                       refusal_proof(), done);
+                                       reaches_of_peers, refusal_proof(), done);
             },
             .restore_record = [this](const ledger_record& told)
             { ledger.restore_record(told); },
@@ -309,6 +310,7 @@
     entry_peers peers;
     std::mutex scope_mutex;
     std::optional<record_scope> scope; //!< of the records that are taken over
+    known_reaches reaches_of_peers;
     latency_statistics answers;
     entry_service service;
     permit_client permits;
--- a/process/entry/src/ledger_records_http.cpp
+++ b/process/entry/src/ledger_records_http.cpp
@@ -24,6 +24,7 @@
     endpoint peer;
     std::uint64_t first_shard = 0;
     instant asked_at{};
+    reaches_by_digest known;
 };
 
 void log_taken(const page_question& it, const ledger_record_page& page,
@@ -50,7 +51,7 @@
 
 std::optional<peer_records>
 to_page(const page_question& it, const connection_result<http_response>& answer,
-        const refusal_proof_hook& refusal_proves_end)
+        known_reaches& known, const refusal_proof_hook& refusal_proves_end)
 {
     if (!answer && answer.error().code == connection_errc::refused &&
         refusal_proves_end())
@@ -62,12 +63,13 @@
         return peer_records();
     if (answer.value().status != http_status::ok)
         return without(it, "refused");
-    auto page = decode_record_page(answer.value().body);
-    if (!page)
+    auto told = decode_record_page(answer.value().body, it.known);
+    if (!told)
         return without(it, "malformed");
-    log_taken(it, page.value(), answer.value().body.size());
-    return peer_records{.records = std::move(page.value().records),
-                        .next = page.value().next};
+    known.add(told.value().reaches);
+    auto& page = told.value().page;
+    log_taken(it, page, answer.value().body.size());
+    return peer_records{.records = std::move(page.records), .next = page.next};
 }
 
 } // namespace
@@ -87,29 +89,30 @@
     if (request.query != short_form)
         return {.body = encode_ledger_records(
                     ledger.recent_records(first, max_records))};
-    const auto scope = decode_record_scope(request.body);
-    if (!scope)
+    const auto asked = decode_record_question(request.body);
+    if (!asked)
         return error_response(http_status::bad_request, "malformed",
-                              scope.error().detail);
+                              asked.error().detail);
+    const auto& [scope, known] = asked.value();
     return {.body = encode_record_page(
-                ledger.recent_records(first, max_records, scope.value()))};
+                ledger.recent_records(first, max_records, scope), known)};
 }
 
 void request_ledger_records(const http_send_hook& send, const endpoint& peer,
                             const record_scope& scope,
-                            std::uint64_t first_shard,
+                            std::uint64_t first_shard, known_reaches& known,
                             const refusal_proof_hook& refusal_proves_end,
                             const peer_records_hook& done)
 {
+    const page_question asked{peer, first_shard, steady_now(), known.current()};
     http_request request;
     request.path = "/v1/ledger/records/" + std::to_string(first_shard);
     request.query = short_form;
-    request.body = encode_record_scope(scope);
+    request.body = encode_record_question({scope, digests_of(asked.known)});
     send(peer, request, page_timeout,
-         [it = page_question{peer, first_shard, steady_now()},
-          refusal_proves_end,
+         [asked, &known, refusal_proves_end,
           done](const connection_result<http_response>& answer)
-         { done(to_page(it, answer, refusal_proves_end)); });
+         { done(to_page(asked, answer, known, refusal_proves_end)); });
 }
 
 } // namespace lagoonquay
--- a/process/entry/src/ledger_recovery.cpp
+++ b/process/entry/src/ledger_recovery.cpp
@@ -42,7 +42,6 @@
     if (!peers)
         return;
     const bool stray_runs = !hooks_.no_stray_runs();
-    std::vector<endpoint> to_ask;
     bool takes_records = false;
     std::optional<ledger_completion> finished;
     {
@@ -54,7 +53,7 @@
         {
             if (!peers_without_old_runs_.contains(it) &&
                 queried_peers_.insert(it).second)
-                to_ask.push_back(it);
+                waiting_peers_.push_back(it);
         }
         finished = completion(*peers, stray_runs, now);
         done_ = finished.has_value();
@@ -65,15 +64,42 @@
         records_.end();
         return hooks_.done(*finished);
     }
-    for (const auto& it : to_ask)
-        hooks_.ask(it, [this, it](const std::optional<held_claims>& answer)
-                   { on_answer(it, answer); });
+    ask_next();
     if (takes_records)
         records_.take_from(*peers);
     else if (!needs_records(now))
         records_.end();
 }
 
+void ledger_recovery::ask_next()
+{
+    while (const auto it = take_waiting())
+        hooks_.ask(*it,
+                   [this, it = *it](const std::optional<held_claims>& answer)
+                   { on_answer(it, answer); });
+}
+
+// Each peer is asked once before any is asked again. Those that are silent
+// must not hold up the others.
+//! @return the next peer to ask, if one may be asked now.
+std::optional<endpoint> ledger_recovery::take_waiting()
+{
+    const auto now = hooks_.now();
+    const std::lock_guard lock(mutex_);
+    if (done_ || waiting_peers_.empty())
+        return std::nullopt;
+    const auto expected =
+        std::count_if(asked_peers_.begin(), asked_peers_.end(),
+                      [&](const auto& it)
+                      { return now - it.second < options_.answer_patience; });
+    if (static_cast<std::size_t>(expected) >= options_.max_peers_asked)
+        return std::nullopt;
+    auto next = std::move(waiting_peers_.front());
+    waiting_peers_.pop_front();
+    asked_peers_[next] = now;
+    return next;
+}
+
 // Later it votes by its age.
 bool ledger_recovery::needs_records(instant now) const
 {
@@ -91,17 +117,19 @@
     std::vector<endpoint> for_records;
     {
         const std::lock_guard lock(mutex_);
+        asked_peers_.erase(peer);
         queried_peers_.erase(peer);
-        if (!answer)
-            return;
-        if (answer->gone)
+        if (answer && answer->gone)
             note_end(peer);
-        answered_peers_.insert(peer);
-        if (answer->settled)
+        if (answer)
+            answered_peers_.insert(peer);
+        if (answer && answer->settled)
             peers_without_old_runs_.insert(peer);
-        if (!done_ && needs_records(hooks_.now()) && have_all_answered())
+        if (answer && !done_ && needs_records(hooks_.now()) &&
+            have_all_answered())
             for_records = peers_;
     }
+    ask_next();
     if (!for_records.empty())
         records_.take_from(for_records);
 }
--- a/process/entry/tests/ledger_records_http_test.cpp
+++ b/process/entry/tests/ledger_records_http_test.cpp
@@ -2,7 +2,7 @@
 #include "lagoonquay/connection/http_client.hpp"
 #include "lagoonquay/connection/http_routes.hpp"
 #include "lagoonquay/connection/http_server.hpp"
-#include "lagoonquay/process/entry_http.hpp"
+#include "lagoonquay/process/held_claims_http.hpp"
 #include "lagoonquay/process/io_threads.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_record_codec.hpp"
@@ -50,7 +50,7 @@
         request_ledger_records(
             client_.send_hook(), peer,
             make_record_scope({peer, domain_id("d")}, {}), first_shard,
-            [proves_end] { return proves_end; },
+            reaches_, [proves_end] { return proves_end; },
             [&taken](const std::optional<peer_records>& it)
             { taken.set_value(it); });
         return taken.get_future().get();
@@ -92,6 +92,7 @@
     //! these takes longer than its timeout.
     static constexpr std::size_t page_records = 200;
 
+    known_reaches reaches_;
     io_threads io_{2};
     http_client client_{io_.context(), {}};
     ledger_replica ledger_{{.complete = true}, steady_now, wall_now};
@@ -185,7 +186,8 @@
     ledger_peer self;
     self.address = {"127.0.0.1", 1};
     self.domain = domain_id("d");
-    request.body = encode_record_scope(make_record_scope(self, {}));
+    request.body =
+        encode_record_question({.scope = make_record_scope(self, {})});
     EXPECT_EQ(ledger_records_response(ledger_, request, "0").status,
               http_status::ok);
 }
--- a/process/entry/tests/ledger_recovery_test.cpp
+++ b/process/entry/tests/ledger_recovery_test.cpp
@@ -200,6 +200,71 @@
     EXPECT_EQ(done, 1);
 }
 
+std::vector<endpoint> many_peers()
+{
+    std::vector<endpoint> all;
+    for (int n = 0; n < 100; ++n)
+        all.push_back({"10.0.1." + std::to_string(n), 1});
+    return all;
+}
+
+// Guards against a start that fills its link with claims of others.
+TEST_F(ledger_recovery_test, asks_a_few_peers_at_a_time)
+{
+    peers = many_peers();
+    std::size_t answered = 0;
+    for (tick(); !asked.empty(); ++answered)
+    {
+        EXPECT_LE(asked.size(), ledger_recovery_options().max_peers_asked);
+        const auto [peer, answer] = *asked.begin();
+        asked.erase(asked.begin());
+        answer(held_claims{.settled = true});
+    }
+    EXPECT_EQ(answered, peers->size());
+}
+
+// Guards against peers that are silent and hold up the questions to others.
+TEST_F(ledger_recovery_test, asks_on_while_peers_are_silent)
+{
+    peers = many_peers();
+    const ledger_recovery_options defaults;
+    tick();
+    EXPECT_EQ(asked.size(), defaults.max_peers_asked);
+    for (auto waited = duration::zero(); waited < milliseconds(500);
+         waited += milliseconds(20))
+    {
+        const auto before = asked.size();
+        now += milliseconds(20);
+        tick();
+        EXPECT_LE(asked.size() - before, defaults.max_peers_asked);
+    }
+    EXPECT_GE(asked.size(), 5 * defaults.max_peers_asked);
+}
+
+// Guards against peers that wait while others are asked over and over.
+TEST_F(ledger_recovery_test, asks_every_peer_before_it_asks_one_again)
+{
+    peers = many_peers();
+    std::map<endpoint, int> questions;
+    for (int n = 0; n < 30; ++n)
+    {
+        tick();
+        for (const auto& [peer, answer] : std::exchange(asked, {}))
+        {
+            ++questions[peer];
+            answer(held_claims{});
+        }
+        const auto of_first = questions[peers->front()];
+        for (const auto& it : *peers)
+        {
+            EXPECT_GE(questions[it], of_first > 1 ? 1 : 0);
+            EXPECT_LE(of_first - questions[it], 2);
+        }
+        now += milliseconds(20);
+    }
+    EXPECT_GT(questions[peers->back()], 1);
+}
+
 // Guards against claims whose votes were given after the records were told.
 TEST_F(ledger_recovery_test, asks_for_records_once_every_peer_has_reported)
 {
--- a/process/entry/tests/records_over_links_test.cpp
+++ b/process/entry/tests/records_over_links_test.cpp
@@ -2,6 +2,7 @@
 #include "rated_links.hpp"
 
 #include "lagoonquay/process/entry_http.hpp"
+#include "lagoonquay/process/held_claims_http.hpp"
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/process/ledger_records_http.hpp"
 #include "lagoonquay/process/ledger_recovery.hpp"
@@ -38,7 +39,6 @@
 constexpr duration restart_gap = seconds(1);
 
 const std::string held_path = "/v1/ledger/held";
-constexpr duration held_timeout = milliseconds(500);
 
 struct old_fleet_options
 {
@@ -192,36 +192,21 @@
         if (it.path == "/v1/ledger/claim")
             return claim_response(*replicas_[entry], it.body, {});
         if (it.path == held_path)
-            return held_claims_of(entry);
+            return held_claims_of(entry, it);
         return ledger_records_response(*replicas_[entry], it,
                                        it.path.substr(records.size()));
     }
 
-    http_response held_claims_of(std::size_t entry)
+    http_response held_claims_of(std::size_t entry, const http_request& asked)
     {
         const bool settled =
             entry > options_.young || time_.now() >= started_ + young_time;
-        http_response told{.body = encode_held_claims(
-                               {.settled = settled, .claims = held_[entry]})};
+        auto told = held_claims_response(
+            asked, {.settled = settled, .claims = held_[entry]});
         held_bytes_ += told.body.size();
         return told;
     }
 
-    // As request_held_claims().
-    void ask_for_held(const endpoint& peer, const held_claims_hook& done)
-    {
-        http_request request;
-        request.path = held_path;
-        links_.sender(address_of(0))(
-            peer, request, held_timeout,
-            [done](const connection_result<http_response>& answer)
-            {
-                if (!answer)
-                    return done(std::nullopt);
-                done(decode_held_claims(answer.value().body).value());
-            });
-    }
-
     ledger_recovery_hooks hooks()
     {
         return {.now = [this] { return time_.now(); },
@@ -237,7 +222,9 @@
                     [this](const endpoint& it, const held_claims_hook& done)
                 {
                     if (options_.tells_held_claims)
-                        return ask_for_held(it, done);
+                        return request_held_claims(
+                            links_.sender(address_of(0)), it, reaches_of_peers_,
+                            [] { return true; }, done);
                     done(held_claims{.settled = true});
                 },
                 .restore_claim = [this](const claim_request& it)
@@ -248,7 +235,7 @@
                 {
                     request_ledger_records(
                         links_.sender(address_of(0)), it, scope(), first_shard,
-                        [] { return true; }, done);
+                        reaches_of_peers_, [] { return true; }, done);
                 },
                 .restore_record = [this](const ledger_record& it)
                 { replicas_[0]->restore_record(it); },
@@ -294,6 +281,7 @@
     std::vector<agent_reach> reaches_;
     std::vector<std::vector<claim_request>> held_; //!< by each entry
     std::size_t held_bytes_ = 0;
+    known_reaches reaches_of_peers_;
     std::vector<std::unique_ptr<ledger_replica>> replicas_;
     std::optional<ledger_recovery> recovery_;
     instant started_{};
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -1,5 +1,6 @@
 #include "lagoonquay/process/ledger_codec.hpp"
 
+#include "held_claims_json.hpp"
 #include "lagoonquay/request/json_fields.hpp"
 
 #include <algorithm>
@@ -174,26 +175,6 @@
     return options;
 }
 
-std::string endpoints_to_text(const std::vector<endpoint>& all)
-{
-    std::string text;
-    for (const auto& it : all)
-        text += (text.empty() ? "" : ",") + to_text(it);
-    return text;
-}
-
-std::optional<std::vector<endpoint>> endpoints_from_json(json_fields& fields)
-{
-    constexpr std::size_t max_bytes = 65536;
-    if (fields.member("established") == nullptr)
-        return std::nullopt;
-    auto all = parse_endpoints(fields.text_or("established", "", max_bytes));
-    if (all)
-        return std::move(all).value();
-    fields.reject(request_errc::malformed, "no list of endpoints");
-    return std::nullopt;
-}
-
 } // namespace
 
 std::string encode_claim_request(const claim_request& request)
@@ -232,12 +213,8 @@
         array.push_back(std::move(object));
     }
     json::object object{{"claims", std::move(array)},
-                        {"reaches", reaches.to_json()},
-                        {"settled", held.settled}};
-    if (held.established)
-        object["established"] = endpoints_to_text(*held.established);
-    if (held.listed_for.count() != 0)
-        object["listed_for_us"] = held.listed_for.count();
+                        {"reaches", reaches.to_json()}};
+    write_held_state(object, held);
     return json::serialize(object);
 }
 
@@ -245,11 +222,7 @@
 {
     BOOST_OUTCOME_TRY(const auto document, parse_json(text));
     json_fields fields(document, "");
-    held_claims held;
-    held.settled = fields.flag_or("settled", false);
-    held.established = endpoints_from_json(fields);
-    held.listed_for =
-        duration(fields.number_or("listed_for_us", 0, 0, json_exact_limit));
+    auto held = read_held_state(fields);
     const auto* source = fields.array("claims");
     if (source != nullptr)
     {
--- a/process/ledger/src/ledger_record_codec.cpp
+++ b/process/ledger/src/ledger_record_codec.cpp
@@ -2,11 +2,9 @@
 
 #include "lagoonquay/process/ledger_codec.hpp"
 #include "lagoonquay/request/json_fields.hpp"
+#include "short_tables.hpp"
 
-#include <algorithm>
 #include <boost/json.hpp>
-#include <map>
-#include <tuple>
 
 namespace json = boost::json;
 
@@ -16,163 +14,6 @@
 namespace
 {
 
-//! The entry that a record names.
-struct record_holder
-{
-    entry_id entry;
-    incarnation run;
-    std::string address;
-
-    friend auto operator<=>(const record_holder&,
-                            const record_holder&) = default;
-};
-
-record_holder holder_of(const claim_request& claim)
-{
-    return {claim->holder, claim->holder_run, claim->holder_address};
-}
-
-//! Numbers values in the order in which they come first.
-template <typename Value>
-class value_table
-{
-public:
-    std::size_t add(const Value& it)
-    {
-        const auto [found, fresh] = numbers_.try_emplace(it, values_.size());
-        if (fresh)
-            values_.push_back(it);
-        return found->second;
-    }
-    const std::vector<Value>& values() const noexcept
-    {
-        return values_;
-    }
-
-private:
-    std::map<Value, std::size_t> numbers_;
-    std::vector<Value> values_;
-};
-
-//! The distinct reaches of a page, as numbers of its agents.
-class short_reaches
-{
-public:
-    std::size_t add(const agent_reach& reach)
-    {
-        const auto found =
-            std::find_if(reaches_.begin(), reaches_.end(),
-                         [&](const agent_reach& it)
-                         { return it.shares_list_with(reach) || it == reach; });
-        if (found != reaches_.end())
-            return static_cast<std::size_t>(found - reaches_.begin());
-        reaches_.push_back(reach);
-        return reaches_.size() - 1;
-    }
-
-    //! Adds the tables to a page.
-    void write(json::object& page) const
-    {
-        value_table<agent_run_id> agents;
-        json::array lists;
-        for (const auto& reach : reaches_)
-        {
-            json::array list;
-            for (const auto& it : reach)
-                list.push_back(agents.add(it));
-            lists.push_back(std::move(list));
-        }
-        json::array names;
-        for (const auto& it : agents.values())
-            names.push_back(
-                json::array{it.agent.text(), std::to_string(it.run.number())});
-        page["agents"] = std::move(names);
-        page["reaches"] = std::move(lists);
-    }
-
-private:
-    std::vector<agent_reach> reaches_;
-};
-
-//! Reads the items of one array in their order. The first error sticks.
-class item_reader
-{
-public:
-    item_reader(const json::value& source, json_fields& errors)
-        : errors_(errors)
-    {
-        if (source.is_array())
-            items_ = &source.get_array();
-        else
-            errors_.reject(request_errc::malformed, "not an array");
-    }
-
-    std::string text()
-    {
-        constexpr std::size_t longest = 256;
-        const auto* it = next();
-        if (it != nullptr && it->is_string() &&
-            it->get_string().size() <= longest)
-            return std::string(it->get_string());
-        errors_.reject(request_errc::malformed, "not a short text");
-        return {};
-    }
-
-    std::uint64_t number()
-    {
-        const auto* it = next();
-        if (it != nullptr && it->is_int64() && it->get_int64() >= 0 &&
-            static_cast<std::uint64_t>(it->get_int64()) <= json_exact_limit)
-            return static_cast<std::uint64_t>(it->get_int64());
-        errors_.reject(request_errc::malformed, "not a whole number");
-        return 0;
-    }
-
-    //! Reads a 64-bit number that was written as a decimal text.
-    std::uint64_t wide_number()
-    {
-        const auto written = text();
-        json::object object{{"n", written}};
-        const json::value value(std::move(object));
-        json_fields fields(value, "");
-        const auto read = fields.wide_number("n");
-        errors_.absorb(fields);
-        return read;
-    }
-
-    //! @return the value that a number names, or one of defaults.
-    template <typename Value>
-    Value item_of(const std::vector<Value>& table)
-    {
-        const auto index = number();
-        if (index < table.size())
-            return table[index];
-        errors_.reject(request_errc::malformed, "no such item of a table");
-        return {};
-    }
-
-    void expect_end()
-    {
-        if (items_ != nullptr && at_ != items_->size())
-            errors_.reject(request_errc::malformed, "too many items");
-    }
-
-    bool at_end() const noexcept
-    {
-        return items_ == nullptr || at_ >= items_->size();
-    }
-
-private:
-    const json::value* next()
-    {
-        return at_end() ? nullptr : &(*items_)[at_++];
-    }
-
-    json_fields& errors_;
-    const json::array* items_ = nullptr;
-    std::size_t at_ = 0;
-};
-
 json::array record_to_json(const ledger_record& it, std::size_t holder,
                            std::size_t reach)
 {
@@ -221,72 +62,18 @@
                               .lapsed_for = lapsed_for});
 }
 
-std::vector<agent_run_id> agents_from_json(json_fields& fields)
-{
-    std::vector<agent_run_id> agents;
-    const auto* source = fields.array("agents");
-    if (source == nullptr)
-        return agents;
-    for (const auto& it : *source)
-    {
-        item_reader items(it, fields);
-        agent_id agent(items.text());
-        agents.push_back({std::move(agent), incarnation(items.wide_number())});
-        items.expect_end();
-    }
-    return agents;
-}
-
-std::vector<agent_reach> reaches_from_json(json_fields& fields)
-{
-    std::vector<agent_reach> reaches;
-    const auto agents = agents_from_json(fields);
-    const auto* source = fields.array("reaches");
-    if (source == nullptr)
-        return reaches;
-    for (const auto& it : *source)
-    {
-        item_reader items(it, fields);
-        agent_reach::list list;
-        while (!items.at_end() && !fields.failed())
-            list.push_back(items.item_of(agents));
-        reaches.emplace_back(std::move(list));
-    }
-    return reaches;
-}
-
-std::vector<record_holder> holders_from_json(json_fields& fields)
-{
-    std::vector<record_holder> holders;
-    const auto* source = fields.array("holders");
-    if (source == nullptr)
-        return holders;
-    for (const auto& it : *source)
-    {
-        item_reader items(it, fields);
-        entry_id entry(items.text());
-        const incarnation run(items.wide_number());
-        holders.push_back({std::move(entry), run, items.text()});
-        items.expect_end();
-    }
-    return holders;
-}
-
 } // namespace
 
-std::string encode_record_page(const ledger_record_page& page)
+std::string encode_record_page(const ledger_record_page& page,
+                               const reach_digests& known)
 {
-    short_reaches reaches;
+    short_reaches reaches(known);
     value_table<record_holder> holders;
     json::array records;
     for (const auto& it : page.records)
         records.push_back(record_to_json(it, holders.add(holder_of(it->claim)),
                                          reaches.add(it->claim->reach)));
-    json::array names;
-    for (const auto& it : holders.values())
-        names.push_back(json::array{
-            it.entry.text(), std::to_string(it.run.number()), it.address});
-    json::object object{{"holders", std::move(names)},
+    json::object object{{"holders", holders_to_json(holders.values())},
                         {"records", std::move(records)}};
     reaches.write(object);
     if (page.next)
@@ -294,17 +81,21 @@
     return json::serialize(object);
 }
 
-request_result<ledger_record_page> decode_record_page(std::string_view text)
+request_result<told_records> decode_record_page(std::string_view text,
+                                                const reaches_by_digest& known)
 {
     BOOST_OUTCOME_TRY(const auto document, parse_json(text));
     json_fields fields(document, "");
     if (fields.member("holders") == nullptr)
-        return decode_ledger_records(text);
-    ledger_record_page page;
+    {
+        BOOST_OUTCOME_TRY(auto page, decode_ledger_records(text));
+        return told_records{.page = std::move(page)};
+    }
+    told_records told;
     if (fields.member("next") != nullptr)
-        page.next = fields.number("next", 0, json_exact_limit);
+        told.page.next = fields.number("next", 0, json_exact_limit);
     const auto holders = holders_from_json(fields);
-    const auto reaches = reaches_from_json(fields);
+    told.reaches = short_reaches_from_json(fields, known);
     const auto* source = fields.array("records");
     if (source != nullptr)
     {
@@ -312,27 +103,31 @@
         {
             if (fields.failed())
                 break;
-            page.records.push_back(
-                record_from_json(it, holders, reaches, fields));
+            told.page.records.push_back(
+                record_from_json(it, holders, told.reaches, fields));
         }
     }
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
-    return page;
+    return told;
 }
 
-std::string encode_record_scope(const record_scope& scope)
+std::string encode_record_question(const record_question& question)
 {
     json::array entries;
-    for (const auto& it : scope->entries)
+    for (const auto& it : question.scope->entries)
         entries.push_back(json::array{to_text(it.address), it.domain.text()});
-    return json::serialize(json::object{{"self", to_text(scope->self)},
-                                        {"entries", std::move(entries)}});
+    json::object object{{"self", to_text(question.scope->self)},
+                        {"entries", std::move(entries)}};
+    if (!question.known.empty())
+        object["known"] = to_text(question.known);
+    return json::serialize(object);
 }
 
-request_result<record_scope> decode_record_scope(std::string_view text)
+request_result<record_question> decode_record_question(std::string_view text)
 {
     constexpr std::size_t max_address = 256;
+    constexpr std::size_t max_digests = 4096;
     BOOST_OUTCOME_TRY(const auto document, parse_json(text));
     json_fields fields(document, "");
     const auto read_address = [&](const std::string& written)
@@ -357,9 +152,13 @@
             items.expect_end();
         }
     }
+    auto known = parse_reach_digests(fields.text_or("known", "", max_digests));
+    if (!known)
+        fields.reject(request_errc::malformed, "no digests of reaches");
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
-    return record_scope(std::move(scope));
+    return record_question{.scope = record_scope(std::move(scope)),
+                           .known = std::move(*known)};
 }
 
 } // namespace lagoonquay
--- a/process/ledger/tests/record_scope_test.cpp
+++ b/process/ledger/tests/record_scope_test.cpp
@@ -114,11 +114,17 @@
 TEST(record_scope, is_the_same_after_a_message)
 {
     const auto scope = scope_of_first(9);
-    const auto decoded = decode_record_scope(encode_record_scope(scope));
-    ASSERT_TRUE(decoded);
-    EXPECT_EQ(decoded.value(), scope);
-    EXPECT_FALSE(decode_record_scope("{}"));
-    EXPECT_FALSE(decode_record_scope(R"({"self":"x","entries":[]})"));
+    for (const reach_digests& known :
+         {reach_digests{}, {reach_digest(7), reach_digest(9)}})
+    {
+        const record_question asked{.scope = scope, .known = known};
+        const auto decoded =
+            decode_record_question(encode_record_question(asked));
+        ASSERT_TRUE(decoded);
+        EXPECT_EQ(decoded.value(), asked);
+    }
+    EXPECT_FALSE(decode_record_question("{}"));
+    EXPECT_FALSE(decode_record_question(R"({"self":"x","entries":[]})"));
 }
 
 // Guards against a claim that is granted as new although a record that was not
--- a/process/ledger/tests/restored_records_test.cpp
+++ b/process/ledger/tests/restored_records_test.cpp
@@ -301,10 +301,10 @@
         .next = 4};
     const auto brief = decode_record_page(encode_record_page(page));
     ASSERT_TRUE(brief);
-    EXPECT_EQ(brief.value(), page);
+    EXPECT_EQ(brief.value().page, page);
     const auto full = decode_record_page(encode_ledger_records(page));
     ASSERT_TRUE(full);
-    EXPECT_EQ(full.value(), page);
+    EXPECT_EQ(full.value().page, page);
 }
 
 TEST_F(restored_records, of_thousands_of_jobs_fit_in_bounded_pages)
