Log input that no handler saw as a listener stops

No line told a request that was never read from one that was read and lost.

Change: input_not_served, once for each connection that a stopping listener closes with input that no handler saw: the bytes, and whether they came behind the response that closed the connection. A request without an answer beside this line was never served. What comes after the close, or on a connection that was never accepted, still has no line. No decision changes.

--- a/connection/include/lagoonquay/connection/http_server.hpp
+++ b/connection/include/lagoonquay/connection/http_server.hpp
@@ -48,6 +48,11 @@
     //! Hears of a request that was read whole and whose response could not be
     //! written; `age` counts from the end of the request. May be empty.
     std::function<void(std::string_view path, duration age)> on_unsent = {};
+    //! Hears of a connection that closes, after close_after_responses(), with
+    //! input that no handler saw. `after_response` is set if the response to
+    //! the request before it closed the connection. May be empty.
+    std::function<void(std::size_t bytes, bool after_response)> on_unserved =
+        {};
 };
 
 //! Takes over a link that a peer opened. Called from any I/O thread.
--- a/connection/src/http_session.cpp
+++ b/connection/src/http_session.cpp
@@ -202,6 +202,8 @@
 {
     error_code ec;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+    has_finished_ = true;
+    discarded_ += buffer_.size();
     buffer_.consume(buffer_.size());
     buffer_.shrink_to_fit();
     if (held_)
@@ -212,8 +214,21 @@
     discard();
 }
 
+// What arrives later than this is seen by nobody.
+void http_session::tell_unserved()
+{
+    if (std::exchange(has_closed_, true) || !listener_->closing ||
+        !listener_->options.on_unserved)
+        return;
+    error_code ec;
+    const auto bytes = discarded_ + stream_.socket().available(ec);
+    if (bytes > 0)
+        listener_->options.on_unserved(bytes, has_finished_);
+}
+
 void http_session::close()
 {
+    tell_unserved();
     end_limit();
     listener_->idle.remove(idle_);
     listener_->arriving.remove(std::exchange(arriving_, 0));
--- a/connection/src/http_session.hpp
+++ b/connection/src/http_session.hpp
@@ -130,6 +130,7 @@
     void fail_request(std::string_view error);
     void respond(http_response answer);
     void close_unsent();
+    void tell_unserved();
     void finish_sending();
     void discard();
     void close();
@@ -155,6 +156,9 @@
     std::size_t pipelined_ = 0; //!< requests sent ahead, of late
     std::string path_;          //!< of the request in progress
     instant read_at_{};         //!< when it had arrived whole
+    std::size_t discarded_ = 0; //!< bytes read after the last response
+    bool has_finished_ = false; //!< the last response is written
+    bool has_closed_ = false;
     bool awaits_first_bytes_ = false;
     bool reading_ = false;          //!< a request has begun to arrive
     bool timed_out_ = false;        //!< it did not arrive in time
--- a/connection/src/http_session_reading.cpp
+++ b/connection/src/http_session_reading.cpp
@@ -122,8 +122,9 @@
 {
     stream_.async_read_some(
         buffer_.prepare(min_read_bytes),
-        [self = shared_from_this()](error_code ec, std::size_t)
+        [self = shared_from_this()](error_code ec, std::size_t size)
         {
+            self->discarded_ += size;
             if (ec)
                 return self->close();
             self->discard();
--- a/connection/tests/listener_end_test.cpp
+++ b/connection/tests/listener_end_test.cpp
@@ -1,6 +1,7 @@
 // Connections of a listener that ends.
 #include "http_server_fixture.hpp"
 
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <future>
 #include <gtest/gtest.h>
@@ -101,6 +102,81 @@
         server.close_idle();
 }
 
+//! What a listener told of input that no handler saw.
+struct unserved_input
+{
+    std::atomic<std::size_t> bytes{0};
+    std::atomic<int> after_responses{0};
+    std::atomic<int> connections{0};
+
+    http_server_options options()
+    {
+        return limited(
+            [this](http_server_options& it)
+            {
+                it.on_unserved = [this](std::size_t n, bool after_response)
+                {
+                    bytes += n;
+                    after_responses += after_response ? 1 : 0;
+                    ++connections;
+                };
+            });
+    }
+};
+
+// Guards against a request without an answer that no log line tells of: its
+// connection was closed, as idle, before it was read.
+TEST_F(http_server_test, tells_of_a_request_that_was_never_read)
+{
+    for (int round = 0; round < 30; ++round)
+    {
+        unserved_input told;
+        auto server = start(told.options());
+        const auto peers = used_connections(server, 1);
+        server.close_after_responses();
+        server.stop_accepting();
+        std::promise<void> busy;
+        std::promise<void> go_on;
+        boost::asio::post(thread_.io(),
+                          [&]
+                          {
+                              busy.set_value();
+                              go_on.get_future().wait();
+                          });
+        busy.get_future().wait();
+        peers[0]->send(post_hello);
+        server.close_idle();
+        go_on.set_value();
+        const auto answer = peers[0]->read_to_end();
+        while (!server.is_quiet())
+            server.close_idle();
+        EXPECT_EQ(told.bytes, answer.empty() ? post_hello.size() : 0U);
+        EXPECT_EQ(told.after_responses, 0);
+        if (answer.empty())
+            return;
+    }
+    FAIL() << "each request was read";
+}
+
+// Guards against the same of a request behind the last response.
+TEST_F(http_server_test, tells_of_a_request_behind_the_last_response)
+{
+    unserved_input told;
+    auto server = start(told.options());
+    const auto peers = used_connections(server, 2);
+    server.close_after_responses();
+    peers[0]->send(post_hello + post_hello);
+    EXPECT_TRUE(is_whole(peers[0]->read_to_end()));
+    peers[1]->send(post_hello);
+    EXPECT_TRUE(is_whole(peers[1]->read_to_end()));
+    server.stop_accepting();
+    while (!server.is_quiet())
+        server.close_idle();
+    EXPECT_EQ(told.bytes, post_hello.size());
+    EXPECT_EQ(told.after_responses, 1);
+    EXPECT_EQ(told.connections, 1);
+}
+
 // A request in parts, of which the last comes after idle ones were closed.
 TEST_F(http_server_test, waits_for_the_rest_of_a_request_that_has_begun)
 {
--- a/process/common/src/program.cpp
+++ b/process/common/src/program.cpp
@@ -152,6 +152,14 @@
                      {"path", path},
                      {"age_ms", milliseconds_of(age)}});
     };
+    options.on_unserved =
+        [port = listen.port](std::size_t bytes, bool after_response)
+    {
+        write_event(log_level::info, "listener", {}, "input_not_served",
+                    {{"port", std::int64_t{port}},
+                     {"bytes", static_cast<std::int64_t>(bytes)},
+                     {"after_response", after_response ? "yes" : "no"}});
+    };
     return options;
 }
 
