Take records of peers that answer while another one is silent

Callers: a task that ran was reported as "not run".

Cause: a replica that began anew asked no peer for its records before all peers had reported their claims. One that was silent (a cut between two entries, or a frozen process) kept it from all records for up to 5 s; by then it votes by its age and asks no more. If those that know a claim end one after the other in that time, each while others still know it, nobody knows it at the end. Class: a proof that is waited for keeps back what is of use without it.

Ruled out: records that reports of later claims replaced.

Change: once a question to a peer was not answered, the records of those that have reported are taken. They prove nothing: once all have reported, or a silent peer is listed no more, all are asked for again, and only that counts for completion. Where all answer nothing changes.

--- a/process/entry/include/lagoonquay/process/ledger_recovery.hpp
+++ b/process/entry/include/lagoonquay/process/ledger_recovery.hpp
@@ -80,7 +80,8 @@
 };
 
 //! Queries each peer for its claims until all have answered, and then takes
-//! over its records once. Thread-safe.
+//! over its records once. While a peer is silent, it also takes what the others
+//! have. Thread-safe.
 class ledger_recovery
 {
 public:
@@ -94,6 +95,8 @@
     void on_answer(const endpoint& peer,
                    const std::optional<held_claims>& answer);
     records_takeover_hooks records_hooks();
+    void note_answer(const endpoint& peer, const held_claims& answer);
+    std::vector<endpoint> peers_for_records();
     bool have_all_answered() const;
     bool needs_records(instant now) const;
     void note_end(const endpoint& peer);
@@ -114,6 +117,8 @@
     std::set<endpoint> answered_peers_;
     //! Subset of answered_peers_ whose old runs have ended.
     std::set<endpoint> peers_without_old_runs_;
+    std::set<endpoint> silent_peers_; //!< whose last query had no answer
+    bool took_early_ = false;         //!< records, before all had answered
     bool done_ = false;
     records_takeover records_;
 };
--- a/process/entry/src/ledger_recovery.cpp
+++ b/process/entry/src/ledger_recovery.cpp
@@ -1,6 +1,7 @@
 #include "lagoonquay/process/ledger_recovery.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace lagoonquay
 {
@@ -27,6 +28,10 @@
 // claim that is asked for later has a majority without this replica, or a vote
 // of its own.
 //
+// While a peer is silent, the others' records are taken as well, since those
+// peers may end meanwhile. That proves nothing: once all have reported, the
+// records are asked for again.
+//
 // A live entry reports the claims that it holds, even if every other replica
 // has lost them. The runs of a dead entry end by themselves.
 void ledger_recovery::tick()
@@ -43,7 +48,7 @@
         return;
     const bool stray_runs = !hooks_.no_stray_runs();
     std::vector<endpoint> to_ask;
-    bool takes_records = false;
+    std::vector<endpoint> for_records;
     std::optional<ledger_completion> finished;
     {
         const std::lock_guard lock(mutex_);
@@ -58,7 +63,8 @@
         }
         finished = completion(*peers, stray_runs, now);
         done_ = finished.has_value();
-        takes_records = !done_ && needs_records(now) && have_all_answered();
+        if (!done_ && needs_records(now))
+            for_records = peers_for_records();
     }
     if (finished)
     {
@@ -68,8 +74,8 @@
     for (const auto& it : to_ask)
         hooks_.ask(it, [this, it](const std::optional<held_claims>& answer)
                    { on_answer(it, answer); });
-    if (takes_records)
-        records_.take_from(*peers);
+    if (!for_records.empty())
+        records_.take_from(for_records);
     else if (!needs_records(now))
         records_.end();
 }
@@ -92,20 +98,54 @@
     {
         const std::lock_guard lock(mutex_);
         queried_peers_.erase(peer);
-        if (!answer)
-            return;
-        if (answer->gone)
-            note_end(peer);
-        answered_peers_.insert(peer);
-        if (answer->settled)
-            peers_without_old_runs_.insert(peer);
-        if (!done_ && needs_records(hooks_.now()) && have_all_answered())
-            for_records = peers_;
+        if (answer)
+            note_answer(peer, *answer);
+        else
+            silent_peers_.insert(peer);
+        if (!done_ && needs_records(hooks_.now()))
+            for_records = peers_for_records();
     }
     if (!for_records.empty())
         records_.take_from(for_records);
 }
 
+// Requires the lock.
+void ledger_recovery::note_answer(const endpoint& peer,
+                                  const held_claims& answer)
+{
+    if (answer.gone)
+        note_end(peer);
+    silent_peers_.erase(peer);
+    answered_peers_.insert(peer);
+    if (answer.settled)
+        peers_without_old_runs_.insert(peer);
+}
+
+//! Requires the lock.
+//! @return the peers whose records are to be taken now.
+std::vector<endpoint> ledger_recovery::peers_for_records()
+{
+    if (have_all_answered())
+    {
+        if (std::exchange(took_early_, false))
+            records_.restart();
+        return peers_;
+    }
+    std::vector<endpoint> reported;
+    bool waits_for_silent = false;
+    for (const auto& it : peers_)
+    {
+        if (answered_peers_.contains(it))
+            reported.push_back(it);
+        else
+            waits_for_silent = waits_for_silent || silent_peers_.contains(it);
+    }
+    if (!waits_for_silent)
+        return {};
+    took_early_ = took_early_ || !reported.empty();
+    return reported;
+}
+
 //! Requires the lock.
 bool ledger_recovery::have_all_answered() const
 {
@@ -128,9 +168,9 @@
 
 bool ledger_recovery::has_all_records(const std::vector<endpoint>& peers) const
 {
-    return std::all_of(peers.begin(), peers.end(),
-                       [this](const endpoint& it)
-                       { return records_.has_all(it); });
+    return !took_early_ && std::all_of(peers.begin(), peers.end(),
+                                       [this](const endpoint& it)
+                                       { return records_.has_all(it); });
 }
 
 // A peer that is gone may have runs whose agents have not noticed its loss yet.
--- a/process/entry/tests/ledger_recovery_test.cpp
+++ b/process/entry/tests/ledger_recovery_test.cpp
@@ -213,6 +213,59 @@
     EXPECT_EQ(asked_for_records.size(), 2U);
 }
 
+// Guards against records that are lost with those that know them while another
+// peer is silent. What they told by then proves nothing.
+TEST_F(ledger_recovery_test, takes_records_of_others_while_a_peer_is_silent)
+{
+    tells_at_once = false;
+    no_stray_runs = true;
+    peers = {first_peer, second_peer};
+    tick();
+    asked[first_peer](held_claims{.settled = true});
+    EXPECT_TRUE(asked_for_records.empty());
+    asked[second_peer](std::nullopt);
+    ASSERT_TRUE(asked_for_records.contains(first_peer));
+    EXPECT_EQ(asked_for_records.size(), 1U) << "the silent one is not asked";
+    const ledger_record record({.highest_round = claim_round(1)});
+    asked_for_records[first_peer](peer_records{.records = {record}});
+    EXPECT_EQ(records, std::vector{record});
+    asked_for_records.clear();
+    now += seconds(2);
+    tick();
+    EXPECT_EQ(done, 0);
+    EXPECT_TRUE(asked_for_records.empty()) << "once each while one is silent";
+    asked[second_peer](held_claims{.settled = true});
+    ASSERT_EQ(asked_for_records.size(), 2U);
+    asked_for_records[first_peer](peer_records());
+    tick();
+    EXPECT_EQ(done, 0);
+    asked_for_records[second_peer](peer_records());
+    tick();
+    EXPECT_EQ(done, 1);
+}
+
+// Guards against records that were told too early and count once the silent
+// peer is listed no more.
+TEST_F(ledger_recovery_test, asks_for_records_again_once_a_silent_peer_has_left)
+{
+    tells_at_once = false;
+    no_stray_runs = true;
+    peers = {first_peer, second_peer};
+    tick();
+    asked[first_peer](held_claims{.settled = true});
+    asked[second_peer](std::nullopt);
+    asked_for_records[first_peer](peer_records());
+    asked_for_records.clear();
+    now += seconds(2);
+    peers = {first_peer};
+    tick();
+    EXPECT_EQ(done, 0);
+    ASSERT_EQ(asked_for_records.size(), 1U);
+    asked_for_records[first_peer](peer_records());
+    tick();
+    EXPECT_EQ(done, 1);
+}
+
 // Guards against a replica that votes before it knows of claims whose holder is
 // dead.
 TEST_F(ledger_recovery_test, is_not_complete_before_every_peer_told_its_records)
--- a/process/entry/tests/listed_ledger_test.cpp
+++ b/process/entry/tests/listed_ledger_test.cpp
@@ -204,4 +204,34 @@
     EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
 }
 
+// Guards against a caller that was told "not run" of a task that ran: the
+// holder and all that voted for it began anew one after the other, and took no
+// records over, as one peer was silent to them.
+TEST_F(listed_ledgers, know_of_a_claim_after_restarts_beside_a_silent_peer)
+{
+    fleet.start_entry(4);
+    fleet.run_for(seconds(4));
+    fleet.run_time = [](const upstream_call&)
+    {
+        return seconds(20);
+    };
+    const auto work = submit_with_votes_of_two();
+    const auto cancelled = fleet.record().answers.size();
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        ledger.part(n, 3, true);
+        fleet.kill_entry(n);
+        fleet.start_entry(n);
+        fleet.run_for(seconds(1));
+    }
+    ledger.join_all();
+    fleet.run_for(seconds(1));
+    ASSERT_TRUE(ledger.complete(0) && ledger.complete(1) && ledger.complete(2));
+    fleet.submit(4, work);
+    fleet.cancel(4, work->submission);
+    fleet.run_for(seconds(5));
+    EXPECT_EQ(fleet.record().answers.size(), cancelled + 1);
+    EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
+}
+
 } // namespace lagoonquay
