Share the steps of two tests of lost claims

listed_ledgers.know_that_* and know_of_a_claim_after_restarts_* stood with the same first and last steps. They are functions of the fixture now, with the same calls, times and checks.

--- a/process/entry/tests/listed_ledger_test.cpp
+++ b/process/entry/tests/listed_ledger_test.cpp
@@ -71,6 +71,31 @@
         return work;
     }
 
+    //! The same in a fleet of five entries, with a task that runs for longer
+    //! than the test.
+    job submit_long_run_to_five()
+    {
+        fleet.start_entry(4);
+        fleet.run_for(seconds(4));
+        fleet.run_time = [](const upstream_call&)
+        {
+            return seconds(20);
+        };
+        return submit_with_votes_of_two();
+    }
+
+    //! Sends the job again through another entry and cancels it there.
+    //! @param answered  the number of answers before.
+    void expect_run_known_at(std::size_t entry, const job& work,
+                             std::size_t answered)
+    {
+        fleet.submit(entry, work);
+        fleet.cancel(entry, work->submission);
+        fleet.run_for(seconds(5));
+        EXPECT_EQ(fleet.record().answers.size(), answered + 1);
+        EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
+    }
+
     std::size_t running()
     {
         return fleet.agent(0).running() + fleet.agent(1).running() +
@@ -182,13 +207,7 @@
 // holder and all that voted for it began anew, and were granting claims again.
 TEST_F(listed_ledgers, know_that_a_majority_began_anew_after_a_holder_died)
 {
-    fleet.start_entry(4);
-    fleet.run_for(seconds(4));
-    fleet.run_time = [](const upstream_call&)
-    {
-        return seconds(20);
-    };
-    const auto work = submit_with_votes_of_two();
+    const auto work = submit_long_run_to_five();
     const auto cancelled = fleet.record().answers.size();
     for (std::size_t n = 0; n < 3; ++n)
     {
@@ -197,11 +216,7 @@
     }
     fleet.run_for(seconds(3));
     ASSERT_TRUE(ledger.complete(1) && ledger.complete(2));
-    fleet.submit(3, work);
-    fleet.cancel(3, work->submission);
-    fleet.run_for(seconds(5));
-    EXPECT_EQ(fleet.record().answers.size(), cancelled + 1);
-    EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
+    expect_run_known_at(3, work, cancelled);
 }
 
 // Guards against a caller that was told "not run" of a task that ran: the
@@ -209,13 +224,7 @@
 // records over, as one peer was silent to them.
 TEST_F(listed_ledgers, know_of_a_claim_after_restarts_beside_a_silent_peer)
 {
-    fleet.start_entry(4);
-    fleet.run_for(seconds(4));
-    fleet.run_time = [](const upstream_call&)
-    {
-        return seconds(20);
-    };
-    const auto work = submit_with_votes_of_two();
+    const auto work = submit_long_run_to_five();
     const auto cancelled = fleet.record().answers.size();
     for (std::size_t n = 0; n < 3; ++n)
     {
@@ -227,11 +236,7 @@
     ledger.join_all();
     fleet.run_for(seconds(1));
     ASSERT_TRUE(ledger.complete(0) && ledger.complete(1) && ledger.complete(2));
-    fleet.submit(4, work);
-    fleet.cancel(4, work->submission);
-    fleet.run_for(seconds(5));
-    EXPECT_EQ(fleet.record().answers.size(), cancelled + 1);
-    EXPECT_EQ(fleet.record().violations, std::vector<std::string>());
+    expect_run_known_at(4, work, cancelled);
 }
 
 } // namespace lagoonquay
