Keep a task with a lost agent while its start may begin later

Callers saw two runs of a task at once. An agent had sent a start that got no answer and lost its link to the entry, or its process ended. The entry moved the task 2 s after the link, or once the next process took tasks; the start arrived later, in a next life of the worker, beside the new run.

Cause: the entry counted a time from the loss, while a start without an answer may be carried out for 15 s. Who sent it knew that, and could not say so.

The entry keeps a lost attempt without that word until the agent tells of it, until no start of it can be on its way, or until its job is cancelled or over. It counts 15 s from the last moment at which the dispatch lets the agent send the start. The loss of the link is no bound, since the agent may hear of it later. Agents of an earlier version are treated as before, as are tasks that must not be repeated.

Ruled out: holding each task of a lost agent (docs/design/late-starts.md).

--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -50,6 +50,8 @@
     //! agent process started can still run at the upstream; zero if there is no
     //! such bound.
     duration earlier_runs_timeout = duration::zero();
+    //! Whether on_begun() is called for each start that the upstream accepts.
+    bool tells_begun = false;
 
     friend bool operator==(const agent_options&,
                            const agent_options&) = default;
@@ -102,6 +104,11 @@
     //! Replaces the permit, unless `granted` has an older version.
     void set_permit(const permit& granted);
 
+    //! Tells the entries that wait for this run that the upstream has accepted
+    //! its start.
+    void on_begun(const submission_id& submission, task_index index,
+                  attempt_number attempt);
+
     //! Sends the grants that are due, removes expired start records and stops
     //! orphaned runs whose grace has passed. Call a few times a second.
     void tick();
@@ -174,6 +181,8 @@
         std::map<task_key, orphaned_run> orphans;
         //! Attempts of the repeatable tasks that run now.
         std::map<task_key, attempt_number> repeatable;
+        //! Attempts that run now and whose start the upstream has accepted.
+        std::map<task_key, attempt_number> begun;
         //! Runs that the agent stops on its own, without a cancel message.
         std::set<task_key> stopped_by_agent;
     };
--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -54,6 +54,9 @@
     worker_hooks worker;
     //! Called after the result of ready() has changed.
     std::function<void()> on_readiness;
+    //! Called once for each start that the worker has accepted, by its answer
+    //! or by its list; may be absent.
+    std::function<void(const task_run&)> on_begun = {};
 };
 
 //! Extends the lease of a worker's runs and records how they end. A start
--- a/process/agent/src/agent_recovery.cpp
+++ b/process/agent/src/agent_recovery.cpp
@@ -30,6 +30,8 @@
 void agent_service::on_query(link_number link, const query_message& query)
 {
     status_message status{query.submission, options_.id, options_.run, {}};
+    if (options_.tells_begun)
+        status.begun.emplace();
     if (query.agent_run == options_.run)
     {
         auto& shard = shard_of(query.submission);
@@ -41,6 +43,10 @@
             if (found.state == start_state::running)
             {
                 add_watcher(shard, key, link);
+                const auto begun = shard.begun.find(key);
+                if (status.begun && begun != shard.begun.end() &&
+                    begun->second == found.attempt)
+                    status.begun->push_back({item.index, found.attempt});
             }
             status.items.push_back(found);
         }
--- a/process/agent/src/agent_starts.cpp
+++ b/process/agent/src/agent_starts.cpp
@@ -172,6 +172,7 @@
     {
         const task_key key{dispatch.submission, dispatch.key.index};
         add_watcher(shard, key, link);
+        shard.begun.erase(key);
         if (dispatch.repeatable)
             shard.repeatable[key] = dispatch.key.attempt;
     }
@@ -201,6 +202,31 @@
                          { on_result(link, dispatch, result, started); });
 }
 
+// The entries need it only if this agent is lost: a start that was accepted
+// can't begin later. It is no answer to a query, which would fence starts.
+void agent_service::on_begun(const submission_id& submission, task_index index,
+                             attempt_number attempt)
+{
+    const task_key key{submission, index};
+    std::set<link_number> watchers;
+    {
+        auto& shard = shard_of(submission);
+        const std::lock_guard lock(shard.mutex);
+        const auto found = shard.watchers.find(key);
+        if (found == shard.watchers.end() ||
+            shard.guard.started_attempt(key) != attempt)
+            return;
+        shard.begun[key] = attempt;
+        watchers = found->second;
+    }
+    for (const auto& watcher : watchers)
+        send(watcher, status_message{submission,
+                                     options_.id,
+                                     options_.run,
+                                     {},
+                                     {{{index, attempt}}}});
+}
+
 // A result whose links have all closed is kept by the guard and sent when an
 // entry queries it. The credit is returned to the link that spent it.
 void agent_service::on_result(link_number link,
@@ -228,6 +254,7 @@
             shard.orphans.erase(key);
             shard.stopped_by_agent.erase(key);
             shard.repeatable.erase(key);
+            shard.begun.erase(key);
         }
     }
     const auto credits = release_slot(link, dispatch.work->need);
--- a/process/agent/src/leased_runs.cpp
+++ b/process/agent/src/leased_runs.cpp
@@ -68,6 +68,11 @@
                 [self = shared_from_this(), it,
                  life = output.worker.life](const lease_reply& reply)
                 { self->on_extended(life, it, reply); });
+        for (const auto& it : output.accepted)
+        {
+            if (hooks.on_begun)
+                hooks.on_begun(it);
+        }
         for (const auto& it : output.results)
             it.done(it.result);
         if (output.readiness_changed && hooks.on_readiness)
--- a/process/agent/src/run_reports.cpp
+++ b/process/agent/src/run_reports.cpp
@@ -112,7 +112,7 @@
         if (is_there)
         {
             it.stale_reports_up_to = last_extension_number_;
-            it.is_start_resolved = true;
+            resolve_start(id, it);
         }
         const bool is_settled = it.current_phase == phase::running ||
                                 (it.current_phase == phase::stop_accepted &&
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -1,6 +1,7 @@
 #include "run_table.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace lagoonquay
 {
@@ -111,7 +112,7 @@
     {
     case order_result::accepted:
         it.stale_reports_up_to = last_extension_number_;
-        it.is_start_resolved = true;
+        resolve_start(order.run, it);
         it.accepted = now;
         it.clock_when_accepted = reply.clock.value_or(it.clock_when_ordered);
         if (it.current_phase == phase::starting ||
@@ -147,6 +148,12 @@
     }
 }
 
+void run_table::resolve_start(const task_run& id, run& it)
+{
+    if (!std::exchange(it.is_start_resolved, true))
+        output_.accepted.push_back(id);
+}
+
 // A stop that was accepted revokes a start that has not arrived yet. While a
 // run is being stopped, it is listed neither as running nor as ended.
 void run_table::on_stop(worker_life life, const stop_order& order,
--- a/process/agent/src/run_table.hpp
+++ b/process/agent/src/run_table.hpp
@@ -38,6 +38,7 @@
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
     std::vector<numbered_extension> extensions;
+    std::vector<task_run> accepted; //!< whose start the worker has accepted
     std::vector<run_result> results;
     std::vector<given_up_run> given_up;       //!< to be logged
     std::vector<unanswered_start> unanswered; //!< to be logged
@@ -139,6 +140,7 @@
     void keep_for_next_life(const task_run& id, run& it, instant now);
     static order_result result_in_this_life(const run& it,
                                             const order_reply& reply);
+    void resolve_start(const task_run& id, run& it);
     void mark_life_unconfirmed(instant now);
     instant max_lease_end(instant now) const;
     bool is_unresponsive(instant now) const;
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -71,6 +71,9 @@
     duration clock_skew = std::chrono::milliseconds(500);
     //! How long an agent may take to reconnect before its tasks are given up.
     duration reconnect_timeout = std::chrono::seconds(2);
+    //! Maximum time after which a worker carries out an order that its agent
+    //! got no answer to; as the agent's.
+    duration max_order_delay = std::chrono::seconds(15);
     //! Longest time from the start of a repeatable run at an agent without a
     //! link to this entry to its end: the agent's `orphan_grace`, its tick and
     //! the stop. Must be shorter than `reconnect_timeout`.
@@ -131,6 +134,8 @@
     std::uint64_t retried = 0;         //!< repeated runs of idempotent tasks
     std::uint64_t adopted = 0;   //!< jobs taken over from an earlier claim
     std::uint64_t recovered = 0; //!< attempts adopted from an agent's status
+    //! Tasks kept with a lost agent because their start may begin later.
+    std::uint64_t held_moves = 0;
 
     friend bool operator==(const entry_counts&, const entry_counts&) = default;
 };
@@ -349,13 +354,17 @@
     void query_earlier_agents(const job_pointer& state);
     void on_status(const agent_id& agent, const status_message& it);
     report_outcome apply(job_state& state, const agent_run_id& agent,
-                         const status_item& it);
+                         const status_item& it, const attempt_start& start);
+    void note_begun(const job_pointer& state, const agent_run_id& agent,
+                    const std::vector<begun_attempt>& begun);
     void record_finished(const job_pointer& state, const status_message& it);
     std::set<agent_id> agents_that_accept_again(const job_pointer& state,
                                                 const linked_runs& links);
     void finish_adoption(const job_pointer& state);
     void check_lost(instant now);
     struct lost_attempt;
+    void log_held(const job_state& state, const lost_attempt& it,
+                  instant now) const;
     std::vector<lost_attempt> lost_attempts(job_state& state,
                                             const linked_runs& links,
                                             instant now) const;
@@ -435,6 +444,7 @@
     std::atomic<std::uint64_t> retried_{0};
     std::atomic<std::uint64_t> adopted_{0};
     std::atomic<std::uint64_t> recovered_{0};
+    std::atomic<std::uint64_t> held_moves_{0};
 };
 
 } // namespace lagoonquay
--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -108,7 +108,9 @@
 // An attempt starts neither after the claim's end nor after the time at which
 // it may be given up if its link is lost now. One that may then start elsewhere
 // has to be over by that time: an agent that was frozen starts what had waited
-// there, and stops it only once its own grace period is over. An entry that
+// there, and stops it only once its own grace period is over. So no start of it
+// is sent later, and one without an answer begins no later than the longest
+// delay of an order after that. An entry that
 // adopts the job queries only the agents in the claim's reach, so a task for
 // any other agent waits for a renewal that adds the agent. Tasks that wait for
 // a renewal leave the queue.
@@ -145,13 +147,17 @@
                 now + options_.reconnect_timeout -
                 (it.submitted->idempotent ? options_.orphan_run_time
                                           : duration::zero());
+            const auto last_start = std::min(it.claim_end, reconnect_deadline);
+            const attempt_start start{credit.tells_begun
+                                          ? start_answer::unanswered
+                                          : start_answer::untold,
+                                      last_start + options_.max_order_delay};
             dispatch_message result;
             result.submission = key.submission;
-            result.key = it.run.dispatch(key.index, agent, credit.agent_run);
+            result.key =
+                it.run.dispatch(key.index, agent, credit.agent_run, start);
             result.start_before =
-                to_agent_time(credit,
-                              std::min(it.claim_end, reconnect_deadline)) -
-                options_.claim_margin;
+                to_agent_time(credit, last_start) - options_.claim_margin;
             result.run_limit = it.deadline - now;
             result.repeatable = it.submitted->idempotent;
             result.service = it.submitted->service;
--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -1,6 +1,7 @@
 // Recovery of tasks after the loss of a link, and adoption of jobs from an
 // earlier claim.
 #include "entry_job.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/log.hpp"
 
 namespace lagoonquay
@@ -61,6 +62,18 @@
                  {"outcome", to_text(it.outcome)}});
 }
 
+// @return what the status tells of the start of a running item.
+attempt_start start_of(const status_message& status, const status_item& item,
+                       instant last_begin)
+{
+    if (!status.begun)
+        return {};
+    const begun_attempt wanted{item.index, item.attempt};
+    const bool begun = std::find(status.begun->begin(), status.begun->end(),
+                                 wanted) != status.begun->end();
+    return {begun ? start_answer::begun : start_answer::unanswered, last_begin};
+}
+
 task_result lost_result(const attempt_key& key)
 {
     return task_result(
@@ -157,6 +170,9 @@
     if (!state)
         return;
     const agent_run_id source{agent, it.agent_run};
+    if (it.items.empty() && it.begun)
+        return note_begun(state, source, *it.begun);
+    const auto last_begin = hooks_.now() + options_.max_order_delay;
     std::vector<task_index> moved;
     std::vector<status_change> changes;
     with_job(state,
@@ -167,7 +183,8 @@
                  for (const auto& item : it.items)
                  {
                      const auto before = found.run.current(item.index);
-                     const auto outcome = apply(found, source, item);
+                     const auto outcome = apply(found, source, item,
+                                                start_of(it, item, last_begin));
                      changes.push_back({item, before, outcome});
                      if (outcome == report_outcome::waits_again &&
                          !found.cancelled && found.stage == job_stage::running)
@@ -186,6 +203,20 @@
     finish_if_complete(state);
 }
 
+// Proves that the starts of these attempts arrived, so that none is on its way.
+void entry_service::note_begun(const job_pointer& state,
+                               const agent_run_id& agent,
+                               const std::vector<begun_attempt>& begun)
+{
+    with_job(state,
+             [&](job_state& it)
+             {
+                 for (const auto& each : begun)
+                     it.run.note_begun(
+                         {each.index, each.attempt, agent.agent, agent.run});
+             });
+}
+
 // A task that finished while its agent was disconnected is handled as if its
 // result arrived now, and so may be retried.
 void entry_service::record_finished(const job_pointer& state,
@@ -203,12 +234,14 @@
 // An agent keeps the result of a run that has ended, and reports it again when
 // it declines a later attempt.
 report_outcome entry_service::apply(job_state& state, const agent_run_id& agent,
-                                    const status_item& it)
+                                    const status_item& it,
+                                    const attempt_start& start)
 {
     const auto outcome = state.run.take_report(
         {.reported = {it.index, it.attempt, agent.agent, agent.run},
          .started = it.state != start_state::not_started,
-         .forbidden = it.forbidden});
+         .forbidden = it.forbidden,
+         .start = start});
     if (outcome == report_outcome::adopted ||
         outcome == report_outcome::confirmed)
         ++recovered_;
@@ -314,6 +347,9 @@
     attempt_key key;
     //! To be given up only once the agent's new incarnation accepts tasks.
     bool once_accepting = false;
+    //! Until when it is kept because its start may begin later; found now.
+    std::optional<instant> held_until = {};
+    bool restarted = false; //!< the agent's process began anew
 };
 
 void entry_service::check_lost(instant now)
@@ -331,6 +367,12 @@
                  });
         for (const auto& it : lost)
         {
+            if (it.held_until)
+            {
+                ++held_moves_;
+                log_held(*state, it, now);
+                continue;
+            }
             if (it.once_accepting &&
                 !dispatcher_.agents().accepts(it.key.agent))
                 continue;
@@ -345,7 +387,9 @@
 // @return the attempts whose agent is given up: it reconnected as another
 // incarnation, or did not reconnect within the grace period. A task that may be
 // retried waits until the new incarnation accepts tasks, because that one first
-// ends the runs that the old one left.
+// ends the runs that the old one left. A start without an answer outlives both:
+// a next life of the worker may carry it out, so its task isn't started
+// elsewhere before. A cancelled task is started nowhere.
 std::vector<entry_service::lost_attempt>
 entry_service::lost_attempts(job_state& state, const linked_runs& links,
                              instant now) const
@@ -370,10 +414,28 @@
                 .first->second;
         const bool restarted = link != links.end();
         const bool late = now >= until;
-        if (restarted || late)
+        if (!restarted && !late)
+            continue;
+        const bool may_move = state.submitted->idempotent && !state.cancelled;
+        if (!may_move || !state.run.may_begin_later(key, now))
             lost.push_back({key, !late && state.submitted->idempotent});
+        else if (const auto held_until = state.run.note_held(key))
+            lost.push_back({key, false, held_until, restarted});
     }
     return lost;
 }
 
+void entry_service::log_held(const job_state& state, const lost_attempt& it,
+                             instant now) const
+{
+    write_event(
+        log_level::info, part, state.id, "move_held",
+        {{"task", static_cast<std::int64_t>(it.key.index.number())},
+         {"attempt", number_of(it.key.attempt)},
+         {"agent", it.key.agent.text()},
+         {"agent_restarted", it.restarted ? "yes" : "no"},
+         {"up_to_ms",
+          milliseconds_of(std::min(*it.held_until, state.deadline) - now)}});
+}
+
 } // namespace lagoonquay
--- a/process/entry/src/entry_service.cpp
+++ b/process/entry/src/entry_service.cpp
@@ -212,10 +212,10 @@
 
 entry_counts entry_service::counts() const noexcept
 {
-    return {accepted_,  joined_,   refused_,
-            completed_, failed_,   dispatcher_.dispatched(),
-            requeued_,  dropped_,  retried_,
-            adopted_,   recovered_};
+    return {accepted_,  joined_,    refused_,
+            completed_, failed_,    dispatcher_.dispatched(),
+            requeued_,  dropped_,   retried_,
+            adopted_,   recovered_, held_moves_};
 }
 
 const reason_counts& entry_service::answers_by_reason() const noexcept
@@ -300,7 +300,8 @@
         {"dropped_results", n.dropped_results},
         {"retried", n.retried},
         {"adopted", n.adopted},
-        {"recovered", n.recovered}};
+        {"recovered", n.recovered},
+        {"held_moves", n.held_moves}};
     return json::serialize(state);
 }
 
--- a/process/entry/tests/duration_order_test.cpp
+++ b/process/entry/tests/duration_order_test.cpp
@@ -51,6 +51,11 @@
     EXPECT_LT(entry.orphan_run_time + most_margin, entry.reconnect_timeout);
 }
 
+TEST(duration_order, moves_a_start_without_an_answer_once_no_order_is_late)
+{
+    EXPECT_GE(entry.max_order_delay, worker.max_order_delay);
+}
+
 TEST(duration_order, ends_a_run_behind_a_silent_link_before_it_is_moved)
 {
     EXPECT_LE(link.silence + agent.orphan_grace + tick + worker.stop_time,
--- a/process/entry/tests/leased_workers.cpp
+++ b/process/entry/tests/leased_workers.cpp
@@ -48,6 +48,7 @@
         if (earlier)
             earlier(it);
         it.earlier_runs_timeout = max_run_time_without_agent(options_.leases);
+        it.tells_begun = options_.tells_begun;
     };
 }
 
@@ -104,10 +105,11 @@
         options_.leases,
         leased_runs_hooks{.now = [this] { return fleet_.time().now(); },
                           .worker = it.calls,
-                          .on_readiness =
-                              [this, agent]
+                          .on_readiness = [this, agent] { announce(agent); },
+                          .on_begun =
+                              [this, agent](const task_run& run)
                           {
-                              announce(agent);
+                              tell_begun(agent, run);
                           }});
     tick(agent, process);
     fake_fleet_hooks::agent_upstream made;
@@ -158,6 +160,12 @@
     fleet_.agent(agent).announce(announced);
 }
 
+void leased_workers::tell_begun(std::size_t agent, const task_run& run)
+{
+    if (options_.tells_begun && hosts_.at(agent)->has_service)
+        fleet_.agent(agent).on_begun(run.submission, run.index, run.attempt);
+}
+
 void leased_workers::tick(std::size_t agent, const process_pointer& process)
 {
     fleet_.time().after(lease_period,
--- a/process/entry/tests/leased_workers.hpp
+++ b/process/entry/tests/leased_workers.hpp
@@ -41,6 +41,7 @@
     duration heartbeat_period = std::chrono::milliseconds(1500);
     std::uint32_t slots = 4;
     duration max_stop_time = std::chrono::milliseconds(50);
+    bool tells_begun = true; //!< false as agents of an earlier version
 };
 
 enum class order_kind
@@ -135,6 +136,7 @@
                                            const process_pointer& process);
     void end_process(std::size_t agent);
     void announce(std::size_t agent);
+    void tell_begun(std::size_t agent, const task_run& run);
     void tick(std::size_t agent, const process_pointer& process);
     void heartbeat(std::size_t agent);
     void on_report(std::size_t agent, const worker_address& sent,
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -6,6 +6,7 @@
 #include "lagoonquay/request/job_run.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -59,6 +60,8 @@
     //! thousandths; zero if the agent can't tell. Not filled in yet.
     std::uint32_t speed_milli = 0;
     std::vector<waiting_work> waiting = {}; //!< lowest priority number first
+    //! Whether the agent tells which starts its worker has accepted.
+    bool tells_begun = false;
 
     friend bool operator==(const grant_message&,
                            const grant_message&) = default;
@@ -172,13 +175,27 @@
     friend bool operator==(const status_item&, const status_item&) = default;
 };
 
-//! Answers a query.
+//! An attempt whose start the worker has accepted.
+struct begun_attempt
+{
+    task_index index;
+    attempt_number attempt;
+
+    friend bool operator==(const begun_attempt&,
+                           const begun_attempt&) = default;
+};
+
+//! Answers a query. One without items comes unasked, once a worker has accepted
+//! a start.
 struct status_message
 {
     submission_id submission;
     agent_id agent;
     incarnation agent_run;
     std::vector<status_item> items;
+    //! Those of running items, or the one that has just begun. Absent from an
+    //! agent that doesn't tell.
+    std::optional<std::vector<begun_attempt>> begun = {};
 
     friend bool operator==(const status_message&,
                            const status_message&) = default;
--- a/request/include/lagoonquay/request/job_run.hpp
+++ b/request/include/lagoonquay/request/job_run.hpp
@@ -3,6 +3,7 @@
 
 #include "lagoonquay/request/answer.hpp"
 #include "lagoonquay/request/job.hpp"
+#include "lagoonquay/request/time.hpp"
 
 #include <cstddef>
 #include <optional>
@@ -37,12 +38,31 @@
     lost,     //!< its agent is given up; it may go on there
 };
 
+//! Whether the upstream has answered the start of an attempt.
+enum class start_answer
+{
+    untold,     //!< the attempt's agent doesn't tell
+    unanswered, //!< the start may have been sent, and may begin later
+    begun,      //!< the upstream has accepted it
+};
+
+//! What is known of the start of an attempt.
+struct attempt_start
+{
+    start_answer answer = start_answer::untold;
+    instant last_begin{}; //!< an unanswered start begins no later
+
+    friend bool operator==(const attempt_start&,
+                           const attempt_start&) = default;
+};
+
 //! What an agent tells of one task when an entry has asked for it.
 struct attempt_report
 {
     attempt_key reported;     //!< that started there, if one has
     bool started = false;     //!< if not, no attempt up to `forbidden` has
     attempt_number forbidden; //!< no attempt after that one starts, up to this
+    attempt_start start = {}; //!< of the attempt that started
 
     friend bool operator==(const attempt_report&,
                            const attempt_report&) = default;
@@ -74,7 +94,20 @@
     //! higher number than all that were dispatched or adopted before.
     //! @return the key that its result must carry.
     attempt_key dispatch(task_index index, const agent_id& agent,
-                         incarnation agent_run);
+                         incarnation agent_run,
+                         const attempt_start& start = {});
+
+    //! Notes that the upstream has accepted the start of the attempt, if it is
+    //! a current one.
+    void note_begun(const attempt_key& key);
+
+    //! @return whether the attempt is a current one whose start has no answer
+    //! and may yet begin.
+    bool may_begin_later(const attempt_key& key, instant now) const noexcept;
+
+    //! Notes that the task stays with a lost agent because of its start.
+    //! @return the time at which that ends, the first time for each attempt.
+    std::optional<instant> note_held(const attempt_key& key);
 
     //! Takes a result.
     //! @return false if it is late, doubled or crossed, and was dropped.
@@ -139,7 +172,9 @@
     {
         task_phase phase = task_phase::waiting;
         attempt_key key;
-        attempt_number last; //!< highest that was dispatched or adopted
+        attempt_start start;  //!< of the attempt in `key`
+        bool is_held = false; //!< note_held() was called for that attempt
+        attempt_number last;  //!< highest that was dispatched or adopted
         task_result result;
         bool may_have_run = false;         //!< in an earlier attempt
         std::size_t failures = 0;          //!< attempts that ran and failed
@@ -149,7 +184,7 @@
     const slot* find(const attempt_key& key) const noexcept;
     static bool has_ended(const slot& target, attempt_number attempt);
     static bool covers(const attempt_report& report, const slot& target);
-    static report_outcome adopt(slot& target, const attempt_key& started);
+    static report_outcome adopt(slot& target, const attempt_report& report);
     void finish(slot& target, task_result result);
 
     job job_;
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -95,6 +95,8 @@
         {"service", it.service.text()}};
     if (it.speed_milli != 0)
         object["speed_milli"] = it.speed_milli;
+    if (it.tells_begun)
+        object["tells_begun"] = true;
     if (it.waiting.empty())
         return object;
     json::array waiting;
@@ -177,11 +179,19 @@
     json::array items;
     for (const auto& item : it.items)
         items.push_back(to_json(item));
-    return {{"type", "status"},
-            {"submission", it.submission.text()},
-            {"agent", it.agent.text()},
-            {"agent_run", wide(it.agent_run.number())},
-            {"items", std::move(items)}};
+    json::object object{{"type", "status"},
+                        {"submission", it.submission.text()},
+                        {"agent", it.agent.text()},
+                        {"agent_run", wide(it.agent_run.number())},
+                        {"items", std::move(items)}};
+    if (!it.begun)
+        return object;
+    json::array begun;
+    for (const auto& each : *it.begun)
+        begun.push_back(json::object{{"index", each.index.number()},
+                                     {"attempt", each.attempt.number()}});
+    object["begun"] = std::move(begun);
+    return object;
 }
 
 link_message read_hello(json_fields& fields, const job_limits& limits)
@@ -249,6 +259,7 @@
     it.service = get_service(fields);
     it.speed_milli = get_count_or_zero(fields, "speed_milli");
     it.waiting = read_waiting(fields);
+    it.tells_begun = fields.flag_or("tells_begun", false);
     return it;
 }
 
@@ -365,12 +376,32 @@
     return it;
 }
 
+std::optional<std::vector<begun_attempt>> read_begun(json_fields& fields)
+{
+    if (fields.member("begun") == nullptr)
+        return std::nullopt;
+    std::vector<begun_attempt> all;
+    const auto* source = fields.array("begun");
+    if (source == nullptr)
+        return all;
+    for (const auto& each : *source)
+    {
+        json_fields item(each, "begun");
+        all.push_back(
+            {task_index(item.number("index", 0, count_limit)),
+             attempt_number(item.number("attempt", 1, json_exact_limit))});
+        fields.absorb(item);
+    }
+    return all;
+}
+
 link_message read_status(json_fields& fields, const job_limits& limits)
 {
     status_message it;
     it.submission = get_submission(fields, limits);
     it.agent = agent_id(fields.text("agent", limits.id_bytes));
     it.agent_run = incarnation(fields.wide_number("agent_run"));
+    it.begun = read_begun(fields);
     const auto* items = fields.array("items");
     if (items == nullptr)
         return it;
--- a/request/src/job_run.cpp
+++ b/request/src/job_run.cpp
@@ -46,7 +46,7 @@
 }
 
 attempt_key job_run::dispatch(task_index index, const agent_id& agent,
-                              incarnation agent_run)
+                              incarnation agent_run, const attempt_start& start)
 {
     auto& target = slots_.at(index.number());
     const auto earlier = std::max(base_, target.last);
@@ -56,9 +56,35 @@
                   .attempt = target.last,
                   .agent = agent,
                   .agent_run = agent_run};
+    target.start = start;
+    target.is_held = false;
     return target.key;
 }
 
+void job_run::note_begun(const attempt_key& key)
+{
+    if (find(key) != nullptr)
+        slots_[key.index.number()].start.answer = start_answer::begun;
+}
+
+bool job_run::may_begin_later(const attempt_key& key,
+                              instant now) const noexcept
+{
+    const auto* it = find(key);
+    return it != nullptr && it->start.answer == start_answer::unanswered &&
+           now < it->start.last_begin;
+}
+
+std::optional<instant> job_run::note_held(const attempt_key& key)
+{
+    if (find(key) == nullptr)
+        return std::nullopt;
+    auto& target = slots_[key.index.number()];
+    if (std::exchange(target.is_held, true))
+        return std::nullopt;
+    return target.start.last_begin;
+}
+
 bool job_run::record(const attempt_key& key, const task_result& result)
 {
     if (find(key) == nullptr)
@@ -117,10 +143,14 @@
     if (target.phase == task_phase::finished)
         return report_outcome::unchanged;
     if (report.started && find(reported) != nullptr)
+    {
+        if (report.start.answer == start_answer::begun)
+            note_begun(reported);
         return report_outcome::confirmed;
+    }
     const bool over = !report.started || has_ended(target, reported.attempt);
     if (target.phase == task_phase::waiting)
-        return over ? report_outcome::unchanged : adopt(target, reported);
+        return over ? report_outcome::unchanged : adopt(target, report);
     if (target.key.agent != reported.agent ||
         target.key.agent_run != reported.agent_run)
         return report_outcome::unchanged;
@@ -132,7 +162,7 @@
     }
     const bool later = reported.attempt > target.key.attempt;
     if (!over && (fenced || later))
-        return adopt(target, reported);
+        return adopt(target, report);
     return report.started && !later ? report_outcome::ignored
                                     : report_outcome::unchanged;
 }
@@ -277,11 +307,13 @@
            (!report.started || report.reported.attempt < current);
 }
 
-report_outcome job_run::adopt(slot& target, const attempt_key& started)
+report_outcome job_run::adopt(slot& target, const attempt_report& report)
 {
     target.phase = task_phase::dispatched;
-    target.key = started;
-    target.last = std::max(target.last, started.attempt);
+    target.key = report.reported;
+    target.start = report.start;
+    target.is_held = false;
+    target.last = std::max(target.last, report.reported.attempt);
     return report_outcome::adopted;
 }
 
--- a/request/tests/recovery_message_test.cpp
+++ b/request/tests/recovery_message_test.cpp
@@ -53,6 +53,36 @@
     EXPECT_EQ(received.value(), sent);
 }
 
+// Sent once for each task, so its size counts.
+TEST(recovery_messages, an_accepted_start_is_told_in_few_bytes)
+{
+    const status_message status{key.submission,
+                                agent_id("a"),
+                                incarnation(3),
+                                {},
+                                {{{key.index, attempt_number(1U << 16U)}}}};
+    const auto frame = encode_frame({status});
+    constexpr std::size_t max_bytes = 128; // with ids of one character
+    EXPECT_LE(frame.size(), max_bytes) << frame;
+    const auto received = decode_frame(frame);
+    ASSERT_TRUE(received) << received.error().detail;
+    EXPECT_EQ(received.value(), std::vector<link_message>{status});
+}
+
+// An agent of an earlier version says nothing of starts.
+TEST(recovery_messages, a_status_without_word_of_starts_differs_from_none_begun)
+{
+    status_message status{key.submission, agent_id("a"), incarnation(3), {}};
+    for (const bool tells : {false, true})
+    {
+        if (tells)
+            status.begun.emplace();
+        const auto received = decode_frame(encode_frame({status}));
+        ASSERT_TRUE(received) << received.error().detail;
+        EXPECT_EQ(received.value(), std::vector<link_message>{status});
+    }
+}
+
 TEST(recovery_messages, a_finished_state_without_its_result_is_malformed)
 {
     const auto received = decode_frame(
