Count a joined entry alone once a majority has told that it counts it

Cause: 3 s after an entry had first heard of two joined ones it asked their group alone, as if all had heard of them by then. Another had not, and asked the group without them. The two groups shared no voter of the two majorities.

Change: a request carries a digest of the entries that its holder counts. A replica that counts others names its groups with its vote, and the claim needs a majority of those with an entry unknown to the holder, in the same claim. While an entry is joined, the request asks whether the replica counts the same ones and since when; peers that have not told are asked, five each 0.5 s. The group without the joined entry is asked until a majority of it has counted it for two leases. The same holds for the new entry and the group of the older ones. Entries that joined one after the other are taken out one after the other. An earlier version, which doesn't tell, is counted by the time.

--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -6,9 +6,12 @@
 #include "lagoonquay/version/member.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +48,18 @@
     friend bool operator==(const peer_change&, const peer_change&) = default;
 };
 
+//! An entry that all others count now, and by what that is known.
+struct counted_entry
+{
+    endpoint address;
+    std::string id;
+    duration after{};           //!< since this entry first heard of it
+    std::vector<endpoint> told; //!< the others that said so
+
+    friend bool operator==(const counted_entry&,
+                           const counted_entry&) = default;
+};
+
 //! Keeps entries for some time after control ceases to list them. Thread-safe.
 class entry_peers
 {
@@ -65,6 +80,29 @@
     //! @return what has changed since the last call, for the log.
     std::vector<peer_change> take_changes();
 
+    //! @return the entries that joined and that all others count since the last
+    //! call, for the log.
+    std::vector<counted_entry> take_counted();
+
+    //! @return the request with what it tells of the entries counted here.
+    claim_request tell_entries(const claim_request& request) const;
+
+    //! @return a vote of the replica here, with what the holder needs to know
+    //! of the entries counted here.
+    //! @param groups  returns those that this entry would ask.
+    claim_vote tell_entries(
+        const claim_vote& vote, const claim_request& asked,
+        const std::function<std::vector<replica_group>(const submission_id&)>&
+            groups);
+
+    //! Notes which entries a replica counts, by its vote on a request that
+    //! tell_entries() made.
+    //! @return the groups that the claim needs as well, since they contain
+    //! entries that others may not know, or that this one doesn't know.
+    std::vector<replica_group> note_vote(const endpoint& replica,
+                                         const claim_request& asked,
+                                         const claim_vote& vote);
+
     //! @return the addresses at which the other entries accept claims.
     std::vector<endpoint> current();
 
@@ -95,13 +133,18 @@
                      const std::optional<held_claims>& answer);
 
     //! @return the peers to ask, once a period, which entries they know as
-    //! established; none once this entry is not new any more.
+    //! established: all while this entry is new; then a few of those that are
+    //! not known to count this one or those that joined, if any.
     std::vector<endpoint> to_ask_for_established();
 
     //! @return this entry and the others that have not joined recently; none
     //! while this one is new itself, unless the whole fleet is.
     std::vector<endpoint> established();
 
+    //! @return the answer to a peer's question with what this entry knows of
+    //! the entries.
+    held_claims with_entries(held_claims answer);
+
     //! @return the time since the first list; 0 before it.
     duration listed_for() const;
 
@@ -116,6 +159,11 @@
         domain_id domain;
         instant first_listed{};
         instant last_listed{};
+        //! Joined after the first lists; not all others are known to count it.
+        bool joined = false;
+        //! Since when the others count it, if it joined.
+        std::map<endpoint, instant> counted_since;
+        std::shared_ptr<const std::set<endpoint>> counted_by;
     };
 
     //! A process that was removed and may go on by an old view.
@@ -123,12 +171,30 @@
     {
         incarnation run;
         instant last_asked{}; //!< or removed
+        endpoint address;
+        instant removed_at{};
     };
 
+    // entry_peers_counted.cpp
+    void note_joined(const endpoint& address, instant now);
+    void forget_counted(const endpoint& replica);
+    void update_counted(instant now);
+    void update_own(instant now);
+    bool counts_self(const endpoint& replica, instant now) const;
+    bool was_removed(const endpoint& address, instant now) const;
+    bool is_of_use(const std::vector<endpoint>& group, instant now) const;
+    replica_group as_group(const std::vector<endpoint>& members,
+                           instant now) const;
+    bool is_joining() const;
+    std::vector<endpoint> not_told() const;
+    void note_counted(const endpoint& replica, instant since);
+    void note_earlier_version(const endpoint& replica);
+
     void note_list(instant now);
     void forget_ended(instant now);
     void remove_unlisted();
     bool is_new(instant now) const;
+    bool is_told_established(const endpoint& address) const;
     bool keeps_its_place() const;
     bool started_with_fleet(instant now) const;
     std::optional<instant> earlier_start() const;
@@ -150,6 +216,12 @@
     std::map<endpoint, std::vector<endpoint>> established_at_;
     //! First lists of the peers that are new themselves and told when it was.
     std::map<endpoint, instant> first_lists_;
+    entries_digest digest_;      //!< of this entry and entries_
+    instant last_joined_{};      //!< when this entry last heard of another one
+    instant last_count_{};       //!< when it was worked out who is counted
+    bool counted_itself_ = true; //!< whether all older ones count this one
+    std::map<endpoint, instant> own_counted_since_; //!< by the others
+    std::vector<counted_entry> newly_counted_;      //!< not yet taken
 };
 
 } // namespace lagoonquay
--- a/process/entry/src/entry_http.cpp
+++ b/process/entry/src/entry_http.cpp
@@ -314,7 +314,8 @@
 // others do, and could hold a claim beside one of them. Its releases and
 // lookups change nothing for the others.
 http_response claim_response(ledger_replica& ledger, const std::string& body,
-                             const unlisted_hook& is_unlisted)
+                             const unlisted_hook& is_unlisted,
+                             const vote_hook& tell_entries)
 {
     const auto asked = decode_claim_request(body);
     if (!asked)
@@ -325,7 +326,9 @@
         is_unlisted(it.holder, it.holder_run))
         return error_response(http_status::unavailable, "unlisted",
                               "control no longer lists this entry");
-    return {.body = encode_claim_vote(ledger.claim(asked.value()))};
+    const auto vote = ledger.claim(asked.value());
+    return {.body = encode_claim_vote(
+                tell_entries ? tell_entries(vote, asked.value()) : vote)};
 }
 
 http_handler caller_routes(entry_service& service, const job_limits& limits,
@@ -345,31 +348,34 @@
 }
 
 http_handler peer_routes(entry_service& service, ledger_replica& ledger,
-                         entry_peers& peers, const job_limits& limits)
+                         entry_peers& peers, const replica_groups_hook& groups,
+                         const job_limits& limits)
 {
     const auto is_unlisted = [&peers](const entry_id& entry, incarnation run)
     {
         return peers.is_unlisted(entry, run);
     };
-    const auto claim = [&ledger, is_unlisted](const http_request& request,
-                                              std::string_view,
-                                              const http_responder& respond)
+    const auto tell =
+        [&peers, groups](const claim_vote& vote, const claim_request& asked)
     {
-        respond(claim_response(ledger, request.body, is_unlisted));
+        return peers.tell_entries(vote, asked, groups);
+    };
+    const auto claim = [&ledger, is_unlisted,
+                        tell](const http_request& request, std::string_view,
+                              const http_responder& respond)
+    {
+        respond(claim_response(ledger, request.body, is_unlisted, tell));
     };
     const auto held = [&service, &ledger, &peers]() -> http_response
     {
-        return {.body = encode_held_claims(
+        return {.body = encode_held_claims(peers.with_entries(
                     {.settled =
                          ledger.complete() || service.agents().no_stray_runs(),
-                     .claims = service.held_claims(),
-                     .established = peers.established(),
-                     .listed_for = peers.listed_for()})};
+                     .claims = service.held_claims()}))};
     };
     const auto established = [&peers]() -> http_response
     {
-        return {.body = encode_held_claims({.established = peers.established(),
-                                            .listed_for = peers.listed_for()})};
+        return {.body = encode_held_claims(peers.with_entries({}))};
     };
     const auto records = [&ledger](const http_request& request,
                                    std::string_view first,
--- a/process/entry/src/entry_node.cpp
+++ b/process/entry/src/entry_node.cpp
@@ -93,6 +93,18 @@
                  {"address", to_text(it.address)}});
 }
 
+void log_counted(const counted_entry& it)
+{
+    std::string told;
+    for (const auto& by : it.told)
+        told += (told.empty() ? "" : ",") + to_text(by);
+    write_event(log_level::info, part, {}, "entry_counted",
+                {{"entry", it.id},
+                 {"address", to_text(it.address)},
+                 {"after_ms", milliseconds_of(it.after)},
+                 {"told_by", told}});
+}
+
 //! @return a thread-safe source of random numbers.
 random_hook seeded_random_hook(std::uint64_t seed)
 {
@@ -232,6 +244,28 @@
         };
     }
 
+    // Replicas of a settings file are the same for all entries.
+    std::function<claim_request(const claim_request&)> tell_entries()
+    {
+        if (!options.replicas_from_control)
+            return {};
+        return [this](const claim_request& it)
+        {
+            return peers.tell_entries(it);
+        };
+    }
+
+    told_groups_hook told_groups()
+    {
+        if (!options.replicas_from_control)
+            return {};
+        return [this](const endpoint& replica, const claim_request& asked,
+                      const claim_vote& vote)
+        {
+            return peers.note_vote(replica, asked, vote);
+        };
+    }
+
     entry_hooks service_hooks()
     {
         return {.now = steady_now,
@@ -239,6 +273,8 @@
                 .claim = claim_over_http(
                     client, ledger,
                     {.groups = groups_hook(),
+                     .tell_entries = tell_entries(),
+                     .told_groups = told_groups(),
                      .after = [this](duration delay, std::function<void()> work)
                      { io.after(delay, std::move(work)); },
                      .patience = {},
@@ -269,6 +305,8 @@
                     peers.learn(entries, service.is_in_touch_with_control());
                     for (const auto& it : peers.take_changes())
                         log_change(it);
+                    for (const auto& it : peers.take_counted())
+                        log_counted(it);
                     service.learn(agents, peers.current().size() + 1);
                 }};
     }
@@ -345,7 +383,8 @@
     const auto& process = node.settings.process;
     auto peers = http_server::listen(
         node.io.context(), listener_options(process, node.settings.peers),
-        peer_routes(node.service, node.ledger, node.peers, node.settings.jobs));
+        peer_routes(node.service, node.ledger, node.peers, node.groups_hook(),
+                    node.settings.jobs));
     auto operators = http_server::listen(
         node.io.context(), operator_listener_options(process),
         entry_operator_routes(node.service, node.answers,
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -53,7 +53,9 @@
     const std::lock_guard lock(mutex_);
     if (entries.empty())
         return;
-    first_list_time_ = first_list_time_.value_or(now);
+    const auto own = parse_endpoint(own_);
+    if (!first_list_time_)
+        note_joined(own ? own.value() : endpoint(), now);
     forget_ended(now);
     if (in_touch)
         note_list(now);
@@ -64,8 +66,10 @@
             continue;
         const auto [found, is_new] = entries_.try_emplace(
             address.value(),
-            listed_entry{it->id, it->run, it->domain, now, now});
+            listed_entry{it->id, it->run, it->domain, now, now, {}, {}, {}});
         auto& known = found->second;
+        if (is_new)
+            note_joined(address.value(), now);
         if (is_new || known.run != it->run)
             changes_.push_back({address.value(), it->id, it->run});
         known.id = it->id;
@@ -75,6 +79,7 @@
         if (removed != removed_.end() && removed->second.run == it->run)
             removed_.erase(removed);
     }
+    update_counted(now);
 }
 
 // After a gap the first lists may lack entries that have not reached control
@@ -129,31 +134,19 @@
     return found;
 }
 
-// A peer that joined less than `retention_` ago is fresh: other entries may not
-// have received a list with it yet, and claims that were made without it may
-// still be valid. After `retention_`, every entry has received such a list, and
-// those claims have been renewed or have expired. An entry that has just
-// started has no earlier list to compare with, so peers that are listed within
-// `listing_delay` of its first list are not fresh. One that began anew and
-// keeps its place has heard from the others who was there before.
 std::vector<ledger_peer> entry_peers::replicas()
 {
     const auto now = now_();
     const std::lock_guard lock(mutex_);
     remove_unlisted();
+    update_counted(now);
     std::vector<ledger_peer> found;
-    const bool self_is_new = is_new(now);
-    const bool began_anew = first_list_time_ &&
-                            now - *first_list_time_ <= retention_ &&
-                            keeps_its_place();
+    const bool joining = is_joining();
     for (const auto& [address, it] : entries_)
-    {
-        const bool joined_meanwhile =
-            began_anew && !is_named(established_at_, address);
-        found.push_back(
-            {address, it.domain, is_fresh(it, now) || joined_meanwhile,
-             self_is_new && is_older(address, it), misses_lists(it)});
-    }
+        found.push_back({address, it.domain, it.joined,
+                         joining && is_older(address, it), misses_lists(it),
+                         it.first_listed, it.counted_by,
+                         counts_self(address, now)});
     return found;
 }
 
@@ -203,6 +196,14 @@
         learn_established(peer, {});
     else if (answer && answer->established)
         learn_established(peer, *answer->established, answer->listed_for);
+    if (!answer || answer->gone || !answer->established)
+        return;
+    const auto now = now_();
+    const std::lock_guard lock(mutex_);
+    if (answer->entries == entries_digest())
+        note_earlier_version(peer);
+    else if (answer->entries == digest_)
+        note_counted(peer, now - answer->entries_for);
 }
 
 // Also where it keeps its place: the others may have been about to drop it.
@@ -212,7 +213,7 @@
     {
         const std::lock_guard lock(mutex_);
         if (!first_list_time_ || now - *first_list_time_ > retention_)
-            return {};
+            return not_told();
     }
     return current();
 }
@@ -247,6 +248,11 @@
 }
 
 // Call these with the lock held.
+bool entry_peers::is_told_established(const endpoint& address) const
+{
+    return is_named(established_at_, address);
+}
+
 bool entry_peers::is_new(instant now) const
 {
     return first_list_time_ && now - *first_list_time_ <= retention_ &&
@@ -353,6 +359,7 @@
 void entry_peers::remove_unlisted()
 {
     const auto now = now_();
+    std::vector<endpoint> dropped;
     std::erase_if(
         entries_,
         [&](const auto& it)
@@ -361,10 +368,14 @@
             const bool gone = last_list_time_ - known.last_listed > retention_;
             if (!gone)
                 return false;
-            removed_.insert_or_assign(known.id, removed_entry{known.run, now});
+            removed_.insert_or_assign(
+                known.id, removed_entry{known.run, now, it.first, now});
+            dropped.push_back(it.first);
             changes_.push_back({it.first, known.id, known.run, true});
             return true;
         });
+    for (const auto& it : dropped)
+        forget_counted(it);
 }
 
 } // namespace lagoonquay
--- a/process/ledger/include/lagoonquay/process/claim_quorum.hpp
+++ b/process/ledger/include/lagoonquay/process/claim_quorum.hpp
@@ -44,7 +44,10 @@
     claim_step start(const std::optional<claim_vote>& local);
 
     //! Adds the answer of a replica that was asked, also if it is late.
-    claim_step add(const endpoint& replica, const claim_answer& answer);
+    //! @param more  groups that it told of. The claim needs a majority of each
+    //!              of these as well, unless it is decided already.
+    claim_step add(const endpoint& replica, const claim_answer& answer,
+                   std::vector<replica_group> more = {});
 
     //! Asks one more replica for each that has not answered. Late answers
     //! still count.
@@ -62,6 +65,8 @@
     };
 
     static bool contains(const group_quorum& quorum, const endpoint& replica);
+    void add_group(replica_group group);
+    void join_group(replica_group group, claim_step& step);
     static void count_answer(group_quorum& quorum, const claim_answer& answer);
     std::size_t
     initial_request_count(const group_quorum& quorum) const noexcept;
@@ -73,10 +78,14 @@
                           const claim_answer& answer, claim_step& step);
     claim_step decide(claim_step step);
 
+    const claim_request request_;
+    const instant sent_;
     const bool asks_all_;
     std::vector<group_quorum> groups_;
     std::set<endpoint> asked_;
     std::set<endpoint> pending_;
+    std::optional<claim_vote> local_;
+    std::vector<std::pair<endpoint, claim_answer>> answers_;
     bool decided_ = false;
 };
 
--- a/process/ledger/include/lagoonquay/process/held_claims.hpp
+++ b/process/ledger/include/lagoonquay/process/held_claims.hpp
@@ -26,6 +26,9 @@
     //! Time since the peer's first list from control; 0 if it doesn't tell.
     duration listed_for{};
 
+    entries_digest entries; //!< that the peer counts; zero if unknown
+    duration entries_for{}; //!< for how long it has counted all of them
+
     friend bool operator==(const held_claims&, const held_claims&) = default;
 };
 
--- a/process/ledger/include/lagoonquay/process/ledger_client.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_client.hpp
@@ -20,9 +20,18 @@
 using replica_groups_hook =
     std::function<std::vector<replica_group>(const submission_id&)>;
 
+//! Called with a replica's vote on a request. Returns further groups that
+//! decide on its submission.
+using told_groups_hook = std::function<std::vector<replica_group>(
+    const endpoint&, const claim_request&, const claim_vote&)>;
+
 struct ledger_client_options
 {
     replica_groups_hook groups;
+    //! Adds what a request tells of the entries that this one counts; none if
+    //! absent.
+    std::function<claim_request(const claim_request&)> tell_entries = {};
+    told_groups_hook told_groups = {};
     //! Runs a callback after a delay. Without it another replica is asked only
     //! when an answer arrives, never because an answer is late.
     delay_hook after;
--- a/process/ledger/include/lagoonquay/process/ledger_shard.hpp
+++ b/process/ledger/include/lagoonquay/process/ledger_shard.hpp
@@ -2,6 +2,7 @@
 //! output; callers pass the time.
 #pragma once
 
+#include "lagoonquay/connection/endpoint.hpp"
 #include "lagoonquay/process/agent_reach.hpp"
 #include "lagoonquay/process/record_scope.hpp"
 #include "lagoonquay/request/ids.hpp"
@@ -10,6 +11,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -27,6 +29,10 @@
 //! Number of a reach among those of one entry incarnation; zero means none.
 using reach_number = number_id<struct reach_number_tag>;
 
+//! Of the entries that one counts, itself included: the same for all that count
+//! the same ones. Zero if unknown.
+using entries_digest = number_id<struct entries_digest_tag>;
+
 struct claim_request_options
 {
     submission_id submission;
@@ -54,6 +60,9 @@
     //! Whether the request contains `reach`. Otherwise the replica looks up
     //! the reach that an earlier request sent under `cached_reach_number`.
     bool contains_reach = true;
+    entries_digest entries; //!< that the holder counts
+    //! Asks whether the replica counts the same entries, and for its groups.
+    bool asks_entries = false;
 
     friend bool operator==(const claim_request_options&,
                            const claim_request_options&) = default;
@@ -100,6 +109,12 @@
     claim_round round;
     duration first_claim_age{}; //!< zero for the first claim and for renewals
     agent_reach reach; //!< agents of all claims so far, if it had other holders
+    //! Whether the replica's entry counts the entries that the holder counts;
+    //! nothing if it wasn't asked, or is of an earlier version.
+    std::optional<bool> same_entries = std::nullopt;
+    duration entries_for{}; //!< for how long it has counted all of its entries
+    //! The groups that it would ask, if it counts others or was asked.
+    std::vector<std::vector<endpoint>> groups = {};
 
     friend bool operator==(const claim_vote_options&,
                            const claim_vote_options&) = default;
--- a/process/ledger/include/lagoonquay/process/replica_group.hpp
+++ b/process/ledger/include/lagoonquay/process/replica_group.hpp
@@ -3,8 +3,11 @@
 
 #include "lagoonquay/connection/endpoint.hpp"
 #include "lagoonquay/request/ids.hpp"
+#include "lagoonquay/request/time.hpp"
 
 #include <cstddef>
+#include <memory>
+#include <set>
 #include <vector>
 
 namespace lagoonquay
@@ -15,12 +18,19 @@
 {
     endpoint address;
     domain_id domain;
-    //! Joined so recently that other entries may not have it in their view yet.
+    //! Joined, and others may not have it in their view yet.
     bool recently_joined = false;
-    //! Was there before this entry, which has joined so recently itself.
+    //! Was there before this entry, which others may not have in their view.
     bool older = false;
     //! Control has ceased to list it: others may have left it out already.
     bool unlisted = false;
+    //! When this entry first heard of it.
+    instant listed{};
+    //! Others that have counted it for so long that the claims which they
+    //! granted without it have ended; null if none.
+    std::shared_ptr<const std::set<endpoint>> counted_by = nullptr;
+    //! Whether it has counted this entry for so long.
+    bool counts_self = false;
 
     friend bool operator==(const ledger_peer&, const ledger_peer&) = default;
 };
@@ -55,9 +65,10 @@
 //! @param self  this entry; its `recently_joined` and `older` are false.
 //! @return a group of up to `max_group_size` entries, spread over as many
 //! failure domains as possible. Unlisted ones are members without a vote. While
-//! peers have recently joined, also the group chosen without them, and while
-//! this entry has, that of the older ones, if they differ. A claim needs a
-//! majority of each group.
+//! peers have recently joined, also the groups chosen without them, and while
+//! this entry has, that of the older ones, if they differ. Such a group is left
+//! out once a majority of it counts who joined. A claim needs a majority of
+//! each group.
 std::vector<replica_group>
 choose_replica_groups(const submission_id& submission, const ledger_peer& self,
                       const std::vector<ledger_peer>& peers);
--- a/process/ledger/src/claim_exchange.cpp
+++ b/process/ledger/src/claim_exchange.cpp
@@ -47,10 +47,13 @@
     else
         options_.unresponsive->note_unresponsive(replica, options_.now());
     const auto noted = options_.ended->note(replica, answer, options_.now());
+    std::vector<replica_group> more;
+    if (answer.vote && options_.told_groups)
+        more = options_.told_groups(replica, request_, *answer.vote);
     claim_step step;
     {
         const std::lock_guard lock(mutex_);
-        step = quorum_.add(replica, noted);
+        step = quorum_.add(replica, noted, std::move(more));
     }
     carry_out(step);
 }
--- a/process/ledger/src/claim_exchange.hpp
+++ b/process/ledger/src/claim_exchange.hpp
@@ -5,6 +5,7 @@
 #include "claim_sender.hpp"
 #include "lagoonquay/process/ended_replicas.hpp"
 #include "lagoonquay/process/latency_estimator.hpp"
+#include "lagoonquay/process/ledger_client.hpp"
 #include "lagoonquay/process/unresponsive_replicas.hpp"
 
 #include <memory>
@@ -20,6 +21,7 @@
     std::shared_ptr<unresponsive_replicas> unresponsive;
     std::shared_ptr<ended_replicas> ended;
     std::shared_ptr<latency_estimator> response_times;
+    told_groups_hook told_groups;
     clock_hook now;
 };
 
--- a/process/ledger/src/claim_quorum.cpp
+++ b/process/ledger/src/claim_quorum.cpp
@@ -43,24 +43,56 @@
     return {.vote = {}, .gone = answer.gone, .gone_since = answer.gone_since};
 }
 
+bool same_members(const replica_group& a, const replica_group& b)
+{
+    return a.local == b.local && std::set(a.others.begin(), a.others.end()) ==
+                                     std::set(b.others.begin(), b.others.end());
+}
+
 } // namespace
 
 claim_quorum::claim_quorum(const claim_request& asked,
                            std::vector<replica_group> groups, instant sent)
-    : asks_all_(asked->release || asked->lookup)
+    : request_(asked), sent_(sent), asks_all_(asked->release || asked->lookup)
 {
     for (auto& it : groups)
+        add_group(std::move(it));
+}
+
+void claim_quorum::add_group(replica_group group)
+{
+    const claim_tally tally(group.others.size() + (group.local ? 1 : 0),
+                            request_->lease, sent_, group.includes_all_entries,
+                            is_in_force(request_));
+    groups_.push_back({std::move(group), tally, {}});
+}
+
+// Of a group that is known late, some have answered already.
+void claim_quorum::join_group(replica_group group, claim_step& step)
+{
+    const bool known = std::any_of(groups_.begin(), groups_.end(),
+                                   [&](const group_quorum& it)
+                                   { return same_members(it.group, group); });
+    if (known)
+        return;
+    add_group(std::move(group));
+    auto& added = groups_.back();
+    if (added.group.local)
+        count_answer(added, {.vote = local_});
+    for (const auto& [replica, answer] : answers_)
     {
-        const claim_tally tally(it.others.size() + (it.local ? 1 : 0),
-                                asked->lease, sent, it.includes_all_entries,
-                                is_in_force(asked));
-        groups_.push_back({std::move(it), tally, {}});
+        if (contains(added, replica))
+            count_answer(added, asks_all_ ? answer
+                                          : counted_answer(added.group, replica,
+                                                           answer));
     }
+    ask(added, added.group.others.size(), step);
 }
 
 claim_step claim_quorum::start(const std::optional<claim_vote>& local)
 {
     const claim_answer answer{.vote = local};
+    local_ = local;
     claim_step step;
     for (auto& it : groups_)
     {
@@ -78,10 +110,14 @@
 }
 
 claim_step claim_quorum::add(const endpoint& replica,
-                             const claim_answer& answer)
+                             const claim_answer& answer,
+                             std::vector<replica_group> more)
 {
     pending_.erase(replica);
     claim_step step;
+    for (auto& it : more)
+        join_group(std::move(it), step);
+    answers_.emplace_back(replica, answer);
     for (auto& it : groups_)
     {
         if (!contains(it, replica))
--- a/process/ledger/src/ledger_client.cpp
+++ b/process/ledger/src/ledger_client.cpp
@@ -34,11 +34,13 @@
         .unresponsive = std::make_shared<unresponsive_replicas>(),
         .ended = std::make_shared<ended_replicas>(),
         .response_times = std::make_shared<latency_estimator>(options.patience),
+        .told_groups = options.told_groups,
         .now = std::move(now)};
     return [shared, &local, settings = std::move(options)](
                const claim_request& request, claim_callback done)
     {
-        const auto numbered = shared.sender->assign_reach_number(request);
+        const auto numbered = shared.sender->assign_reach_number(
+            settings.tell_entries ? settings.tell_entries(request) : request);
         auto groups = settings.groups(numbered->submission);
         const auto vote = local_vote(local, numbered, groups);
         for (auto& group : groups)
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -182,6 +182,38 @@
     return text;
 }
 
+json::array groups_to_json(const std::vector<std::vector<endpoint>>& groups)
+{
+    json::array all;
+    for (const auto& it : groups)
+        all.push_back(json::string(endpoints_to_text(it)));
+    return all;
+}
+
+std::vector<std::vector<endpoint>> groups_from_json(json_fields& fields)
+{
+    constexpr std::size_t max_groups = 16;
+    std::vector<std::vector<endpoint>> all;
+    if (fields.member("groups") == nullptr)
+        return all;
+    const auto* source = fields.array("groups");
+    if (source == nullptr)
+        return all;
+    for (const auto& it : *source)
+    {
+        auto group = it.is_string()
+                         ? parse_endpoints(std::string_view(it.get_string()))
+                         : parse_endpoints("-");
+        if (!group || all.size() == max_groups)
+        {
+            fields.reject(request_errc::malformed, "no groups of endpoints");
+            return {};
+        }
+        all.push_back(std::move(group).value());
+    }
+    return all;
+}
+
 std::optional<std::vector<endpoint>> endpoints_from_json(json_fields& fields)
 {
     constexpr std::size_t max_bytes = 65536;
@@ -200,6 +232,10 @@
 {
     auto object = claim_to_json(request);
     object["reach_number"] = request->cached_reach_number.number();
+    if (request->entries != entries_digest())
+        object["entries"] = request->entries.number();
+    if (request->asks_entries)
+        object["asks_entries"] = true;
     if (request->contains_reach)
         object["reach"] = reach_to_json(request->reach);
     return json::serialize(object);
@@ -216,6 +252,9 @@
                              fields.member("reach") != nullptr;
     if (options.contains_reach)
         options.reach = reach_from_json(fields);
+    options.entries =
+        entries_digest(fields.number_or("entries", 0, 0, json_exact_limit));
+    options.asks_entries = fields.flag_or("asks_entries", false);
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
     return claim_request(std::move(options));
@@ -238,6 +277,10 @@
         object["established"] = endpoints_to_text(*held.established);
     if (held.listed_for.count() != 0)
         object["listed_for_us"] = held.listed_for.count();
+    if (held.entries != entries_digest())
+        object["entries"] = held.entries.number();
+    if (held.entries_for.count() != 0)
+        object["entries_for_us"] = held.entries_for.count();
     return json::serialize(object);
 }
 
@@ -250,6 +293,10 @@
     held.established = endpoints_from_json(fields);
     held.listed_for =
         duration(fields.number_or("listed_for_us", 0, 0, json_exact_limit));
+    held.entries =
+        entries_digest(fields.number_or("entries", 0, 0, json_exact_limit));
+    held.entries_for =
+        duration(fields.number_or("entries_for_us", 0, 0, json_exact_limit));
     const auto* source = fields.array("claims");
     if (source != nullptr)
     {
@@ -322,6 +369,12 @@
         object["first_claim_age_us"] = vote->first_claim_age.count();
     if (!vote->reach.empty())
         object["reach"] = reach_to_json(vote->reach);
+    if (vote->same_entries)
+        object["same_entries"] = *vote->same_entries;
+    if (vote->entries_for.count() != 0)
+        object["entries_for_us"] = vote->entries_for.count();
+    if (!vote->groups.empty())
+        object["groups"] = groups_to_json(vote->groups);
     return json::serialize(object);
 }
 
@@ -337,6 +390,11 @@
         fields.number_or("first_claim_age_us", 0, 0, json_exact_limit));
     if (fields.member("reach") != nullptr)
         options.reach = reach_from_json(fields);
+    if (fields.member("same_entries") != nullptr)
+        options.same_entries = fields.flag_or("same_entries", false);
+    options.entries_for =
+        duration(fields.number_or("entries_for_us", 0, 0, json_exact_limit));
+    options.groups = groups_from_json(fields);
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
     return claim_vote(std::move(options));
--- a/process/ledger/tests/claim_quorum_test.cpp
+++ b/process/ledger/tests/claim_quorum_test.cpp
@@ -187,4 +187,21 @@
               listed.add(replica(3), gone).outcome);
 }
 
+// A replica knows entries that the holder doesn't: the claim needs a majority
+// of the group with them as well, and the votes that came count in it.
+TEST(claim_quorum, needs_a_majority_of_a_group_that_a_replica_told_of)
+{
+    auto quorum = quorum_with({group(1, 3)});
+    EXPECT_EQ(quorum.start({}).ask.size(), 2U);
+    EXPECT_FALSE(quorum.add(replica(1), granted()).outcome);
+    const auto told = quorum.add(replica(2), granted(), {group(2, 6)});
+    EXPECT_FALSE(told.outcome);
+    EXPECT_EQ(told.ask,
+              (std::vector{replica(3), replica(4), replica(5), replica(6)}));
+    EXPECT_FALSE(quorum.add(replica(5), granted()).outcome);
+    const auto last = quorum.add(replica(6), granted(), {group(2, 6)});
+    ASSERT_TRUE(last.outcome);
+    EXPECT_EQ((*last.outcome)->status, claim_status::held);
+}
+
 } // namespace lagoonquay
