--- a/process/entry/src/entry_peers_counted.cpp
+++ b/process/entry/src/entry_peers_counted.cpp
@@ -234,8 +234,8 @@
                 counted.insert(replica);
         }
         const bool all = std::all_of(entries_.begin(), entries_.end(),
-                                     [&](const auto& peer) {
-                                         return peer.first == address ||
+                                     [&, &own = address](const auto& peer) {
+                                         return peer.first == own ||
                                                 counted.contains(peer.first);
                                      });
         if (all)
