--- a/process/ledger/src/held_claims_codec.cpp
+++ b/process/ledger/src/held_claims_codec.cpp
@@ -14,14 +14,6 @@
 namespace
 {
 
-std::string endpoints_to_text(const std::vector<endpoint>& all)
-{
-    std::string text;
-    for (const auto& it : all)
-        text += (text.empty() ? "" : ",") + to_text(it);
-    return text;
-}
-
 std::optional<std::vector<endpoint>> endpoints_from_json(json_fields& fields)
 {
     constexpr std::size_t max_bytes = 65536;
@@ -81,6 +73,14 @@
 
 } // namespace
 
+std::string endpoints_to_text(const std::vector<endpoint>& all)
+{
+    std::string text;
+    for (const auto& it : all)
+        text += (text.empty() ? "" : ",") + to_text(it);
+    return text;
+}
+
 void write_held_state(json::object& message, const held_claims& held)
 {
     message["settled"] = held.settled;
@@ -88,6 +88,10 @@
         message["established"] = endpoints_to_text(*held.established);
     if (held.listed_for.count() != 0)
         message["listed_for_us"] = held.listed_for.count();
+    if (held.entries != entries_digest())
+        message["entries"] = held.entries.number();
+    if (held.entries_for.count() != 0)
+        message["entries_for_us"] = held.entries_for.count();
 }
 
 held_claims read_held_state(json_fields& fields)
@@ -97,6 +101,10 @@
     held.established = endpoints_from_json(fields);
     held.listed_for =
         duration(fields.number_or("listed_for_us", 0, 0, json_exact_limit));
+    held.entries =
+        entries_digest(fields.number_or("entries", 0, 0, json_exact_limit));
+    held.entries_for =
+        duration(fields.number_or("entries_for_us", 0, 0, json_exact_limit));
     return held;
 }
 
--- a/process/ledger/src/held_claims_json.hpp
+++ b/process/ledger/src/held_claims_json.hpp
@@ -5,10 +5,15 @@
 #include "lagoonquay/request/json_fields.hpp"
 
 #include <boost/json.hpp>
+#include <string>
+#include <vector>
 
 namespace lagoonquay
 {
 
+//! @return the addresses in one text, as parse_endpoints() reads it.
+std::string endpoints_to_text(const std::vector<endpoint>& all);
+
 //! Adds all but the claims to a message.
 void write_held_state(boost::json::object& message, const held_claims& held);
 
--- a/process/ledger/src/ledger_codec.cpp
+++ b/process/ledger/src/ledger_codec.cpp
@@ -175,12 +175,48 @@
     return options;
 }
 
+json::array groups_to_json(const std::vector<std::vector<endpoint>>& groups)
+{
+    json::array all;
+    for (const auto& it : groups)
+        all.push_back(json::string(endpoints_to_text(it)));
+    return all;
+}
+
+std::vector<std::vector<endpoint>> groups_from_json(json_fields& fields)
+{
+    constexpr std::size_t max_groups = 16;
+    std::vector<std::vector<endpoint>> all;
+    if (fields.member("groups") == nullptr)
+        return all;
+    const auto* source = fields.array("groups");
+    if (source == nullptr)
+        return all;
+    for (const auto& it : *source)
+    {
+        auto group = it.is_string()
+                         ? parse_endpoints(std::string_view(it.get_string()))
+                         : parse_endpoints("-");
+        if (!group || all.size() == max_groups)
+        {
+            fields.reject(request_errc::malformed, "no groups of endpoints");
+            return {};
+        }
+        all.push_back(std::move(group).value());
+    }
+    return all;
+}
+
 } // namespace
 
 std::string encode_claim_request(const claim_request& request)
 {
     auto object = claim_to_json(request);
     object["reach_number"] = request->cached_reach_number.number();
+    if (request->entries != entries_digest())
+        object["entries"] = request->entries.number();
+    if (request->asks_entries)
+        object["asks_entries"] = true;
     if (request->contains_reach)
         object["reach"] = reach_to_json(request->reach);
     return json::serialize(object);
@@ -197,6 +233,9 @@
                              fields.member("reach") != nullptr;
     if (options.contains_reach)
         options.reach = reach_from_json(fields);
+    options.entries =
+        entries_digest(fields.number_or("entries", 0, 0, json_exact_limit));
+    options.asks_entries = fields.flag_or("asks_entries", false);
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
     return claim_request(std::move(options));
@@ -295,6 +334,12 @@
         object["first_claim_age_us"] = vote->first_claim_age.count();
     if (!vote->reach.empty())
         object["reach"] = reach_to_json(vote->reach);
+    if (vote->same_entries)
+        object["same_entries"] = *vote->same_entries;
+    if (vote->entries_for.count() != 0)
+        object["entries_for_us"] = vote->entries_for.count();
+    if (!vote->groups.empty())
+        object["groups"] = groups_to_json(vote->groups);
     return json::serialize(object);
 }
 
@@ -310,6 +355,11 @@
         fields.number_or("first_claim_age_us", 0, 0, json_exact_limit));
     if (fields.member("reach") != nullptr)
         options.reach = reach_from_json(fields);
+    if (fields.member("same_entries") != nullptr)
+        options.same_entries = fields.flag_or("same_entries", false);
+    options.entries_for =
+        duration(fields.number_or("entries_for_us", 0, 0, json_exact_limit));
+    options.groups = groups_from_json(fields);
     if (fields.failed())
         return BOOST_OUTCOME_V2_NAMESPACE::failure(fields.error());
     return claim_vote(std::move(options));
