Keep one copy of what the version codecs share

parse() of version_codec.cpp was parse_document() of replica_json once more, and malformed() stood in three files. The codecs of the folder use one of each now; results and texts are the same. operator_codec.cpp, in another folder, keeps its own, since replica_json is not a public header.

--- a/version/src/replica_codec.cpp
+++ b/version/src/replica_codec.cpp
@@ -197,11 +197,6 @@
     return addresses;
 }
 
-auto malformed(const json_fields& fields)
-{
-    return fail(version_errc::malformed, fields.error().detail);
-}
-
 } // namespace
 
 std::string encode_batch(const replica_batch& batch)
--- a/version/src/replica_json.hpp
+++ b/version/src/replica_json.hpp
@@ -1,4 +1,5 @@
-//! JSON values of log entries and replicas, shared by the replica codecs.
+//! JSON documents, and values of log entries and replicas, shared by the codecs
+//! of this folder.
 #pragma once
 
 #include "lagoonquay/version/error.hpp"
@@ -13,6 +14,12 @@
 
 version_result<boost::json::value> parse_document(std::string_view text);
 
+//! @return the failure for a document of which the fields were rejected.
+inline auto malformed(const json_fields& fields)
+{
+    return fail(version_errc::malformed, fields.error().detail);
+}
+
 boost::json::object member_to_json(const replica_member& it);
 replica_member replica_member_from_json(const boost::json::value& source,
                                         json_fields& parent);
--- a/version/src/storage_codec.cpp
+++ b/version/src/storage_codec.cpp
@@ -74,11 +74,6 @@
     return it;
 }
 
-auto malformed(const json_fields& fields)
-{
-    return fail(version_errc::malformed, fields.error().detail);
-}
-
 } // namespace
 
 std::string encode_record(const log_record& record)
--- a/version/src/version_codec.cpp
+++ b/version/src/version_codec.cpp
@@ -18,19 +18,6 @@
 constexpr std::uint64_t most_in_force_ms = 60'000;
 constexpr std::size_t settings_bytes = 4UL * 1024 * 1024;
 
-version_result<json::value> parse(std::string_view text)
-{
-    auto parsed = parse_json(text);
-    if (!parsed)
-        return fail(version_errc::malformed, parsed.error().detail);
-    return std::move(parsed).value();
-}
-
-auto malformed(const json_fields& fields)
-{
-    return fail(version_errc::malformed, fields.error().detail);
-}
-
 template <typename Id>
 json::array ids_to_json(const std::set<Id>& ids)
 {
@@ -343,7 +330,7 @@
 
 version_result<command> decode_command(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    BOOST_OUTCOME_TRY(const auto document, parse_document(text));
     json_fields fields(document, "");
     auto asked = command_from_json(fields);
     if (fields.failed())
@@ -361,7 +348,7 @@
 
 version_result<command_outcome> decode_outcome(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    BOOST_OUTCOME_TRY(const auto document, parse_document(text));
     json_fields fields(document, "");
     const command_outcome outcome{fields.flag_or("accepted", false),
                                   get_version(fields, "version"),
@@ -385,7 +372,7 @@
 version_result<command_answer> decode_command_answer(std::string_view text)
 {
     BOOST_OUTCOME_TRY(const auto outcome, decode_outcome(text));
-    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    BOOST_OUTCOME_TRY(const auto document, parse_document(text));
     json_fields fields(document, "");
     const auto milliseconds = static_cast<std::int64_t>(
         fields.number_or("in_force_after_ms", 0, 0, most_in_force_ms));
@@ -410,7 +397,7 @@
 
 version_result<permit_request> decode_permit_request(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    BOOST_OUTCOME_TRY(const auto document, parse_document(text));
     json_fields fields(document, "");
     permit_request request;
     request.known = get_version(fields, "known");
@@ -449,7 +436,7 @@
 version_result<permit_reply> decode_permit_reply(std::string_view text,
                                                  const odd_member_hook& on_odd)
 {
-    BOOST_OUTCOME_TRY(const auto document, parse(text));
+    BOOST_OUTCOME_TRY(const auto document, parse_document(text));
     json_fields fields(document, "");
     permit_reply reply;
     if (fields.member("replica") != nullptr)
