Tell of a joined entry's group once its replica may vote

Cause: a replica named the group with an entry that it had just heard of. Holders that had not heard of it needed a majority with replicas that don't vote yet.

Change: groups with an entry that joined less than 1 s ago are not named, and a replica says that it counts its entries since 1 s later, so that the proof rests on what it has told.

--- a/process/entry/src/entry_peers_counted.cpp
+++ b/process/entry/src/entry_peers_counted.cpp
@@ -13,6 +13,10 @@
 // A number of JSON carries it without loss.
 constexpr std::uint64_t digest_mask = (1ULL << 48U) - 1;
 
+// Groups with an entry that joined later than this are not told of: its replica
+// doesn't vote yet. It counts as counted from then on.
+constexpr duration telling_delay = std::chrono::seconds(1);
+
 // Which others count an entry is worked out once a period, not with each claim.
 constexpr duration counted_period = std::chrono::milliseconds(50);
 
@@ -66,11 +70,17 @@
     const auto now = now_();
     bool same = false;
     duration counted_for{};
+    std::set<endpoint> latest;
     {
         const std::lock_guard lock(mutex_);
         remove_unlisted();
         same = first_list_time_ && asked->entries == digest_;
-        counted_for = now - last_joined_;
+        counted_for = std::max(duration(), now - last_joined_ - telling_delay);
+        for (const auto& [address, it] : entries_)
+        {
+            if (it.joined && now - it.first_listed <= telling_delay)
+                latest.insert(address);
+        }
     }
     if (asked->entries == entries_digest() || (same && !asked->asks_entries))
         return vote;
@@ -80,6 +90,10 @@
     {
         for (auto& it : groups(asked->submission))
         {
+            if (std::any_of(it.others.begin(), it.others.end(),
+                            [&](const endpoint& other)
+                            { return latest.contains(other); }))
+                continue;
             if (it.local)
                 it.others.push_back(own.value());
             told.push_back(std::move(it.others));
@@ -106,7 +120,8 @@
     if (!first_list_time_)
         return answer;
     answer.entries = digest_;
-    answer.entries_for = now - last_joined_;
+    answer.entries_for =
+        std::max(duration(), now - last_joined_ - telling_delay);
     return answer;
 }
 
--- a/process/entry/tests/joined_entries_test.cpp
+++ b/process/entry/tests/joined_entries_test.cpp
@@ -295,6 +295,7 @@
     now += milliseconds(1);
     EXPECT_EQ(list.established().size(), 3U);
     EXPECT_EQ(count_older(list), 2U);
+    now += seconds(1);
     claim(3, list, submission_id("b"));
     now += milliseconds(50);
     EXPECT_EQ(
