Don't take a peer without a list for one of an earlier version

Cause: a process that has no list yet answers /v1/ledger/established and /v1/ledger/held without a digest. This was taken for an earlier version, which counts an entry since it is listed here; but its first list may lack the entry.

Change: a process of this version always tells entries_for_us, also without a list. Only an answer without it is of an earlier version.

--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -200,10 +200,10 @@
         return;
     const auto now = now_();
     const std::lock_guard lock(mutex_);
-    if (answer->entries == entries_digest())
+    if (!answer->entries_for)
         note_earlier_version(peer);
     else if (answer->entries == digest_)
-        note_counted(peer, now - answer->entries_for);
+        note_counted(peer, now - *answer->entries_for);
 }
 
 // Also where it keeps its place: the others may have been about to drop it.
--- a/process/entry/src/entry_peers_counted.cpp
+++ b/process/entry/src/entry_peers_counted.cpp
@@ -115,6 +115,7 @@
 {
     answer.established = established();
     answer.listed_for = listed_for();
+    answer.entries_for = duration::zero();
     const auto now = now_();
     const std::lock_guard lock(mutex_);
     if (!first_list_time_)
--- a/process/ledger/include/lagoonquay/process/held_claims.hpp
+++ b/process/ledger/include/lagoonquay/process/held_claims.hpp
@@ -27,7 +27,9 @@
     duration listed_for{};
 
     entries_digest entries; //!< that the peer counts; zero if unknown
-    duration entries_for{}; //!< for how long it has counted all of them
+    //! For how long it has counted all of them; nothing if it is of an earlier
+    //! version, which doesn't tell.
+    std::optional<duration> entries_for;
 
     friend bool operator==(const held_claims&, const held_claims&) = default;
 };
--- a/process/ledger/src/held_claims_codec.cpp
+++ b/process/ledger/src/held_claims_codec.cpp
@@ -90,8 +90,8 @@
         message["listed_for_us"] = held.listed_for.count();
     if (held.entries != entries_digest())
         message["entries"] = held.entries.number();
-    if (held.entries_for.count() != 0)
-        message["entries_for_us"] = held.entries_for.count();
+    if (held.entries_for)
+        message["entries_for_us"] = held.entries_for->count();
 }
 
 held_claims read_held_state(json_fields& fields)
@@ -103,8 +103,9 @@
         duration(fields.number_or("listed_for_us", 0, 0, json_exact_limit));
     held.entries =
         entries_digest(fields.number_or("entries", 0, 0, json_exact_limit));
-    held.entries_for =
-        duration(fields.number_or("entries_for_us", 0, 0, json_exact_limit));
+    if (fields.member("entries_for_us") != nullptr)
+        held.entries_for =
+            duration(fields.number("entries_for_us", 0, json_exact_limit));
     return held;
 }
 
