Forget what the earlier process of a peer has told

What callers would see: an entry that joined may be counted by a majority that doesn't know it, and its group and the older one may both grant a job in round 1, so that it may run twice at once.

Cause: the word of a peer (counted_since, own_counted_since_) stayed when control listed its next process, whose first lists may lack the entry.

Change: it is erased when the listed run changes, and who is counted is worked out at once.

--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -178,6 +178,7 @@
     // entry_peers_counted.cpp
     void note_joined(const endpoint& address, instant now);
     void forget_counted(const endpoint& replica);
+    void forget_word(const endpoint& replica);
     void update_counted(instant now);
     void update_own(instant now);
     bool counts_self(const endpoint& replica, instant now) const;
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -70,6 +70,8 @@
         auto& known = found->second;
         if (is_new)
             note_joined(address.value(), now);
+        if (!is_new && known.run != it->run)
+            forget_word(address.value());
         if (is_new || known.run != it->run)
             changes_.push_back({address.value(), it->id, it->run});
         known.id = it->id;
--- a/process/entry/src/entry_peers_counted.cpp
+++ b/process/entry/src/entry_peers_counted.cpp
@@ -214,9 +214,16 @@
 void entry_peers::forget_counted(const endpoint& replica)
 {
     digest_ = with_toggled(digest_, replica);
+    forget_word(replica);
+}
+
+// The next process of a replica may not know what the earlier one knew.
+void entry_peers::forget_word(const endpoint& replica)
+{
     own_counted_since_.erase(replica);
     for (auto& [address, it] : entries_)
         it.counted_since.erase(replica);
+    last_count_ = instant();
 }
 
 // Others may not have received a list with a peer that joined, and claims that
--- a/process/entry/tests/joined_entries_paths_test.cpp
+++ b/process/entry/tests/joined_entries_paths_test.cpp
@@ -262,6 +262,35 @@
     EXPECT_EQ(count_held_twice(4, *lists[4], 1, *lists[1]), 0U);
 }
 
+// The next process of a peer may not know what the earlier one knew.
+TEST_F(joined_entries_paths, are_not_counted_by_the_next_process_of_a_peer)
+{
+    for (std::size_t n = 1; n <= 5; ++n)
+    {
+        lists[n] = list_of(n);
+        learn(*lists[n], 5);
+    }
+    now += seconds(10);
+    learn(*lists[1], 6);
+    learn(*lists[2], 6);
+    now += seconds(4);
+    learn(*lists[1], 6);
+    learn(*lists[2], 6);
+    lists[1]->take_answer(entry(2).address, lists[2]->with_entries({}));
+    std::vector<member> members;
+    for (std::size_t n = 1; n <= 6; ++n)
+        members.push_back(listed(entry(n)).with(
+            [&](member_options& it) { it.run = incarnation(n == 2 ? 2 : 0); }));
+    now += seconds(1);
+    lists[1]->learn(members, true);
+    for (const auto& it : lists[1]->replicas())
+    {
+        if (it.address != entry(6).address || !it.counted_by)
+            continue;
+        EXPECT_FALSE(it.counted_by->contains(entry(2).address));
+    }
+}
+
 // One entry joins, then two more; three of the five older ones hear of
 // neither. All that hear ask each other once a period.
 TEST_F(joined_entries_paths, one_after_the_other_share_a_voter_with_all)
