Tell of no entries in the second after one joined

What callers would see: an entry that joined may count up to 1 s too early, so that a claim which was granted without it may still be valid.

Cause: in the first second after an entry joined a peer answered that it counts all of them for 0 s, where it counts the latest from the end of that second on. The asker noted "since now", the earliest time, and kept it.

Change: in that second the vote says "not the same" and the answer to a question has no digest: no word.

Failed before: joined_entries_paths.are_not_counted_before_a_peer_tells_of_them (by an answer and by a vote).

--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -179,6 +179,7 @@
     void note_joined(const endpoint& address, instant now);
     void forget_counted(const endpoint& replica);
     void forget_word(const endpoint& replica);
+    std::optional<duration> counted_all_for(instant now) const;
     void update_counted(instant now);
     void update_own(instant now);
     bool counts_self(const endpoint& replica, instant now) const;
--- a/process/entry/src/entry_peers_counted.cpp
+++ b/process/entry/src/entry_peers_counted.cpp
@@ -69,13 +69,13 @@
 {
     const auto now = now_();
     bool same = false;
-    duration counted_for{};
+    std::optional<duration> counted_for;
     std::set<endpoint> latest;
     {
         const std::lock_guard lock(mutex_);
         remove_unlisted();
         same = first_list_time_ && asked->entries == digest_;
-        counted_for = std::max(duration(), now - last_joined_ - telling_delay);
+        counted_for = counted_all_for(now);
         for (const auto& [address, it] : entries_)
         {
             if (it.joined && now - it.first_listed <= telling_delay)
@@ -104,8 +104,8 @@
         {
             if (asked->asks_entries)
             {
-                it.same_entries = same;
-                it.entries_for = counted_for;
+                it.same_entries = same && counted_for;
+                it.entries_for = counted_for.value_or(duration::zero());
             }
             it.groups = std::move(told);
         });
@@ -118,11 +118,11 @@
     answer.entries_for = duration::zero();
     const auto now = now_();
     const std::lock_guard lock(mutex_);
-    if (!first_list_time_)
+    const auto counted_for = counted_all_for(now);
+    if (!counted_for)
         return answer;
     answer.entries = digest_;
-    answer.entries_for =
-        std::max(duration(), now - last_joined_ - telling_delay);
+    answer.entries_for = counted_for;
     return answer;
 }
 
@@ -147,6 +147,15 @@
 }
 
 // Call these with the lock held.
+// The holder would take a zero for "since now", while the latest one counts
+// only from the end of the delay on.
+std::optional<duration> entry_peers::counted_all_for(instant now) const
+{
+    if (!first_list_time_ || now - last_joined_ < telling_delay)
+        return std::nullopt;
+    return now - last_joined_ - telling_delay;
+}
+
 void entry_peers::note_counted(const endpoint& replica, instant since)
 {
     if (!counted_itself_)
--- a/process/entry/tests/joined_entries_paths_test.cpp
+++ b/process/entry/tests/joined_entries_paths_test.cpp
@@ -291,6 +291,55 @@
     }
 }
 
+// A peer counts the entry a second after it heard of it: its word in that
+// second, by an answer or a vote, is none.
+TEST_F(joined_entries_paths, are_not_counted_before_a_peer_tells_of_them)
+{
+    for (const bool by_vote : {false, true})
+    {
+        for (std::size_t n = 1; n <= 5; ++n)
+        {
+            lists[n] = list_of(n);
+            learn(*lists[n], 5);
+        }
+        now += seconds(10);
+        for (std::size_t n = 1; n <= 5; ++n)
+            learn(*lists[n], 6);
+        const auto tell = [&]
+        {
+            const auto peer = entry(2).address;
+            const auto asked = lists[1]->tell_entries(
+                claim_request({.submission = submission_id("s"),
+                               .holder = entry_id("1"),
+                               .holder_address = to_text(entry(1).address)}));
+            if (by_vote)
+                lists[1]->note_vote(peer, asked, vote_of(peer, asked));
+            else
+                lists[1]->take_answer(peer, lists[2]->with_entries({}));
+        };
+        const auto is_counted = [&]
+        {
+            learn(*lists[1], 6);
+            const auto all = lists[1]->replicas();
+            return std::any_of(
+                all.begin(), all.end(),
+                [&](const ledger_peer& it)
+                {
+                    return it.address == entry(6).address && it.counted_by &&
+                           it.counted_by->contains(entry(2).address);
+                });
+        };
+        now += milliseconds(100);
+        tell();
+        now += milliseconds(900);
+        tell();
+        now += 2 * lease;
+        EXPECT_FALSE(is_counted()) << by_vote;
+        now += milliseconds(100);
+        EXPECT_TRUE(is_counted()) << by_vote;
+    }
+}
+
 // One entry joins, then two more; three of the five older ones hear of
 // neither. All that hear ask each other once a period.
 TEST_F(joined_entries_paths, one_after_the_other_share_a_voter_with_all)
