Test that short held claims tell which entries count

No test had entries or entries_for in the short form, in which a replica that recovers reads them. It tells them apart from a process without a list (zero) and an earlier version (nothing). Passes; no change in behaviour.

--- a/process/ledger/tests/held_claims_codec_test.cpp
+++ b/process/ledger/tests/held_claims_codec_test.cpp
@@ -79,6 +79,25 @@
     EXPECT_EQ(nothing.value(), told_claims());
 }
 
+// A process without a list tells zero; one of an earlier version nothing.
+TEST(held_claims_codec, tells_which_entries_count_in_the_short_form)
+{
+    for (const auto& counted_for :
+         {std::optional<duration>(), std::optional(duration::zero()),
+          std::optional<duration>(std::chrono::seconds(2))})
+    {
+        auto held = all_kinds();
+        held.entries_for = counted_for;
+        if (counted_for && *counted_for != duration::zero())
+            held.entries = entries_digest(7);
+        const auto brief =
+            decode_short_held_claims(encode_short_held_claims(held, {}), {});
+        ASSERT_TRUE(brief);
+        EXPECT_EQ(brief.value().held, held);
+        EXPECT_EQ(brief.value().held.entries_for, counted_for);
+    }
+}
+
 TEST(held_claims_codec, does_not_repeat_reaches_that_the_reader_has)
 {
     const auto held = all_kinds();
