--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -70,6 +70,8 @@
         auto& known = found->second;
         if (is_new)
             note_joined(address.value(), now);
+        if (!is_new && known.run != it->run)
+            forget_word(address.value());
         if (is_new || known.run != it->run)
             changes_.push_back({address.value(), it->id, it->run});
         known.id = it->id;
@@ -200,10 +202,10 @@
         return;
     const auto now = now_();
     const std::lock_guard lock(mutex_);
-    if (answer->entries == entries_digest())
+    if (!answer->entries_for)
         note_earlier_version(peer);
     else if (answer->entries == digest_)
-        note_counted(peer, now - answer->entries_for);
+        note_counted(peer, now - *answer->entries_for);
 }
 
 // Also where it keeps its place: the others may have been about to drop it.
