Keep a task until a late run of its unanswered start has ended

What callers saw: nothing reported; a test found two runs of a task at once. An agent had sent a start that got no answer, and ended. The start was carried out as late as it may be, in a next life of the worker, and its run went on beside the one that the entry started elsewhere.

Cause: the entry counted 15 s (max_order_delay) from the last moment at which the dispatch lets the agent send the start. That bounds the time at which a late run begins, not its end: it lasts as long as its lease, which may be the longest that a next life of the worker grants.

Evidence: before, late_start_paths.begins_last_and_goes_on_beside_the_ moved_run failed: workers.open_cases() was 1, expected 0.

Now the agent tells in its grants late_run_time in place of tells_begun: max_order_delay, the longest lease with drift and margin, and the stop (16.175 s with the defaults; zero if it doesn't tell). The entry adds it to the last moment of the start. The answer to a query has it too, for attempts that an adopter learns of; the word of each accepted start is as short as before. It follows longest_lease and stop_time, which operators set at the agent, so the entry's max_order_delay is gone. The member is optional; agents that don't tell it are treated as before.

unanswered_start.is_held_no_longer_than_* expects the hold until late_run_time in place of 15 s, and the move 2 s later at the latest, as before. The case of duration_order that compared the two max_order_delay now adds up the parts for each longest lease and stop time that settings permit.

--- a/process/agent/include/lagoonquay/process/agent_node.hpp
+++ b/process/agent/include/lagoonquay/process/agent_node.hpp
@@ -21,8 +21,8 @@
     upstream_stop_hook stop_upstream_task = {};
     //! See agent_options::earlier_runs_timeout.
     duration earlier_runs_timeout = duration::zero();
-    //! See agent_options::tells_begun.
-    bool tells_begun = false;
+    //! See agent_options::late_run_time.
+    duration late_run_time = duration::zero();
     //! Maximum time that the upstream takes to stop a task.
     duration stop_time = std::chrono::milliseconds(50);
 };
--- a/process/agent/include/lagoonquay/process/agent_service.hpp
+++ b/process/agent/include/lagoonquay/process/agent_service.hpp
@@ -50,8 +50,10 @@
     //! agent process started can still run at the upstream; zero if there is no
     //! such bound.
     duration earlier_runs_timeout = duration::zero();
-    //! Whether on_begun() is called for each start that the upstream accepts.
-    bool tells_begun = false;
+    //! Maximum time after a start was sent to the upstream without an answer
+    //! until a run of it has ended; zero unless on_begun() is called for each
+    //! start that the upstream accepts.
+    duration late_run_time = duration::zero();
 
     friend bool operator==(const agent_options&,
                            const agent_options&) = default;
--- a/process/agent/include/lagoonquay/process/leased_runs.hpp
+++ b/process/agent/include/lagoonquay/process/leased_runs.hpp
@@ -48,6 +48,11 @@
 duration
 max_run_time_without_agent(const leased_runs_options& options) noexcept;
 
+//! @return the maximum time from the sending of a start that gets no answer to
+//! the end of its run: it may begin late, in a next life of the worker, which
+//! may grant the longest lease.
+duration max_late_run_time(const leased_runs_options& options) noexcept;
+
 struct leased_runs_hooks
 {
     clock_hook now;
--- a/process/agent/src/agent_node.cpp
+++ b/process/agent/src/agent_node.cpp
@@ -50,7 +50,7 @@
     options.record_retention = settings.record_retention;
     options.permits = node.permits;
     options.earlier_runs_timeout = node.earlier_runs_timeout;
-    options.tells_begun = node.tells_begun;
+    options.late_run_time = node.late_run_time;
     return with_stop_time(std::move(options), node.stop_time);
 }
 
--- a/process/agent/src/agent_recovery.cpp
+++ b/process/agent/src/agent_recovery.cpp
@@ -30,8 +30,9 @@
 void agent_service::on_query(link_number link, const query_message& query)
 {
     status_message status{query.submission, options_.id, options_.run, {}};
-    if (options_.tells_begun)
+    if (options_.late_run_time != duration::zero())
         status.begun.emplace();
+    status.late_run_time = options_.late_run_time;
     if (query.agent_run == options_.run)
     {
         auto& shard = shard_of(query.submission);
--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -379,7 +379,7 @@
     grant.credits_total = totals.credits_total;
     grant.accepting = accepting(agent_state_);
     grant.draining = agent_state_.draining;
-    grant.tells_begun = options_.tells_begun;
+    grant.late_run_time = options_.late_run_time;
     if (agent_state_.upstream)
     {
         grant.slots = agent_state_.upstream->slots;
--- a/process/agent/src/run_table.cpp
+++ b/process/agent/src/run_table.cpp
@@ -38,6 +38,13 @@
            options.clock_margin;
 }
 
+duration max_late_run_time(const leased_runs_options& options) noexcept
+{
+    return options.max_order_delay + options.longest_lease +
+           options.longest_lease / clock_drift_part + options.clock_margin +
+           options.stop_time;
+}
+
 run_table::run_table(leased_runs_options options) : options_(options)
 {
 }
--- a/process/entry/include/lagoonquay/process/agent_table.hpp
+++ b/process/entry/include/lagoonquay/process/agent_table.hpp
@@ -31,7 +31,7 @@
     instant agent_time{}; //!< the agent's clock in its last grant
     instant
         grant_received_at{};  //!< when that grant came, on this process's clock
-    bool tells_begun = false; //!< see grant_message
+    duration late_run_time{}; //!< see grant_message
 };
 
 //! @return `last` on the agent's clock. That clock was at least `agent_time`
--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -71,9 +71,6 @@
     duration clock_skew = std::chrono::milliseconds(500);
     //! How long an agent may take to reconnect before its tasks are given up.
     duration reconnect_timeout = std::chrono::seconds(2);
-    //! Maximum time after which a worker carries out an order that its agent
-    //! got no answer to; as the agent's.
-    duration max_order_delay = std::chrono::seconds(15);
     //! Longest time from the start of a repeatable run at an agent without a
     //! link to this entry to its end: the agent's `orphan_grace`, its tick and
     //! the stop. Must be shorter than `reconnect_timeout`.
--- a/process/entry/src/agent_table.cpp
+++ b/process/entry/src/agent_table.cpp
@@ -330,7 +330,7 @@
             ++it->outstanding;
             return taken_credit{it->link, it->last->agent_run,
                                 it->last->agent_time, it->grant_received_at,
-                                it->last->tells_begun};
+                                it->last->late_run_time};
         });
 }
 
--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -109,11 +109,10 @@
 // it may be given up if its link is lost now. One that may then start elsewhere
 // has to be over by that time: an agent that was frozen starts what had waited
 // there, and stops it only once its own grace period is over. So no start of it
-// is sent later, and one without an answer begins no later than the longest
-// delay of an order after that. An entry that
-// adopts the job queries only the agents in the claim's reach, so a task for
-// any other agent waits for a renewal that adds the agent. Tasks that wait for
-// a renewal leave the queue.
+// is sent later, and a run of one without an answer has ended by the
+// agent's `late_run_time` after that. An entry that adopts the job queries only
+// the agents in the claim's reach, so a task for any other agent waits for a
+// renewal that adds the agent. Tasks that wait for a renewal leave the queue.
 std::optional<dispatch_message>
 entry_service::begin_dispatch(const task_key& key, const agent_id& agent,
                               const taken_credit& credit)
@@ -148,10 +147,10 @@
                 (it.submitted->idempotent ? options_.orphan_run_time
                                           : duration::zero());
             const auto last_start = std::min(it.claim_end, reconnect_deadline);
-            const attempt_start start{credit.tells_begun
-                                          ? start_answer::unanswered
-                                          : start_answer::untold,
-                                      last_start + options_.max_order_delay};
+            const bool tells = credit.late_run_time != duration::zero();
+            const attempt_start start{tells ? start_answer::unanswered
+                                            : start_answer::untold,
+                                      last_start + credit.late_run_time};
             dispatch_message result;
             result.submission = key.submission;
             result.key =
--- a/process/entry/src/entry_recovery.cpp
+++ b/process/entry/src/entry_recovery.cpp
@@ -64,14 +64,15 @@
 
 // @return what the status tells of the start of a running item.
 attempt_start start_of(const status_message& status, const status_item& item,
-                       instant last_begin)
+                       instant now)
 {
-    if (!status.begun)
+    if (!status.begun || status.late_run_time == duration::zero())
         return {};
     const begun_attempt wanted{item.index, item.attempt};
     const bool begun = std::find(status.begun->begin(), status.begun->end(),
                                  wanted) != status.begun->end();
-    return {begun ? start_answer::begun : start_answer::unanswered, last_begin};
+    return {begun ? start_answer::begun : start_answer::unanswered,
+            now + status.late_run_time};
 }
 
 task_result lost_result(const attempt_key& key)
@@ -172,7 +173,7 @@
     const agent_run_id source{agent, it.agent_run};
     if (it.items.empty() && it.begun)
         return note_begun(state, source, *it.begun);
-    const auto last_begin = hooks_.now() + options_.max_order_delay;
+    const auto now = hooks_.now();
     std::vector<task_index> moved;
     std::vector<status_change> changes;
     with_job(state,
@@ -183,8 +184,8 @@
                  for (const auto& item : it.items)
                  {
                      const auto before = found.run.current(item.index);
-                     const auto outcome = apply(found, source, item,
-                                                start_of(it, item, last_begin));
+                     const auto outcome =
+                         apply(found, source, item, start_of(it, item, now));
                      changes.push_back({item, before, outcome});
                      if (outcome == report_outcome::waits_again &&
                          !found.cancelled && found.stage == job_stage::running)
@@ -417,7 +418,7 @@
         if (!restarted && !late)
             continue;
         const bool may_move = state.submitted->idempotent && !state.cancelled;
-        if (!may_move || !state.run.may_begin_later(key, now))
+        if (!may_move || !state.run.may_run_late(key, now))
             lost.push_back({key, !late && state.submitted->idempotent});
         else if (const auto held_until = state.run.note_held(key))
             lost.push_back({key, false, held_until, restarted});
--- a/process/entry/tests/duration_order_test.cpp
+++ b/process/entry/tests/duration_order_test.cpp
@@ -51,9 +51,24 @@
     EXPECT_LT(entry.orphan_run_time + most_margin, entry.reconnect_timeout);
 }
 
-TEST(duration_order, moves_a_start_without_an_answer_once_no_order_is_late)
+// A start that is carried out last may begin in a next life of the worker, with
+// the longest lease of those that settings permit.
+TEST(duration_order, moves_a_start_without_an_answer_once_no_run_of_it_goes_on)
 {
-    EXPECT_GE(entry.max_order_delay, worker.max_order_delay);
+    for (auto lease = milliseconds(100); lease <= std::chrono::minutes(1);
+         lease += milliseconds(100))
+    {
+        auto it = worker;
+        it.longest_lease = lease;
+        for (const auto stop : {milliseconds(50), milliseconds(60000)})
+        {
+            it.stop_time = stop;
+            EXPECT_GE(max_late_run_time(it), it.max_order_delay + lease +
+                                                 lease / clock_drift_part +
+                                                 it.clock_margin + stop)
+                << lease.count() << " " << stop.count();
+        }
+    }
 }
 
 TEST(duration_order, ends_a_run_behind_a_silent_link_before_it_is_moved)
--- a/process/entry/tests/leased_workers.cpp
+++ b/process/entry/tests/leased_workers.cpp
@@ -48,7 +48,8 @@
         if (earlier)
             earlier(it);
         it.earlier_runs_timeout = max_run_time_without_agent(options_.leases);
-        it.tells_begun = options_.tells_begun;
+        if (options_.tells_begun)
+            it.late_run_time = max_late_run_time(options_.leases);
     };
 }
 
--- a/process/entry/tests/unanswered_start_test.cpp
+++ b/process/entry/tests/unanswered_start_test.cpp
@@ -151,13 +151,13 @@
     expect_one_answer(true);
 }
 
-TEST_F(unanswered_start, is_held_no_longer_than_an_order_may_be_held_up)
+TEST_F(unanswered_start, is_held_no_longer_than_a_late_run_may_go_on)
 {
     hold_up_start(std::chrono::hours(1));
     const auto agent = start_run();
     fleet.separate(0, agent, true);
     const entry_options usual;
-    fleet.run_for(usual.max_order_delay);
+    fleet.run_for(max_late_run_time({}));
     EXPECT_EQ(workers.began(), 0U);
     fleet.run_for(usual.reconnect_timeout);
     EXPECT_EQ(workers.began(), 1U);
--- a/request/include/lagoonquay/request/dispatch.hpp
+++ b/request/include/lagoonquay/request/dispatch.hpp
@@ -60,8 +60,10 @@
     //! thousandths; zero if the agent can't tell. Not filled in yet.
     std::uint32_t speed_milli = 0;
     std::vector<waiting_work> waiting = {}; //!< lowest priority number first
-    //! Whether the agent tells which starts its worker has accepted.
-    bool tells_begun = false;
+    //! Maximum time after the agent may last send a start that has no answer
+    //! until a run of it has ended; zero if the agent doesn't tell which starts
+    //! its worker has accepted.
+    duration late_run_time{};
 
     friend bool operator==(const grant_message&,
                            const grant_message&) = default;
@@ -196,6 +198,7 @@
     //! Those of running items, or the one that has just begun. Absent from an
     //! agent that doesn't tell.
     std::optional<std::vector<begun_attempt>> begun = {};
+    duration late_run_time{}; //!< as in grant_message, if there are items
 
     friend bool operator==(const status_message&,
                            const status_message&) = default;
--- a/request/include/lagoonquay/request/job_run.hpp
+++ b/request/include/lagoonquay/request/job_run.hpp
@@ -50,7 +50,7 @@
 struct attempt_start
 {
     start_answer answer = start_answer::untold;
-    instant last_begin{}; //!< an unanswered start begins no later
+    instant last_end{}; //!< a run of an unanswered start has ended by then
 
     friend bool operator==(const attempt_start&,
                            const attempt_start&) = default;
@@ -102,8 +102,8 @@
     void note_begun(const attempt_key& key);
 
     //! @return whether the attempt is a current one whose start has no answer
-    //! and may yet begin.
-    bool may_begin_later(const attempt_key& key, instant now) const noexcept;
+    //! and may yet begin or have begun.
+    bool may_run_late(const attempt_key& key, instant now) const noexcept;
 
     //! Notes that the task stays with a lost agent because of its start.
     //! @return the time at which that ends, the first time for each attempt.
--- a/request/src/dispatch_codec.cpp
+++ b/request/src/dispatch_codec.cpp
@@ -95,8 +95,8 @@
         {"service", it.service.text()}};
     if (it.speed_milli != 0)
         object["speed_milli"] = it.speed_milli;
-    if (it.tells_begun)
-        object["tells_begun"] = true;
+    if (it.late_run_time != duration::zero())
+        object["late_run_time_us"] = it.late_run_time.count();
     if (it.waiting.empty())
         return object;
     json::array waiting;
@@ -184,6 +184,8 @@
                         {"agent", it.agent.text()},
                         {"agent_run", wide(it.agent_run.number())},
                         {"items", std::move(items)}};
+    if (it.late_run_time != duration::zero())
+        object["late_run_time_us"] = it.late_run_time.count();
     if (!it.begun)
         return object;
     json::array begun;
@@ -259,7 +261,7 @@
     it.service = get_service(fields);
     it.speed_milli = get_count_or_zero(fields, "speed_milli");
     it.waiting = read_waiting(fields);
-    it.tells_begun = fields.flag_or("tells_begun", false);
+    it.late_run_time = get_duration_or_zero(fields, "late_run_time_us");
     return it;
 }
 
@@ -402,6 +404,7 @@
     it.agent = agent_id(fields.text("agent", limits.id_bytes));
     it.agent_run = incarnation(fields.wide_number("agent_run"));
     it.begun = read_begun(fields);
+    it.late_run_time = get_duration_or_zero(fields, "late_run_time_us");
     const auto* items = fields.array("items");
     if (items == nullptr)
         return it;
--- a/request/src/job_run.cpp
+++ b/request/src/job_run.cpp
@@ -67,12 +67,11 @@
         slots_[key.index.number()].start.answer = start_answer::begun;
 }
 
-bool job_run::may_begin_later(const attempt_key& key,
-                              instant now) const noexcept
+bool job_run::may_run_late(const attempt_key& key, instant now) const noexcept
 {
     const auto* it = find(key);
     return it != nullptr && it->start.answer == start_answer::unanswered &&
-           now < it->start.last_begin;
+           now < it->start.last_end;
 }
 
 std::optional<instant> job_run::note_held(const attempt_key& key)
@@ -82,7 +81,7 @@
     auto& target = slots_[key.index.number()];
     if (std::exchange(target.is_held, true))
         return std::nullopt;
-    return target.start.last_begin;
+    return target.start.last_end;
 }
 
 bool job_run::record(const attempt_key& key, const task_result& result)
--- a/request/tests/dispatch_codec_test.cpp
+++ b/request/tests/dispatch_codec_test.cpp
@@ -22,6 +22,7 @@
                    .work = milliseconds(90),
                    .age = milliseconds(12)},
                   {.priority = 2, .tasks = 1}};
+    it.late_run_time = milliseconds(16175);
     return it;
 }
 
@@ -53,14 +54,15 @@
     auto grant = full_grant();
     grant.speed_milli = 0;
     grant.waiting.clear();
+    grant.late_run_time = {};
     auto dispatch = full_dispatch();
     dispatch.priority = 0;
     dispatch.start_by = {};
     dispatch.expected_run = {};
     const std::vector<link_message> sent{grant, dispatch};
     const auto text = encode_frame(sent);
-    for (const auto* added :
-         {"speed_milli", "waiting", "priority", "start_by", "expected_run"})
+    for (const auto* added : {"speed_milli", "waiting", "late_run_time",
+                              "priority", "start_by", "expected_run"})
         EXPECT_EQ(text.find(added), std::string::npos) << added;
     const auto read = decode_frame(text);
     ASSERT_TRUE(read);
--- a/request/tests/job_run_test.cpp
+++ b/request/tests/job_run_test.cpp
@@ -51,7 +51,7 @@
     EXPECT_EQ(run.finished_count(), 1U);
 }
 
-TEST(job_run, a_start_may_begin_later_until_it_is_answered_or_too_old)
+TEST(job_run, a_start_may_run_late_until_it_is_answered_or_too_old)
 {
     const instant start_end(std::chrono::seconds(15));
     const attempt_start open{start_answer::unanswered, start_end};
@@ -59,22 +59,22 @@
     job_run run(two_tasks());
     const auto untold = run.dispatch(task_index(0), agent, agent_run);
     const auto first = run.dispatch(task_index(1), agent, agent_run, open);
-    EXPECT_FALSE(run.may_begin_later(untold, before));
-    EXPECT_TRUE(run.may_begin_later(first, before));
-    EXPECT_FALSE(run.may_begin_later(first, start_end));
+    EXPECT_FALSE(run.may_run_late(untold, before));
+    EXPECT_TRUE(run.may_run_late(first, before));
+    EXPECT_FALSE(run.may_run_late(first, start_end));
     EXPECT_EQ(run.note_held(first), start_end);
     EXPECT_EQ(run.note_held(first), std::nullopt);
     run.note_begun(first);
-    EXPECT_FALSE(run.may_begin_later(first, before));
+    EXPECT_FALSE(run.may_run_late(first, before));
     EXPECT_TRUE(run.requeue(first));
     const auto second = run.dispatch(task_index(1), agent, agent_run, open);
     run.note_begun(first);
-    EXPECT_FALSE(run.may_begin_later(first, before));
-    EXPECT_TRUE(run.may_begin_later(second, before));
+    EXPECT_FALSE(run.may_run_late(first, before));
+    EXPECT_TRUE(run.may_run_late(second, before));
     EXPECT_EQ(run.note_held(second), start_end);
 }
 
-TEST(job_run, a_report_tells_whether_the_adopted_start_may_begin_later)
+TEST(job_run, a_report_tells_whether_the_adopted_start_may_run_late)
 {
     const instant start_end(std::chrono::seconds(15));
     const auto before = start_end - duration(1);
@@ -84,13 +84,13 @@
                                .started = true,
                                .start = {start_answer::unanswered, start_end}};
     EXPECT_EQ(run.take_report(asked), report_outcome::adopted);
-    EXPECT_TRUE(run.may_begin_later(key, before));
+    EXPECT_TRUE(run.may_run_late(key, before));
     auto begun = asked;
     begun.start.answer = start_answer::begun;
     EXPECT_EQ(run.take_report(begun), report_outcome::confirmed);
-    EXPECT_FALSE(run.may_begin_later(key, before));
+    EXPECT_FALSE(run.may_run_late(key, before));
     EXPECT_EQ(run.take_report(asked), report_outcome::confirmed);
-    EXPECT_FALSE(run.may_begin_later(key, before));
+    EXPECT_FALSE(run.may_run_late(key, before));
 }
 
 TEST(job_run, a_result_of_an_earlier_attempt_does_not_count)
--- a/request/tests/recovery_message_test.cpp
+++ b/request/tests/recovery_message_test.cpp
@@ -76,7 +76,10 @@
     for (const bool tells : {false, true})
     {
         if (tells)
+        {
             status.begun.emplace();
+            status.late_run_time = std::chrono::milliseconds(16175);
+        }
         const auto received = decode_frame(encode_frame({status}));
         ASSERT_TRUE(received) << received.error().detail;
         EXPECT_EQ(received.value(), std::vector<link_message>{status});
