Test late starts beside the runs of an adopter

What callers saw: nothing reported; found by reading how a lost task is held. The entry that holds it dies, and the one that adopts the job doesn't know of the start, since the agent is out of its reach or began anew.

Both cases of late_start_paths.begins_beside_a_run_of_an_adopter* fail and stay so; they are in KNOWN-RED.txt. Printed: "two runs of task 0 at the same time: attempt 131073 on worker-1-1 ... from 11151 to 23151 ms: done; attempt 65537 on worker-0-1 ... from 18004 to 18041 ms: stopped", and open_cases 1 in place of 0 after a new process of the agent.

--- a/process/entry/tests/late_start_paths_test.cpp
+++ b/process/entry/tests/late_start_paths_test.cpp
@@ -141,6 +141,58 @@
     EXPECT_EQ(workers.open_cases(), 0U);
 }
 
+// The entry that holds the task dies, and another adopts the job.
+TEST_F(late_start_paths, begins_beside_a_run_of_an_adopter)
+{
+    const auto delay = seconds(14);
+    hold_up_start(delay);
+    fleet.run_for(seconds(2));
+    submit(0, seconds(30));
+    fleet.run_for(milliseconds(100));
+    ASSERT_TRUE(first_agent);
+    separate_from_all(*first_agent);
+    fleet.run_for(milliseconds(3000));
+    EXPECT_EQ(fleet.entry(0).counts().held_moves, 1U);
+    fleet.kill_entry(0);
+    fleet.run_for(milliseconds(200));
+    submit(1, seconds(30));
+    workers.work_time = [](const task_run&)
+    {
+        return seconds(12);
+    };
+    begin_life_before(delay);
+    fleet.run_for(seconds(20));
+    EXPECT_EQ(workers.overlaps(), std::vector<std::string>());
+    EXPECT_EQ(workers.open_cases(), 0U);
+}
+
+// As above; the agent's process began anew, so no agent is out of reach.
+TEST_F(late_start_paths, begins_beside_a_run_of_an_adopter_after_a_new_process)
+{
+    const auto delay = seconds(14);
+    hold_up_start(delay);
+    fleet.run_for(seconds(2) + milliseconds(40));
+    submit(0, seconds(30));
+    fleet.run_for(milliseconds(100));
+    ASSERT_TRUE(first_agent);
+    fleet.kill_agent(*first_agent);
+    fleet.run_for(milliseconds(200));
+    fleet.start_agent(*first_agent);
+    fleet.run_for(milliseconds(3000));
+    EXPECT_EQ(fleet.entry(0).counts().held_moves, 1U);
+    fleet.kill_entry(0);
+    fleet.run_for(milliseconds(200));
+    submit(1, seconds(30));
+    workers.work_time = [](const task_run&)
+    {
+        return seconds(12);
+    };
+    begin_life_before(delay);
+    fleet.run_for(seconds(20));
+    EXPECT_EQ(workers.overlaps(), std::vector<std::string>());
+    EXPECT_EQ(workers.open_cases(), 0U);
+}
+
 // Where nothing fails: agents that are idle or busy stop at any moment, and
 // their processes end as soon as they are drained.
 TEST_F(late_start_paths, hold_nothing_while_agents_stop_as_soon_as_drained)
