--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -346,18 +346,20 @@
                        const task_result& result, attempt_end how);
     bool grant_retry(const job_pointer& state, const task_result& result) const;
 
-    // entry_recovery.cpp: lost links and adoption
-    void query_agent(const agent_run_id& agent);
+    // entry_adoption.cpp: jobs of an earlier claim
     void query_earlier_agents(const job_pointer& state);
+    std::set<agent_id> agents_that_accept_again(const job_pointer& state,
+                                                const linked_runs& links);
+    void finish_adoption(const job_pointer& state);
+
+    // entry_recovery.cpp: lost links, and what agents tell
+    void query_agent(const agent_run_id& agent);
     void on_status(const agent_id& agent, const status_message& it);
     report_outcome apply(job_state& state, const agent_run_id& agent,
                          const status_item& it, const attempt_start& start);
     void note_begun(const job_pointer& state, const agent_run_id& agent,
                     const std::vector<begun_attempt>& begun);
     void record_finished(const job_pointer& state, const status_message& it);
-    std::set<agent_id> agents_that_accept_again(const job_pointer& state,
-                                                const linked_runs& links);
-    void finish_adoption(const job_pointer& state);
     void check_lost(instant now);
     struct lost_attempt;
     void log_held(const job_state& state, const lost_attempt& it,
