--- a/process/entry/src/entry_adoption.cpp
+++ b/process/entry/src/entry_adoption.cpp
@@ -1,5 +1,6 @@
 // Adoption of jobs from an earlier claim.
 #include "entry_job.hpp"
+#include "lagoonquay/process/decision_log.hpp"
 #include "lagoonquay/process/log.hpp"
 
 namespace lagoonquay
@@ -10,6 +11,36 @@
 
 constexpr std::string_view part = "entry";
 
+//! How an adoption settled, for the log.
+struct settled_adoption
+{
+    claim_round round;
+    std::size_t agents = 0; //!< of the earlier claims
+    std::size_t silent = 0; //!< of them, that can't be reached
+    std::size_t anew = 0;   //!< of them, that have another process
+    std::size_t tasks = 0;
+    std::size_t untold = 0; //!< that no agent has
+    duration took{};
+    bool record_lost = false; //!< of an earlier claim, with its agents
+};
+
+void log_settled(const submission_id& submission, const settled_adoption& it)
+{
+    const auto count = [](std::size_t number)
+    {
+        return static_cast<std::int64_t>(number);
+    };
+    write_event(log_level::info, part, submission, "adoption_settled",
+                {{"round", static_cast<std::int64_t>(it.round.number())},
+                 {"agents", count(it.agents)},
+                 {"silent", count(it.silent)},
+                 {"anew", count(it.anew)},
+                 {"tasks", count(it.tasks)},
+                 {"untold", count(it.untold)},
+                 {"after_ms", milliseconds_of(it.took)},
+                 {"record_lost", it.record_lost ? "yes" : "no"}});
+}
+
 } // namespace
 
 // The query makes the agent reject every attempt of earlier claims, so that
@@ -70,7 +101,7 @@
     const auto now = hooks_.now();
     const auto links = linked_agents();
     const auto accepting = agents_that_accept_again(state, *links);
-    bool done = false;
+    std::optional<settled_adoption> settled;
     bool untouched = false;
     auto ran = effect::unknown;
     with_job(
@@ -80,24 +111,34 @@
             if (it.answer || it.stage != job_stage::adopting)
                 return;
             const bool late = now >= it.recovery_end;
-            const auto gone =
-                std::erase_if(it.awaiting_status,
-                              [&](const agent_run_id& agent)
-                              {
-                                  const auto link = links->find(agent.agent);
-                                  if (link == links->end())
-                                      return late;
-                                  if (link->second == agent.run)
-                                      return false;
-                                  return late || !it.submitted->idempotent ||
-                                         accepting.contains(agent.agent);
-                              });
+            std::erase_if(it.awaiting_status,
+                          [&](const agent_run_id& agent)
+                          {
+                              const auto link = links->find(agent.agent);
+                              const bool silent = link == links->end();
+                              if (!silent && link->second == agent.run)
+                                  return false;
+                              const bool lost =
+                                  late || (!silent &&
+                                           (!it.submitted->idempotent ||
+                                            accepting.contains(agent.agent)));
+                              it.silent_agents += lost && silent ? 1 : 0;
+                              it.agents_anew += lost && !silent ? 1 : 0;
+                              return lost;
+                          });
             it.has_lost_agents =
-                it.has_lost_agents || gone > 0 || it.has_lost_record;
+                it.silent_agents + it.agents_anew > 0 || it.has_lost_record;
             if (!it.awaiting_status.empty())
                 return;
             it.stage = job_stage::running;
-            done = true;
+            settled = {it.round,
+                       it.earlier_agents.size(),
+                       it.silent_agents,
+                       it.agents_anew,
+                       it.submitted->tasks.size(),
+                       it.run.waiting().size(),
+                       now - it.adoption_began,
+                       it.has_lost_record};
             const bool may_refuse = it.has_lost_record
                                         ? it.submitted->idempotent
                                         : !it.has_lost_agents;
@@ -114,8 +155,9 @@
                                       "an agent of an earlier claim was lost");
             }
         });
-    if (!done)
+    if (!settled)
         return;
+    log_settled(state->id, *settled);
     if (untouched)
     {
         if (const auto refused = refuse_admission(state, ran))
--- a/process/entry/src/entry_claims.cpp
+++ b/process/entry/src/entry_claims.cpp
@@ -203,7 +203,9 @@
                  it.stage = adopting ? job_stage::adopting : job_stage::running;
                  it.awaiting_status = {it.earlier_agents.begin(),
                                        it.earlier_agents.end()};
-                 it.recovery_end = hooks_.now() + options_.adoption_timeout;
+                 it.adoption_began = hooks_.now();
+                 it.recovery_end =
+                     it.adoption_began + options_.adoption_timeout;
              });
     write_event(log_level::info, part, state->id, "claimed",
                 {{"round", static_cast<std::int64_t>(outcome->round.number())},
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -84,7 +84,10 @@
     bool has_lost_agents = false;
     //! The record of an earlier claim may be lost, and with it its agents.
     bool has_lost_record = false;
+    instant adoption_began{};
     instant recovery_end{};
+    std::size_t silent_agents = 0; //!< of earlier_agents, at the settlement
+    std::size_t agents_anew = 0;   //!< likewise, that have another process
     //! Time by which each unlinked agent with tasks has to reconnect.
     std::map<agent_run_id, instant> reconnect_deadlines;
 
