Share the fleet of two tests of starts without an answer

late_start_paths_test.cpp and unanswered_start_test.cpp each had the same options, hold-up of the first start and members, and are written against late_start_fleet.hpp now. No check changes.

--- a/process/entry/tests/late_start_paths_test.cpp
+++ b/process/entry/tests/late_start_paths_test.cpp
@@ -1,10 +1,6 @@
 // Tests of paths on which a start without an answer may still begin beside
 // another run of its task.
-#include "lagoonquay/connection/message_link.hpp"
-#include "lagoonquay/process/log.hpp"
-#include "leased_workers.hpp"
-
-#include <gtest/gtest.h>
+#include "late_start_fleet.hpp"
 
 namespace lagoonquay
 {
@@ -15,54 +11,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-//! The durations of the product, two entries, two agents and one job of one
-//! task.
-class late_start_paths : public testing::Test
+//! Three entries, and one job of one task.
+class late_start_paths : public late_start_fleet
 {
 protected:
-    static void SetUpTestSuite()
-    {
-        open_log({.level = log_level::error});
-    }
-
-    static fake_fleet_options with_workers(leased_workers& workers)
+    late_start_paths() : late_start_fleet(3)
     {
-        const entry_options usual;
-        fake_fleet_options options;
-        options.entries = 3;
-        options.agents = 2;
-        options.lease = usual.claim_lease;
-        options.link_silence = message_link_options().silence;
-        options.hooks.adjust_entry = [usual](entry_options& it)
-        {
-            it.claim_margin = usual.claim_margin;
-            it.reconnect_timeout = usual.reconnect_timeout;
-        };
-        workers.attach(options.hooks);
-        return options;
-    }
-
-    late_start_paths() : workers(fleet, {})
-    {
-        workers.work_time = [](const task_run&)
-        {
-            return seconds(3);
-        };
-    }
-
-    //! Holds up the first start by `delay`, without an answer.
-    void hold_up_start(duration delay)
-    {
-        workers.on_order = [this,
-                            delay](std::size_t at, order_kind kind,
-                                   const task_run&) -> std::optional<order_fate>
-        {
-            if (kind != order_kind::start || first_agent)
-                return std::nullopt;
-            first_agent = at;
-            sent = fleet.time().now();
-            return order_fate{.delay = delay, .answer_lost = true};
-        };
     }
 
     //! The same job each time.
@@ -93,10 +47,6 @@
             fleet.separate(n, agent, true);
     }
 
-    leased_workers workers;
-    fake_fleet fleet{with_workers(workers)};
-    std::optional<std::size_t> first_agent; //!< that sent the held-up start
-    instant sent{};                         //!< when it did
     bool is_dated = true;    //!< whether the job has a time of creation
     std::optional<job> work; //!< that was submitted
 };
--- a/process/entry/tests/unanswered_start_test.cpp
+++ b/process/entry/tests/unanswered_start_test.cpp
@@ -1,10 +1,6 @@
 // Tests of a start without an answer whose agent is lost: the worker's next
 // life may carry it out, so its task isn't started elsewhere before.
-#include "lagoonquay/connection/message_link.hpp"
-#include "lagoonquay/process/log.hpp"
-#include "leased_workers.hpp"
-
-#include <gtest/gtest.h>
+#include "late_start_fleet.hpp"
 
 namespace lagoonquay
 {
@@ -15,53 +11,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-//! The durations of the product, two agents, and one job of one task.
-class unanswered_start : public testing::Test
+//! One entry, and one job of one task.
+class unanswered_start : public late_start_fleet
 {
 protected:
-    static void SetUpTestSuite()
-    {
-        open_log({.level = log_level::error});
-    }
-
-    static fake_fleet_options with_workers(leased_workers& workers)
-    {
-        const entry_options usual;
-        fake_fleet_options options;
-        options.entries = 1;
-        options.agents = 2;
-        options.lease = usual.claim_lease;
-        options.link_silence = message_link_options().silence;
-        options.hooks.adjust_entry = [usual](entry_options& it)
-        {
-            it.claim_margin = usual.claim_margin;
-            it.reconnect_timeout = usual.reconnect_timeout;
-        };
-        workers.attach(options.hooks);
-        return options;
-    }
-
     explicit unanswered_start(bool tells_begun = true)
-        : workers(fleet, {.tells_begun = tells_begun})
+        : late_start_fleet(1, tells_begun)
     {
-        workers.work_time = [](const task_run&)
-        {
-            return seconds(3);
-        };
-    }
-
-    //! Holds up the first start by `delay`, without an answer.
-    void hold_up_start(duration delay)
-    {
-        workers.on_order = [this,
-                            delay](std::size_t at, order_kind kind,
-                                   const task_run&) -> std::optional<order_fate>
-        {
-            if (kind != order_kind::start || first_agent)
-                return std::nullopt;
-            first_agent = at;
-            return order_fate{.delay = delay, .answer_lost = true};
-        };
     }
 
     void submit(duration time_limit)
@@ -90,10 +46,6 @@
         ASSERT_EQ(fleet.record().answers.size(), 1U);
         EXPECT_EQ(succeeded(fleet.record().answers[0]), complete);
     }
-
-    leased_workers workers;
-    fake_fleet fleet{with_workers(workers)};
-    std::optional<std::size_t> first_agent; //!< that sent the held-up start
 };
 
 // The agent lives, its link is lost, and the worker begins anew under its id
