Show a claim held twice as one of two drops a late restart

One of two is away for nearly three seconds, its next process hears that it keeps its place, and is dropped by a list from before its return. Neither asks for a vote of the other then.

--- a/process/entry/tests/joined_entries_quorums_test.cpp
+++ b/process/entry/tests/joined_entries_quorums_test.cpp
@@ -210,4 +210,30 @@
     EXPECT_EQ(count_held_twice(1, *lists[1], 3, *lists[3]), 0U);
 }
 
+// One of two was away for nearly as long as entries keep their place. The other
+// one says that it counts it, and drops it by a list from before its return.
+TEST_F(joined_entries_quorums,
+       of_two_share_a_voter_with_one_that_drops_one_late)
+{
+    start_lists(2);
+    for (std::size_t n = 1; n <= 2; ++n)
+        learn(*lists[n], 2);
+    for (int n = 0; n < 5; ++n)
+    {
+        now += milliseconds(500);
+        learn_without(2, 2, 1);
+    }
+    now += milliseconds(450);
+    join(3, 3);
+    begin_anew(1);
+    now += milliseconds(10);
+    learn(*lists[1], 3);
+    lists[1]->take_answer(entry(2).address, lists[2]->with_entries({}));
+    now += milliseconds(50);
+    learn_without(2, 2, 1);
+    EXPECT_TRUE(lists[2]->current().empty());
+    start_replicas();
+    EXPECT_EQ(count_held_twice(2, *lists[2], 1, *lists[1]), 0U);
+}
+
 } // namespace lagoonquay
