Let an entry's own vote stand for a group of two only

Cause: dropped the group of two without asking for the own vote that its proof rests on, and half of a group does not meet the majorities of those that dropped a member.

Change: a majority needs to count who joined, as before. Where one of a group of two has counted them with each vote since it began, that one's vote is asked for in place of the group, from max_list_gap after its first list on, as the other may drop it by an older list. A test of that could not fail has three joiners now.

--- a/process/entry/src/entry_peers_counted.cpp
+++ b/process/entry/src/entry_peers_counted.cpp
@@ -145,8 +145,10 @@
     std::vector<replica_group> found;
     for (const auto& it : vote->groups)
     {
-        if (is_of_use(it, now) && !is_in_each_majority(it))
-            found.push_back(as_group(it, now));
+        if (is_of_use(it, now))
+            found.push_back(is_in_each_majority(it)
+                                ? as_group({parse_endpoint(own_).value()}, now)
+                                : as_group(it, now));
     }
     return found;
 }
@@ -349,15 +351,18 @@
     return found;
 }
 
-// As it began, it heard of the claims that were in force, and since then it has
-// named all entries with each vote. Nothing that it doesn't know of was granted
-// with its vote by those who don't know them all.
+// Since it began it has named all entries with each vote, so nothing was
+// granted with its vote by those who don't know them all. What was granted
+// before it knows by the claims that it asked for, or it doesn't vote. Not in
+// the first moments: a peer may drop it by a list from before its start.
 bool entry_peers::names_all_since_start() const
 {
-    return first_list_time_ && names_all_since_ == began_;
+    return first_list_time_ && names_all_since_ == began_ &&
+           now_() - *first_list_time_ > max_list_gap;
 }
 
-// Each majority of a group of two has this entry.
+// Each majority of a group of two has this entry, so its own vote stands for
+// one.
 bool entry_peers::is_in_each_majority(const std::vector<endpoint>& group) const
 {
     const auto own = parse_endpoint(own_);
--- a/process/entry/tests/joined_entries_paths_test.cpp
+++ b/process/entry/tests/joined_entries_paths_test.cpp
@@ -206,9 +206,8 @@
     }
 }
 
-// Of two older ones, one began anew and knows of the entry that joined, and the
-// other has not heard of it. The former is in each majority of the two, and
-// asks for no vote of the other.
+// Of two older ones, one began anew and knows of three that joined, and the
+// other has not heard of them. Its own vote stands for the two.
 TEST_F(joined_entries_paths, of_two_share_a_voter_with_one_that_began_anew)
 {
     for (std::size_t n = 1; n <= 2; ++n)
@@ -219,15 +218,16 @@
     now += seconds(10);
     lists[1] = list_of(1);
     now += milliseconds(300);
-    learn(*lists[1], 3);
+    learn(*lists[1], 5);
     lists[1]->learn_established(entry(2).address, first(2));
-    lists[3] = list_of(3);
-    learn(*lists[3], 3);
-    lists[3]->learn_established(entry(2).address, first(2));
+    now += max_list_gap + milliseconds(1);
+    learn(*lists[1], 5);
     const auto groups = choose_replica_groups(submission_id("s"), entry(1),
                                               lists[1]->replicas());
-    EXPECT_EQ(groups.size(), 1U);
-    for (const auto& [a, b] : {std::pair{1, 2}, {2, 1}, {3, 2}, {2, 3}, {1, 3}})
+    ASSERT_EQ(groups.size(), 2U);
+    EXPECT_TRUE(groups[1].local);
+    EXPECT_TRUE(groups[1].others.empty());
+    for (const auto& [a, b] : {std::pair{1, 2}, {2, 1}})
     {
         start_replicas();
         const auto holder = static_cast<std::size_t>(a);
--- a/process/ledger/include/lagoonquay/process/replica_group.hpp
+++ b/process/ledger/include/lagoonquay/process/replica_group.hpp
@@ -70,8 +70,9 @@
 //! failure domains as possible. Unlisted ones are members without a vote. While
 //! peers have recently joined, also the groups chosen without them, and while
 //! this entry has, that of the older ones, if they differ. Such a group is left
-//! out once half of it counts who joined, so that each majority has one of
-//! these. A claim needs a majority of each group.
+//! out once a majority of it counts who joined; one of two is replaced by this
+//! entry alone if that has always counted them. A claim needs a majority of
+//! each group.
 std::vector<replica_group>
 choose_replica_groups(const submission_id& submission, const ledger_peer& self,
                       const std::vector<ledger_peer>& peers);
--- a/process/ledger/src/replica_group.cpp
+++ b/process/ledger/src/replica_group.cpp
@@ -58,6 +58,15 @@
         groups.push_back(std::move(more));
 }
 
+// In place of a group of this entry and one other at the most: its own vote is
+// in each majority of that one.
+replica_group local_group()
+{
+    replica_group group;
+    group.includes_all_entries = false;
+    return group;
+}
+
 // Newest first. What joined before the latest moments counts as one.
 std::vector<instant> join_times(const std::vector<ledger_peer>& peers)
 {
@@ -88,13 +97,12 @@
     return removed;
 }
 
-// Of that many members one is in each majority.
-std::size_t least_in_each_majority(const replica_group& group)
+std::size_t majority_of(const replica_group& group)
 {
-    return (group.others.size() + (group.local ? 1 : 0) + 1) / 2;
+    return (group.others.size() + (group.local ? 1 : 0)) / 2 + 1;
 }
 
-//! @return whether each majority of the group has one that counts all of these.
+//! @return whether a majority of the group counts all of these.
 bool is_counted(const replica_group& group,
                 const std::vector<ledger_peer>& joined)
 {
@@ -110,12 +118,21 @@
         });
     // The replica here counts them for as long as any that told.
     const bool here =
-        group.local &&
-        std::all_of(joined.begin(), joined.end(),
-                    [](const ledger_peer& it)
-                    { return it.counted_by || it.always_counted_here; });
+        group.local && std::all_of(joined.begin(), joined.end(),
+                                   [](const ledger_peer& it)
+                                   { return it.counted_by != nullptr; });
     return static_cast<std::size_t>(known) + (here ? 1 : 0) >=
-           least_in_each_majority(group);
+           majority_of(group);
+}
+
+//! @return whether this entry is of the group, and has counted all of these
+//! since it began.
+bool is_always_counted(const replica_group& group,
+                       const std::vector<ledger_peer>& joined)
+{
+    return group.local && std::all_of(joined.begin(), joined.end(),
+                                      [](const ledger_peer& it)
+                                      { return it.always_counted_here; });
 }
 
 bool counts_self(const replica_group& older,
@@ -129,7 +146,7 @@
                    std::find(older.others.begin(), older.others.end(),
                              it.address) != older.others.end();
         });
-    return static_cast<std::size_t>(known) >= least_in_each_majority(older);
+    return static_cast<std::size_t>(known) >= majority_of(older);
 }
 
 } // namespace
@@ -158,8 +175,8 @@
 // After an entry has joined, the views of the fleet differ. An entry whose view
 // contains the new one, and the new one itself, need a majority of both groups,
 // so that their quorums overlap that of an entry whose view does not contain it
-// yet. Once half of the group without it counts it, that one is told of the
-// group with it by each quorum. Of several that joined one after the other,
+// yet. Once a majority of the group without it counts it, that one is told of
+// the group with it by each quorum. Of several that joined one after the other,
 // others may know the first ones only.
 std::vector<replica_group>
 choose_replica_groups(const submission_id& submission, const ledger_peer& self,
@@ -173,8 +190,11 @@
     {
         const auto joined = remove_joined(entries, since);
         auto earlier = choose_group(submission, self.address, entries);
-        if (!is_counted(earlier, joined))
-            add_group(groups, std::move(earlier));
+        if (is_counted(earlier, joined))
+            continue;
+        if (earlier.others.size() <= 1 && is_always_counted(earlier, joined))
+            earlier = local_group();
+        add_group(groups, std::move(earlier));
     }
     entries = peers;
     std::erase_if(entries, [](const ledger_peer& it) { return !it.older; });
