Take back the group of two that an entry's own vote stood for

The check of of_two_share_a_voter_* that asked for the group is gone with what it tested; the claims are still counted.

What the next try needs: a proof that the other one of two can neither go on with groups that lack this entry nor hold what it doesn't know, also where lists come late, lack somebody, or drop a restart of nearly 3 s.

--- a/process/entry/include/lagoonquay/process/entry_peers.hpp
+++ b/process/entry/include/lagoonquay/process/entry_peers.hpp
@@ -185,8 +185,6 @@
     bool counts_self(const endpoint& replica, instant now) const;
     bool was_removed(const endpoint& address, instant now) const;
     bool is_of_use(const std::vector<endpoint>& group, instant now) const;
-    bool names_all_since_start() const;
-    bool is_in_each_majority(const std::vector<endpoint>& group) const;
     replica_group as_group(const std::vector<endpoint>& members,
                            instant now) const;
     bool is_joining() const;
@@ -209,7 +207,6 @@
     const std::string own_;
     const duration retention_;
     const clock_hook now_;
-    const instant began_ = now_();
 
     mutable std::mutex mutex_;
     std::optional<instant> first_list_time_; //!< empty before the first list
@@ -221,10 +218,8 @@
     std::map<endpoint, std::vector<endpoint>> established_at_;
     //! First lists of the peers that are new themselves and told when it was.
     std::map<endpoint, instant> first_lists_;
-    entries_digest digest_; //!< of this entry and entries_
-    //! Since when this process names the groups with all entries here.
-    instant names_all_since_{};
-    bool granted_before_list_ = false; //!< a vote that named no group
+    entries_digest digest_;      //!< of this entry and entries_
+    instant last_joined_{};      //!< when this entry last heard of another one
     instant last_count_{};       //!< when it was worked out who is counted
     bool counted_itself_ = true; //!< whether all older ones count this one
     std::map<endpoint, instant> own_counted_since_; //!< by the others
--- a/process/entry/src/entry_peers.cpp
+++ b/process/entry/src/entry_peers.cpp
@@ -148,7 +148,7 @@
         found.push_back({address, it.domain, it.joined,
                          joining && is_older(address, it), misses_lists(it),
                          it.first_listed, it.counted_by,
-                         counts_self(address, now), names_all_since_start()});
+                         counts_self(address, now)});
     return found;
 }
 
--- a/process/entry/src/entry_peers_counted.cpp
+++ b/process/entry/src/entry_peers_counted.cpp
@@ -14,8 +14,7 @@
 constexpr std::uint64_t digest_mask = (1ULL << 48U) - 1;
 
 // Groups with an entry that joined later than this are not told of: its replica
-// doesn't vote yet. It counts as counted from then on. Those of the first list
-// are told of at once: whoever began anew has given no vote without them.
+// doesn't vote yet. It counts as counted from then on.
 constexpr duration telling_delay = std::chrono::seconds(1);
 
 // Which others count an entry is worked out once a period, not with each claim.
@@ -75,15 +74,11 @@
     {
         const std::lock_guard lock(mutex_);
         remove_unlisted();
-        granted_before_list_ =
-            granted_before_list_ ||
-            (!first_list_time_ && vote->verdict == claim_verdict::granted);
         same = first_list_time_ && asked->entries == digest_;
         counted_for = counted_all_for(now);
         for (const auto& [address, it] : entries_)
         {
-            if (it.joined && it.first_listed > *first_list_time_ &&
-                now - it.first_listed <= telling_delay)
+            if (it.joined && now - it.first_listed <= telling_delay)
                 latest.insert(address);
         }
     }
@@ -146,9 +141,7 @@
     for (const auto& it : vote->groups)
     {
         if (is_of_use(it, now))
-            found.push_back(is_in_each_majority(it)
-                                ? as_group({parse_endpoint(own_).value()}, now)
-                                : as_group(it, now));
+            found.push_back(as_group(it, now));
     }
     return found;
 }
@@ -158,9 +151,9 @@
 // only from the end of the delay on.
 std::optional<duration> entry_peers::counted_all_for(instant now) const
 {
-    if (!first_list_time_ || now < names_all_since_)
+    if (!first_list_time_ || now - last_joined_ < telling_delay)
         return std::nullopt;
-    return now - names_all_since_;
+    return now - last_joined_ - telling_delay;
 }
 
 void entry_peers::note_counted(const endpoint& replica, instant since)
@@ -215,15 +208,13 @@
 void entry_peers::note_joined(const endpoint& address, instant now)
 {
     digest_ = with_toggled(digest_, address);
+    last_joined_ = now;
     if (!first_list_time_)
     {
         first_list_time_ = now;
-        names_all_since_ = granted_before_list_ ? now : began_;
         counted_itself_ = false;
         return;
     }
-    if (now > *first_list_time_)
-        names_all_since_ = now + telling_delay;
     const auto found = entries_.find(address);
     if (found != entries_.end())
         found->second.joined = is_fresh(found->second, now);
@@ -351,26 +342,6 @@
     return found;
 }
 
-// Since it began it has named all entries with each vote, so nothing was
-// granted with its vote by those who don't know them all. What was granted
-// before it knows by the claims that it asked for, or it doesn't vote. Not in
-// the first moments: a peer may drop it by a list from before its start.
-bool entry_peers::names_all_since_start() const
-{
-    return first_list_time_ && names_all_since_ == began_ &&
-           now_() - *first_list_time_ > max_list_gap;
-}
-
-// Each majority of a group of two has this entry, so its own vote stands for
-// one.
-bool entry_peers::is_in_each_majority(const std::vector<endpoint>& group) const
-{
-    const auto own = parse_endpoint(own_);
-    return group.size() <= 2 && own &&
-           std::find(group.begin(), group.end(), own.value()) != group.end() &&
-           names_all_since_start();
-}
-
 replica_group entry_peers::as_group(const std::vector<endpoint>& members,
                                     instant now) const
 {
--- a/process/entry/tests/joined_entries_paths_test.cpp
+++ b/process/entry/tests/joined_entries_paths_test.cpp
@@ -222,11 +222,6 @@
     lists[1]->learn_established(entry(2).address, first(2));
     now += max_list_gap + milliseconds(1);
     learn(*lists[1], 5);
-    const auto groups = choose_replica_groups(submission_id("s"), entry(1),
-                                              lists[1]->replicas());
-    ASSERT_EQ(groups.size(), 2U);
-    EXPECT_TRUE(groups[1].local);
-    EXPECT_TRUE(groups[1].others.empty());
     for (const auto& [a, b] : {std::pair{1, 2}, {2, 1}})
     {
         start_replicas();
--- a/process/ledger/include/lagoonquay/process/replica_group.hpp
+++ b/process/ledger/include/lagoonquay/process/replica_group.hpp
@@ -31,9 +31,6 @@
     std::shared_ptr<const std::set<endpoint>> counted_by = nullptr;
     //! Whether it has counted this entry for so long.
     bool counts_self = false;
-    //! Joined before this entry began anew, which has counted it with each
-    //! vote.
-    bool always_counted_here = false;
 
     friend bool operator==(const ledger_peer&, const ledger_peer&) = default;
 };
@@ -70,8 +67,7 @@
 //! failure domains as possible. Unlisted ones are members without a vote. While
 //! peers have recently joined, also the groups chosen without them, and while
 //! this entry has, that of the older ones, if they differ. Such a group is left
-//! out once a majority of it counts who joined; one of two is replaced by this
-//! entry alone if that has always counted them. A claim needs a majority of
+//! out once a majority of it counts who joined. A claim needs a majority of
 //! each group.
 std::vector<replica_group>
 choose_replica_groups(const submission_id& submission, const ledger_peer& self,
--- a/process/ledger/src/replica_group.cpp
+++ b/process/ledger/src/replica_group.cpp
@@ -58,15 +58,6 @@
         groups.push_back(std::move(more));
 }
 
-// In place of a group of this entry and one other at the most: its own vote is
-// in each majority of that one.
-replica_group local_group()
-{
-    replica_group group;
-    group.includes_all_entries = false;
-    return group;
-}
-
 // Newest first. What joined before the latest moments counts as one.
 std::vector<instant> join_times(const std::vector<ledger_peer>& peers)
 {
@@ -125,16 +116,6 @@
            majority_of(group);
 }
 
-//! @return whether this entry is of the group, and has counted all of these
-//! since it began.
-bool is_always_counted(const replica_group& group,
-                       const std::vector<ledger_peer>& joined)
-{
-    return group.local && std::all_of(joined.begin(), joined.end(),
-                                      [](const ledger_peer& it)
-                                      { return it.always_counted_here; });
-}
-
 bool counts_self(const replica_group& older,
                  const std::vector<ledger_peer>& entries)
 {
@@ -190,11 +171,8 @@
     {
         const auto joined = remove_joined(entries, since);
         auto earlier = choose_group(submission, self.address, entries);
-        if (is_counted(earlier, joined))
-            continue;
-        if (earlier.others.size() <= 1 && is_always_counted(earlier, joined))
-            earlier = local_group();
-        add_group(groups, std::move(earlier));
+        if (!is_counted(earlier, joined))
+            add_group(groups, std::move(earlier));
     }
     entries = peers;
     std::erase_if(entries, [](const ledger_peer& it) { return !it.older; });
