Show claims held twice where a first list lacks an older entry

A failing test of a review: one of three began anew, and its first lists, for 0.7 s, lack the third.

--- a/process/entry/tests/joined_entries_quorums_test.cpp
+++ b/process/entry/tests/joined_entries_quorums_test.cpp
@@ -61,6 +61,48 @@
         return found;
     }
 
+    //! A claim whose exchange with one replica is lost.
+    claim_outcome claim_without(std::size_t self,
+                                const submission_id& submission,
+                                std::size_t lost)
+    {
+        auto& list = *lists[self];
+        const auto request = list.tell_entries(
+            claim_request({.submission = submission,
+                           .digest = content_digest(1),
+                           .dated = false,
+                           .holder = entry_id(std::to_string(self)),
+                           .holder_run = incarnation(1),
+                           .holder_address = to_text(entry(self).address),
+                           .ask = claim_sequence(1),
+                           .lease = lease}));
+        claim_quorum quorum(
+            request,
+            choose_replica_groups(submission, entry(self), list.replicas()),
+            now);
+        auto step =
+            quorum.start(replicas.at(entry(self).address)->claim(request));
+        while (!step.outcome && !step.ask.empty())
+        {
+            claim_step next;
+            for (const auto& it : step.ask)
+            {
+                if (it == entry(lost).address)
+                    continue;
+                const auto vote = vote_of(it, request);
+                const auto more = quorum.add(it, {.vote = vote},
+                                             list.note_vote(it, request, vote));
+                next.ask.insert(next.ask.end(), more.ask.begin(),
+                                more.ask.end());
+                if (more.outcome)
+                    next.outcome = more.outcome;
+            }
+            step = next.outcome || !next.ask.empty() ? next
+                                                     : quorum.hedge_pending();
+        }
+        return step.outcome.value_or(claim_outcome());
+    }
+
     static std::size_t count_held(const std::vector<claim_outcome>& all,
                                   claim_round round)
     {
@@ -236,4 +278,33 @@
     EXPECT_EQ(count_held_twice(2, *lists[2], 1, *lists[1]), 0U);
 }
 
+// One of three began anew. Control, which also did, lists the third to it only
+// within a second of the first list, and so to an entry that joined. The other
+// two have not heard of that one.
+TEST_F(joined_entries_quorums, of_three_share_a_voter_while_one_is_not_listed)
+{
+    start_lists(3);
+    hear_of_each_other({1, 2, 3}, 3, 12);
+    lists[4] = list_of(4);
+    learn_without(4, 4, 3);
+    lists[4]->learn_established(entry(2).address, first(3));
+    lists[1] = list_of(1);
+    now += milliseconds(300);
+    learn_without(1, 4, 3);
+    lists[1]->take_answer(entry(2).address, lists[2]->with_entries({}));
+    now += max_list_gap + milliseconds(1);
+    learn_without(1, 4, 3);
+    learn_without(4, 4, 3);
+    for (std::size_t n = 0; n < 100; ++n)
+    {
+        const submission_id submission("job-" + std::to_string(n));
+        const auto first = claim_without(3, submission, 1);
+        const auto second = claim_without(1, submission, 2);
+        EXPECT_EQ(first->status, claim_status::held);
+        EXPECT_FALSE(second->status == claim_status::held &&
+                     second->round == first->round)
+            << submission.text();
+    }
+}
+
 } // namespace lagoonquay
