Dispatch no held task by another way than the end of its hold

What callers saw: in a test of a review two runs of one task at once. An adopter held the task for an unanswered start; another agent of the earlier claim came into reach after the settlement and told the end of an earlier attempt, which put the task into the queue again. Cause: only the first queueing of waiting tasks looked at the hold.

Change: whether a task may be dispatched is asked in one place, where the queue gives it out and where the dispatch is made; a held task may not.

--- a/process/entry/src/entry_dispatch.cpp
+++ b/process/entry/src/entry_dispatch.cpp
@@ -102,7 +102,7 @@
 {
     return jobs_.with(
         key.submission, [&](auto* it)
-        { return it != nullptr && (*it)->run.is_waiting(key.index); });
+        { return it != nullptr && (*it)->may_dispatch(key.index); });
 }
 
 // An attempt starts neither after the claim's end nor after the time at which
@@ -127,8 +127,8 @@
             if (found == nullptr)
                 return std::nullopt;
             auto& it = **found;
-            if (!it.run.is_waiting(key.index) ||
-                it.stage != job_stage::running || now >= it.deadline)
+            if (!it.may_dispatch(key.index) || it.stage != job_stage::running ||
+                now >= it.deadline)
                 return std::nullopt;
             if (!it.reach.contains(target))
             {
--- a/process/entry/src/entry_job.hpp
+++ b/process/entry/src/entry_job.hpp
@@ -90,8 +90,13 @@
     std::size_t agents_anew = 0;   //!< likewise, that have another process
     //! Of these, the ones that may have sent a start which begins late.
     std::set<agent_run_id> unheard_agents;
-    //! Waiting tasks that such a start may belong to.
+    //! Tasks that such a start may belong to; not dispatched while they wait.
     std::set<task_index> held_tasks;
+
+    bool may_dispatch(task_index index) const
+    {
+        return run.is_waiting(index) && !held_tasks.contains(index);
+    }
     //! Time by which each unlinked agent with tasks has to reconnect.
     std::map<agent_run_id, instant> reconnect_deadlines;
 
