Test a voter that restarts after the holder of its claim has ended

What callers see: a job that must not be repeated runs twice. Of three entries one holds it and ends; the only other one that knows of the claim restarts a second later, as in an update; the third is then granted the job as new, and starts its tasks at other agents.

Cause: that of listed_ledgers.know_that_*, where both end at once. Who lives takes no records over when a peer ends, and a replica that began anew tells of no loss.

--- a/process/entry/tests/lost_holder_test.cpp
+++ b/process/entry/tests/lost_holder_test.cpp
@@ -144,6 +144,35 @@
     expect_no_violation();
 }
 
+// Guards against such a task that starts twice: the holder ended, and the only
+// other entry that knew of its claim restarted a second later.
+TEST_F(lost_holders, leave_such_tasks_as_their_voter_restarts_later)
+{
+    fleet.run_for(seconds(4));
+    work_for(seconds(1));
+    ledger.part(0, 2, true);
+    fleet.submit(0, make_job("job", false));
+    fleet.run_for(milliseconds(100));
+    EXPECT_EQ(workers.began(), 2U);
+    fleet.kill_entry(0);
+    ledger.part(0, 2, false);
+    part_from_runs();
+    fleet.run_for(seconds(1));
+    fleet.kill_entry(1);
+    fleet.run_for(milliseconds(300));
+    fleet.start_entry(1);
+    while (!ledger.complete(1))
+        fleet.run_for(milliseconds(20));
+    for (int n = 0; n < 4; ++n)
+    {
+        fleet.submit(2, make_job("job", false));
+        fleet.run_for(milliseconds(400));
+    }
+    EXPECT_FALSE(fleet.record().answers.empty());
+    EXPECT_EQ(workers.began(), 2U);
+    expect_no_violation();
+}
+
 // Guards against the end of a users' record: a run that is stopped 44 ms after
 // its begin, beside the next holder's. The lost holder's next process greets
 // the agents, which stop its runs at once.
