Hold what comes back from an agent during a hold, and list a shorter limit

A task that an agent had at the settlement, and whose run ends unknown, could move while another agent was still unheard: all unfinished tasks count as held now, which matters only once they wait. A query never forbids less than the round's base; an agent says that it is drained before it may end; agents that the table knows are not looked up in the list.

--- a/process/agent/src/agent_service.cpp
+++ b/process/agent/src/agent_service.cpp
@@ -139,8 +139,10 @@
 // start of it.
 void agent_service::tell_if_drained()
 {
-    if (has_nothing_left() && !has_told_drained_.exchange(true))
-        send_all_grants();
+    if (has_told_drained_ || !has_nothing_left())
+        return;
+    send_all_grants();
+    has_told_drained_ = true;
 }
 
 std::uint32_t agent_service::running() const
--- a/process/entry/include/lagoonquay/process/agent_table.hpp
+++ b/process/entry/include/lagoonquay/process/agent_table.hpp
@@ -95,6 +95,9 @@
     //! accepts tasks.
     bool accepts(const agent_id& agent);
 
+    //! @return whether learn() has listed the agent lately.
+    bool knows(const agent_id& agent);
+
     //! @return whether this process of the agent has told that it is drained.
     bool has_drained(const agent_id& agent, incarnation run);
 
--- a/process/entry/src/agent_table_counts.cpp
+++ b/process/entry/src/agent_table_counts.cpp
@@ -16,6 +16,11 @@
     return n;
 }
 
+bool agent_table::knows(const agent_id& agent)
+{
+    return agents_.with(agent, [](const entry* it) { return it != nullptr; });
+}
+
 bool agent_table::has_drained(const agent_id& agent, incarnation run)
 {
     return agents_.with(agent, [&](const entry* it)
--- a/process/entry/src/entry_adoption.cpp
+++ b/process/entry/src/entry_adoption.cpp
@@ -59,7 +59,8 @@
              {
                  for (const auto& agent : it.awaiting_status)
                  {
-                     if (!links->contains(agent.agent))
+                     if (!links->contains(agent.agent) &&
+                         !dispatcher_.agents().knows(agent.agent))
                          missing.insert(agent.agent);
                  }
              });
@@ -113,7 +114,8 @@
     for (const auto& key : state.run.dispatched())
     {
         if (key.agent == agent.agent && key.agent_run == agent.run)
-            query.items[key.index.number()].last = key.attempt;
+            query.items[key.index.number()].last =
+                std::max(key.attempt, attempt_base(state.round));
     }
     return query;
 }
@@ -189,9 +191,10 @@
             }
             if (!may_start_late(it, now))
                 return;
-            const auto waiting = it.run.waiting();
-            it.held_tasks = {waiting.begin(), waiting.end()};
-            settled->held = waiting.size();
+            // Also those that an agent has: their runs may end unknown.
+            for (std::uint64_t n = 0; n < it.submitted->tasks.size(); ++n)
+                it.held_tasks.insert(task_index(n));
+            settled->held = it.run.waiting().size();
         });
     if (!settled)
         return;
--- a/process/entry/tests/adopter_hold_reports_test.cpp
+++ b/process/entry/tests/adopter_hold_reports_test.cpp
@@ -126,4 +126,41 @@
     EXPECT_EQ(workers.open_cases(), 0U);
 }
 
+class adopter_hold_limits : public late_start_fleet
+{
+protected:
+    adopter_hold_limits() : late_start_fleet(3)
+    {
+    }
+};
+
+// Guards against an agent's result that is held up to the deadline which the
+// earlier holder knew, while that of the adopter is later.
+TEST_F(adopter_hold_limits, are_those_of_the_job_that_was_sent_again)
+{
+    const auto delay = milliseconds(5500);
+    hold_up_start(delay);
+    fleet.run_for(seconds(2));
+    const job work({.submission = submission_id("job"),
+                    .customer = customer_id("c"),
+                    .created = fleet.wall(),
+                    .time_limit = seconds(4),
+                    .idempotent = true,
+                    .tasks = std::vector<task>(1)});
+    fleet.submit(0, work);
+    fleet.run_for(milliseconds(100));
+    ASSERT_TRUE(first_agent);
+    fleet.agent(*first_agent).drain();
+    fleet.kill_entry(0);
+    fleet.run_for(milliseconds(2700));
+    fleet.submit(1, work);
+    const auto life = sent + delay - milliseconds(30);
+    fleet.run_for(life - fleet.time().now());
+    EXPECT_EQ(workers.began(), 0U);
+    workers.crash(*first_agent, milliseconds(10), false, worker_time(0));
+    fleet.run_for(seconds(20));
+    EXPECT_EQ(workers.overlaps(), std::vector<std::string>());
+    EXPECT_EQ(workers.open_cases(), 0U);
+}
+
 } // namespace lagoonquay
--- a/process/entry/tests/joined_entries_paths_test.cpp
+++ b/process/entry/tests/joined_entries_paths_test.cpp
@@ -222,7 +222,10 @@
     lists[1]->learn_established(entry(2).address, first(2));
     now += max_list_gap + milliseconds(1);
     learn(*lists[1], 5);
-    for (const auto& [a, b] : {std::pair{1, 2}, {2, 1}})
+    lists[3] = list_of(3);
+    learn(*lists[3], 5);
+    lists[3]->learn_established(entry(2).address, first(2));
+    for (const auto& [a, b] : {std::pair{1, 2}, {2, 1}, {3, 2}, {2, 3}, {1, 3}})
     {
         start_replicas();
         const auto holder = static_cast<std::size_t>(a);
