--- a/process/entry/tests/listed_ledger.cpp
+++ b/process/entry/tests/listed_ledger.cpp
@@ -220,7 +220,7 @@
     const bool late = draw(random_, 4) == 0;
     fleet_.time().after(
         2 * latency + duration(late ? draw(random_, longest_poll.count()) : 0),
-        [this, to, sent, entries = listed_entries()]
+        [this, to, sent, entries = list_for(to->number)]
         {
             fleet_.deliver(
                 to->process,
@@ -257,6 +257,17 @@
     return listed;
 }
 
+std::vector<member> listed_ledger::list_for(std::size_t entry) const
+{
+    const auto held = held_lists_.find(entry);
+    return held == held_lists_.end() ? listed_entries() : held->second;
+}
+
+void listed_ledger::hold_list(std::size_t entry)
+{
+    held_lists_[entry] = listed_entries();
+}
+
 void listed_ledger::learn(host& to, const std::vector<member>& entries)
 {
     to.peers->learn(entries,
@@ -283,6 +294,7 @@
 {
     parted_.clear();
     cut_off_.clear();
+    held_lists_.clear();
 }
 
 bool listed_ledger::complete(std::size_t entry) const
--- a/process/entry/tests/listed_ledger.hpp
+++ b/process/entry/tests/listed_ledger.hpp
@@ -17,6 +17,7 @@
 #include "lagoonquay/process/claim_quorum.hpp"
 #include "lagoonquay/process/ledger_recovery.hpp"
 
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -58,6 +59,9 @@
     void part(std::size_t a, std::size_t b, bool apart);
     //! Cuts an entry off from control and the other entries.
     void cut_off(std::size_t entry, bool apart);
+    //! An entry gets the present list again and again, as from a replica of
+    //! control that hears of no change.
+    void hold_list(std::size_t entry);
     void join_all();
 
     //! @return whether the replica of a living entry votes on all jobs.
@@ -90,6 +94,7 @@
     // The lists of control.
     void poll(const host_pointer& to);
     std::vector<member> listed_entries() const;
+    std::vector<member> list_for(std::size_t entry) const;
     void learn(host& to, const std::vector<member>& entries);
 
     // Between entries.
@@ -126,6 +131,7 @@
     std::vector<incarnation> runs_; //!< of the entries' last processes
     std::set<std::pair<std::size_t, std::size_t>> parted_;
     std::set<std::size_t> cut_off_;
+    std::map<std::size_t, std::vector<member>> held_lists_;
     held_rounds held_;
 };
 
