--- /dev/null
+++ b/process/entry/tests/fault_search_known.cpp
@@ -0,0 +1,81 @@
+// Shortest paths whose causes KNOWN-RED.txt lists.
+#include "fault_search_known.hpp"
+
+#include <vector>
+
+namespace lagoonquay
+{
+
+namespace
+{
+
+using actions = std::vector<std::string>;
+
+struct known_path
+{
+    std::string kind;
+    actions path;
+    std::string red; //!< entry of KNOWN-RED.txt
+};
+
+const std::string runs = "two runs at once";
+const std::string late = "late start beside another run";
+const std::string held_14 =
+    "the first start is held up by 14 s and meets a next life";
+const std::string held_4 =
+    "the first start is held up by 4 s and meets a next life";
+const std::string again = "the job is sent again to entry-1";
+const std::string apart_all = "the agent is apart from all";
+const std::string apart_0 = "the agent is apart from entry-0";
+const std::string agent_anew = "the agent begins anew";
+const std::string dies = "entry-0 dies";
+const std::string anew = "entry-0 begins anew";
+const std::string adopter =
+    "late_start_paths.begins_beside_a_run_of_an_adopter";
+const std::string adopter_anew = adopter + "_after_a_new_process";
+
+const std::vector<known_path>& known_paths()
+{
+    static const std::vector<known_path> all{
+        {runs, {held_14, again, apart_all, dies}, adopter},
+        {late, {held_14, again, agent_anew, dies}, adopter_anew},
+        {runs, {held_14, apart_all, again, dies}, adopter},
+        {runs, {held_14, apart_all, dies, again}, adopter},
+        {runs, {held_14, dies, apart_all, again}, adopter},
+        {late, {held_14, dies, agent_anew, again}, adopter_anew},
+        {late, {held_14, agent_anew, dies, again}, adopter_anew},
+        {runs, {held_14, again, apart_all, anew}, adopter},
+        {late, {held_14, again, agent_anew, anew}, adopter_anew},
+        {runs, {held_14, apart_all, again, anew}, adopter},
+        {late, {held_4, agent_anew, dies, again}, adopter_anew},
+        {late, {held_4, agent_anew, anew, again}, adopter_anew},
+        {runs, {held_14, apart_0, anew, again}, adopter},
+        {runs, {held_14, apart_all, anew, again}, adopter},
+        {runs, {held_14, anew, apart_all, again}, adopter},
+        {late, {held_14, anew, agent_anew, again}, adopter_anew},
+        {late, {held_14, agent_anew, anew, again}, adopter_anew},
+    };
+    return all;
+}
+
+std::string joined(const actions& path)
+{
+    std::string text;
+    for (const auto& it : path)
+        text += (text.empty() ? "" : "; ") + it;
+    return text;
+}
+
+} // namespace
+
+std::string known_fault(const found_path& found)
+{
+    for (const auto& it : known_paths())
+    {
+        if (it.kind == found.kind && joined(it.path) == found.actions())
+            return it.red;
+    }
+    return {};
+}
+
+} // namespace lagoonquay
