Search paths on which all that knew of a claim have ended

In one of them, "100 ms: entry-0 dies; 2300 ms: entry-1 dies; 7000 ms: the job is sent again to entry-2", no entry begins anew: the third had no vote on the claim.

A path can be played by hand with the log of the fleet.

--- a/process/entry/tests/fault_search_known.cpp
+++ b/process/entry/tests/fault_search_known.cpp
@@ -30,9 +30,17 @@
 const std::string agent_anew = "the agent begins anew";
 const std::string dies = "entry-0 dies";
 const std::string anew = "entry-0 begins anew";
+const std::string twice = "round granted twice";
+const std::string other_dies = "entry-1 dies";
+const std::string other_anew = "entry-1 begins anew";
+const std::string third_anew = "entry-2 begins anew";
+const std::string again_0 = "the job is sent again to entry-0";
+const std::string again_2 = "the job is sent again to entry-2";
 const std::string adopter =
     "late_start_paths.begins_beside_a_run_of_an_adopter";
 const std::string adopter_anew = adopter + "_after_a_new_process";
+const std::string lost_memory =
+    "listed_ledgers.know_that_a_majority_began_anew_after_a_holder_died";
 
 const std::vector<known_path>& known_paths()
 {
@@ -54,6 +62,17 @@
         {runs, {held_14, anew, apart_all, again}, adopter},
         {late, {held_14, anew, agent_anew, again}, adopter_anew},
         {late, {held_14, agent_anew, anew, again}, adopter_anew},
+        {twice, {dies, other_anew, again}, lost_memory},
+        {twice, {dies, other_anew, again_2}, lost_memory},
+        {twice, {dies, other_dies, again_2}, lost_memory},
+        {twice, {anew, other_dies, again_2}, lost_memory},
+        {twice, {anew, other_anew, again}, lost_memory},
+        {twice, {anew, other_anew, again_2}, lost_memory},
+        {twice, {anew, other_dies, again_0}, lost_memory},
+        {twice, {anew, other_anew, again_0}, lost_memory},
+        {twice, {other_dies, dies, third_anew, again_2}, lost_memory},
+        {twice, {other_dies, anew, third_anew, again_0}, lost_memory},
+        {twice, {other_dies, anew, third_anew, again_2}, lost_memory},
     };
     return all;
 }
--- a/process/entry/tests/fault_search_play.cpp
+++ b/process/entry/tests/fault_search_play.cpp
@@ -1,6 +1,7 @@
 #include "fault_search_play.hpp"
 
 #include "lagoonquay/connection/message_link.hpp"
+#include "lagoonquay/process/log.hpp"
 #include "lagoonquay/request/stable_hash.hpp"
 
 #include <algorithm>
@@ -224,6 +225,12 @@
     return found;
 }
 
+void fault_play::open_log_here()
+{
+    open_log({.level = log_level::info, .waiting_bytes = 64UL << 20U}, {},
+             [this] { return fleet_.origin_of_line(); });
+}
+
 std::uint64_t fault_play::trace() const noexcept
 {
     return trace_;
--- a/process/entry/tests/fault_search_play.hpp
+++ b/process/entry/tests/fault_search_play.hpp
@@ -71,6 +71,8 @@
 
     //! @return whether each step changed something. Stops at one that doesn't.
     bool run(const fault_path& path);
+    //! Writes the log of the fleet from here on, in virtual time.
+    void open_log_here();
     std::vector<fault_finding> findings() const;
     //! @return a digest of what was sent, claimed, started and ended, and when.
     std::uint64_t trace() const noexcept;
--- a/process/entry/tests/fault_search_test.cpp
+++ b/process/entry/tests/fault_search_test.cpp
@@ -107,6 +107,22 @@
 
 } // namespace
 
+// A path by hand, as its pairs of moment and action, with the log.
+TEST(fault_search, plays_a_path_without_a_finding)
+{
+    const auto numbers = numbers_of("FAULT_SEARCH_PATH", {});
+    fault_path path;
+    for (std::size_t n = 0; n + 1 < numbers.size(); n += 2)
+        path.push_back({numbers[n], numbers[n + 1]});
+    fault_play play(number_of("FAULT_SEARCH_JOB", 0));
+    if (!path.empty())
+        play.open_log_here();
+    EXPECT_TRUE(play.run(path));
+    open_log({.level = log_level::error});
+    for (const auto& it : play.findings())
+        ADD_FAILURE() << it.kind << ": " << to_text(path) << ": " << it.detail;
+}
+
 TEST(fault_search, finds_no_path_to_two_runs_or_two_holders)
 {
     fault_search_options usual;
@@ -129,6 +145,18 @@
          .moments = {1, 2, 5}});
 }
 
+// A holder and its voter that end or begin anew.
+TEST(fault_search, finds_no_new_path_from_memory_that_is_lost)
+{
+    expect_no_new_path(
+        {.depth = 2,
+         .actions = numbers_of_actions({"entry-0 dies", "entry-0 begins anew",
+                                        "entry-1 dies", "entry-1 begins anew",
+                                        "the job is sent again to entry-1",
+                                        "the job is sent again to entry-2"}),
+         .moments = {2, 3, 5}});
+}
+
 // Two holders, of which one counts alone entries that the other hasn't heard
 // of. The number is that of a job whose replicas differ with these.
 TEST(fault_search, finds_no_path_from_entries_that_join)
