Begin entries of the search without a permit

A search by hand (depth 2, three moments) found "0 ms: entry-2 is cut off; 100 ms: entry-2 begins anew; 7000 ms: the job is sent again to entry-2": one round held twice. The new process had no list and claimed alone.

--- a/process/entry/tests/fault_search_play.hpp
+++ b/process/entry/tests/fault_search_play.hpp
@@ -98,6 +98,7 @@
     void trace_fleet(fake_fleet_hooks& hooks);
     std::optional<order_fate> fate_of(std::size_t agent, order_kind kind,
                                       const task_run& run);
+    void begin_entry(std::size_t entry);
     void submit_first();
     bool is_idle();
     void submit(std::size_t entry);
