--- a/process/entry/tests/fault_search_known.cpp
+++ b/process/entry/tests/fault_search_known.cpp
@@ -18,16 +18,7 @@
     std::string red; //!< entry of KNOWN-RED.txt
 };
 
-const std::string runs = "two runs at once";
-const std::string late = "late start beside another run";
-const std::string held_14 =
-    "the first start is held up by 14 s and meets a next life";
-const std::string held_4 =
-    "the first start is held up by 4 s and meets a next life";
 const std::string again = "the job is sent again to entry-1";
-const std::string apart_all = "the agent is apart from all";
-const std::string apart_0 = "the agent is apart from entry-0";
-const std::string agent_anew = "the agent begins anew";
 const std::string dies = "entry-0 dies";
 const std::string anew = "entry-0 begins anew";
 const std::string twice = "round granted twice";
@@ -36,32 +27,12 @@
 const std::string third_anew = "entry-2 begins anew";
 const std::string again_0 = "the job is sent again to entry-0";
 const std::string again_2 = "the job is sent again to entry-2";
-const std::string adopter =
-    "late_start_paths.begins_beside_a_run_of_an_adopter";
-const std::string adopter_anew = adopter + "_after_a_new_process";
 const std::string lost_memory =
     "listed_ledgers.know_that_a_majority_began_anew_after_a_holder_died";
 
 const std::vector<known_path>& known_paths()
 {
     static const std::vector<known_path> all{
-        {runs, {held_14, again, apart_all, dies}, adopter},
-        {late, {held_14, again, agent_anew, dies}, adopter_anew},
-        {runs, {held_14, apart_all, again, dies}, adopter},
-        {runs, {held_14, apart_all, dies, again}, adopter},
-        {runs, {held_14, dies, apart_all, again}, adopter},
-        {late, {held_14, dies, agent_anew, again}, adopter_anew},
-        {late, {held_14, agent_anew, dies, again}, adopter_anew},
-        {runs, {held_14, again, apart_all, anew}, adopter},
-        {late, {held_14, again, agent_anew, anew}, adopter_anew},
-        {runs, {held_14, apart_all, again, anew}, adopter},
-        {late, {held_4, agent_anew, dies, again}, adopter_anew},
-        {late, {held_4, agent_anew, anew, again}, adopter_anew},
-        {runs, {held_14, apart_0, anew, again}, adopter},
-        {runs, {held_14, apart_all, anew, again}, adopter},
-        {runs, {held_14, anew, apart_all, again}, adopter},
-        {late, {held_14, anew, agent_anew, again}, adopter_anew},
-        {late, {held_14, agent_anew, anew, again}, adopter_anew},
         {twice, {dies, other_anew, again}, lost_memory},
         {twice, {dies, other_anew, again_2}, lost_memory},
         {twice, {dies, other_dies, again_2}, lost_memory},
