Look up drained and known agents outside a job's lock

No code holds two shard locks, but the adopter's hold asked the agent table under the lock of the job. What is known of the agents of an earlier claim is collected before, as for those that accept tasks. A test's repeated steps are shared.

--- a/process/entry/include/lagoonquay/process/entry_service.hpp
+++ b/process/entry/include/lagoonquay/process/entry_service.hpp
@@ -354,8 +354,16 @@
     std::set<agent_id> agents_that_accept_again(const job_pointer& state,
                                                 const linked_runs& links);
     void finish_adoption(const job_pointer& state);
-    void lose_silent_agents(job_state& state, const linked_runs& links,
-                            const std::set<agent_id>& accepting, instant now);
+    std::set<agent_run_id> drained_agents(const job_pointer& state);
+    //! What is known of the agents of an earlier claim.
+    struct agents_heard_of
+    {
+        std::shared_ptr<const linked_runs> links;
+        std::set<agent_id> accepting; //!< with another process
+        std::set<agent_run_id> drained;
+    };
+    static void lose_silent_agents(job_state& state,
+                                   const agents_heard_of& heard, instant now);
     bool may_start_late(const job_state& state, instant now);
     void release_held(const job_pointer& state, instant now);
 
--- a/process/entry/src/entry_adoption.cpp
+++ b/process/entry/src/entry_adoption.cpp
@@ -59,11 +59,12 @@
              {
                  for (const auto& agent : it.awaiting_status)
                  {
-                     if (!links->contains(agent.agent) &&
-                         !dispatcher_.agents().knows(agent.agent))
+                     if (!links->contains(agent.agent))
                          missing.insert(agent.agent);
                  }
              });
+    std::erase_if(missing, [this](const agent_id& agent)
+                  { return dispatcher_.agents().knows(agent); });
     if (missing.empty())
         return;
     std::shared_ptr<const std::vector<member>> listed;
@@ -142,6 +143,17 @@
     return found;
 }
 
+//! @return the agents that are waited for and have told that they are drained.
+std::set<agent_run_id> entry_service::drained_agents(const job_pointer& state)
+{
+    std::set<agent_run_id> found;
+    with_job(state, [&](const job_state& it) { found = it.awaiting_status; });
+    std::erase_if(
+        found, [this](const agent_run_id& it)
+        { return !dispatcher_.agents().has_drained(it.agent, it.run); });
+    return found;
+}
+
 // Tasks that no agent has started are dispatched once every agent of the
 // earlier reach has reported its status. If one can't answer any more, the
 // tasks may have run there.
@@ -149,7 +161,8 @@
 {
     const auto now = hooks_.now();
     const auto links = linked_agents();
-    const auto accepting = agents_that_accept_again(state, *links);
+    const agents_heard_of heard{links, agents_that_accept_again(state, *links),
+                                drained_agents(state)};
     std::optional<settled_adoption> settled;
     bool untouched = false;
     auto ran = effect::unknown;
@@ -159,7 +172,7 @@
         {
             if (it.answer || it.stage != job_stage::adopting)
                 return;
-            lose_silent_agents(it, *links, accepting, now);
+            lose_silent_agents(it, heard, now);
             it.has_lost_agents =
                 it.silent_agents + it.agents_anew > 0 || it.has_lost_record;
             if (!it.awaiting_status.empty())
@@ -217,30 +230,28 @@
 // that has told that it is drained is not, nor one whose next process accepts
 // tasks. A start that such an agent sent may begin later, unless it is drained.
 void entry_service::lose_silent_agents(job_state& state,
-                                       const linked_runs& links,
-                                       const std::set<agent_id>& accepting,
+                                       const agents_heard_of& heard,
                                        instant now)
 {
     const bool idempotent = state.submitted->idempotent;
-    std::erase_if(
-        state.awaiting_status,
-        [&](const agent_run_id& agent)
-        {
-            const auto link = links.find(agent.agent);
-            const bool silent = link == links.end();
-            if (!silent && link->second == agent.run)
-                return false;
-            const bool drained =
-                dispatcher_.agents().has_drained(agent.agent, agent.run);
-            const bool accepts =
-                !silent && (!idempotent || accepting.contains(agent.agent));
-            if (!drained && !accepts && now < state.recovery_end)
-                return false;
-            ++(silent ? state.silent_agents : state.agents_anew);
-            if (!drained && idempotent)
-                state.unheard_agents.insert(agent);
-            return true;
-        });
+    std::erase_if(state.awaiting_status,
+                  [&](const agent_run_id& agent)
+                  {
+                      const auto link = heard.links->find(agent.agent);
+                      const bool silent = link == heard.links->end();
+                      if (!silent && link->second == agent.run)
+                          return false;
+                      const bool drained = heard.drained.contains(agent);
+                      const bool accepts =
+                          !silent && (!idempotent ||
+                                      heard.accepting.contains(agent.agent));
+                      if (!drained && !accepts && now < state.recovery_end)
+                          return false;
+                      ++(silent ? state.silent_agents : state.agents_anew);
+                      if (!drained && idempotent)
+                          state.unheard_agents.insert(agent);
+                      return true;
+                  });
 }
 
 // Requires the lock of the job's shard. The last start of an earlier holder was
--- a/process/entry/tests/adopter_hold_test.cpp
+++ b/process/entry/tests/adopter_hold_test.cpp
@@ -63,12 +63,6 @@
         fleet.submit(entry, *work);
     }
 
-    void separate_from_all(std::size_t agent)
-    {
-        for (std::size_t n = 0; n < 3; ++n)
-            fleet.separate(n, agent, true);
-    }
-
     //! The entry that has the job dies, and the second one gets it.
     void adopt()
     {
@@ -77,6 +71,20 @@
         submit(1, seconds(30));
     }
 
+    //! It has a start without an answer, and no entry reaches it.
+    void adopt_beside_a_silent_agent()
+    {
+        hold_up_start(std::chrono::hours(1));
+        fleet.run_for(seconds(2));
+        submit(0, seconds(60));
+        fleet.run_for(milliseconds(100));
+        if (!first_agent)
+            return;
+        for (std::size_t n = 0; n < 3; ++n)
+            fleet.separate(n, *first_agent, true);
+        adopt();
+    }
+
     std::optional<job> work; //!< that was submitted
 };
 
@@ -120,13 +128,8 @@
 // Also that the task is not started before.
 TEST_F(adopter_hold, ends_with_the_word_of_an_agent_that_is_in_reach_again)
 {
-    hold_up_start(std::chrono::hours(1));
-    fleet.run_for(seconds(2));
-    submit(0, seconds(60));
-    fleet.run_for(milliseconds(100));
+    adopt_beside_a_silent_agent();
     ASSERT_TRUE(first_agent);
-    separate_from_all(*first_agent);
-    adopt();
     fleet.run_for(seconds(10));
     EXPECT_EQ(fleet.entry(1).counts().held_moves, 1U);
     EXPECT_EQ(workers.began(), 0U);
@@ -141,13 +144,8 @@
 // No longer than a late run may go on.
 TEST_F(adopter_hold, ends_when_no_late_run_can_go_on)
 {
-    hold_up_start(std::chrono::hours(1));
-    fleet.run_for(seconds(2));
-    submit(0, seconds(60));
-    fleet.run_for(milliseconds(100));
+    adopt_beside_a_silent_agent();
     ASSERT_TRUE(first_agent);
-    separate_from_all(*first_agent);
-    adopt();
     fleet.run_for(max_late_run_time({}));
     EXPECT_EQ(workers.began(), 0U);
     fleet.run_for(seconds(12));
@@ -156,13 +154,8 @@
 
 TEST_F(adopter_hold, ends_with_its_job_if_that_is_cancelled)
 {
-    hold_up_start(std::chrono::hours(1));
-    fleet.run_for(seconds(2));
-    submit(0, seconds(60));
-    fleet.run_for(milliseconds(100));
+    adopt_beside_a_silent_agent();
     ASSERT_TRUE(first_agent);
-    separate_from_all(*first_agent);
-    adopt();
     fleet.run_for(seconds(11));
     EXPECT_EQ(fleet.entry(1).counts().held_moves, 1U);
     fleet.cancel(1, submission_id("job"));
